Add design, core library, interfaces and build

Cause: the repository was empty.

Ruled out: Asio, Beast, Accumulators and msgpack in public headers, because one file that includes them takes about 8 s to compile.

--- /dev/null
+++ b/coordination/store_func.cpp
@@ -0,0 +1,23 @@
+/** @file store_func.cpp Helpers for keys of the store. */
+#include "coordination/store_type.hpp"
+
+namespace godwitcleat::coordination
+{
+
+auto prefix_end(std::string prefix) -> std::string
+{
+    constexpr unsigned char highest = 0xff;
+    while (!prefix.empty())
+    {
+        auto const last = static_cast<unsigned char>(prefix.back());
+        if (last != highest)
+        {
+            prefix.back() = static_cast<char>(last + 1);
+            return prefix;
+        }
+        prefix.pop_back();
+    }
+    return prefix;
+}
+
+} // namespace godwitcleat::coordination
--- /dev/null
+++ b/protocol/protocol.hpp
@@ -0,0 +1,10 @@
+/** @file protocol.hpp Public header of the protocol library: messages, codecs.
+ */
+#ifndef GODWITCLEAT_PROTOCOL_PROTOCOL_HPP
+#define GODWITCLEAT_PROTOCOL_PROTOCOL_HPP
+
+#include "protocol/json_func.hpp"
+#include "protocol/msgpack_func.hpp"
+#include "protocol/peer_type.hpp"
+
+#endif
--- /dev/null
+++ b/state/engine_base.hpp
@@ -0,0 +1,194 @@
+/** @file engine_base.hpp The owner of one shard as a state machine without I/O.
+ */
+#ifndef GODWITCLEAT_STATE_ENGINE_BASE_HPP
+#define GODWITCLEAT_STATE_ENGINE_BASE_HPP
+
+#include "state/config_type.hpp"
+#include "state/placement_func.hpp"
+#include "state/shard_base.hpp"
+#include "state/shard_message_type.hpp"
+#include "state/worker_type.hpp"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace godwitcleat::state
+{
+
+/** Times and limits of an engine; see docs/design.md 5.4 and 5.5. */
+struct engine_settings
+{
+    core::duration lease = std::chrono::seconds{4};
+    double clock_rate_margin = 0.02; ///< Share added for clock rate drift.
+    core::duration heartbeat_interval = std::chrono::milliseconds{500};
+    core::duration start_validity = std::chrono::seconds{2};
+    core::duration commit_to_start = std::chrono::seconds{2};
+    core::duration reservation = std::chrono::seconds{3};
+    core::duration message_retry = std::chrono::seconds{1};
+    core::duration status_interval = std::chrono::seconds{5};
+    core::duration retention = std::chrono::minutes{60};
+    core::duration exclusion_first = std::chrono::seconds{30};
+    core::duration exclusion_most = std::chrono::minutes{10};
+    std::uint32_t most_failures = 5;      ///< Failed attempts until failed.
+    std::uint32_t excluding_failures = 3; ///< In a row on one worker.
+    std::uint32_t starts_per_tick = 64;
+    std::uint32_t shard_count = 16;
+};
+
+/** Free room and use of one shard, as other shards see it. */
+struct shard_summary
+{
+    core::shard_id shard;
+    core::epoch owner_epoch;
+    std::vector<core::resources> largest_free; ///< At most 8 workers.
+    core::resources largest_capacity; ///< Per amount, over all its workers.
+    std::map<core::team_id, core::resources> team_use; ///< By home jobs.
+};
+
+/** What the engine needs to know of the rest of the system. */
+struct cluster_view
+{
+    config_pointer config;             ///< Never null.
+    std::vector<shard_summary> others; ///< Of the other shards.
+    bool former_owner_stopped = false; ///< It renews no lease any more.
+};
+
+/** A batch that waits for its commit. */
+struct commit_batch
+{
+    record_batch batch;
+    bool allows_start = false;   ///< Compare the configuration generation.
+    core::generation generation; ///< Under which starts were decided.
+};
+
+/** Why a batch was not committed, for certain. */
+enum class batch_rejection
+{
+    config_changed, ///< Starts are decided again, the rest is retried.
+    not_owner       ///< The epoch has changed; the engine must be dropped.
+};
+
+/** An endpoint of a service runner. */
+struct service_endpoint
+{
+    core::service_id service;
+    core::backend_server_id backend_server; ///< JOB#ATTEMPT.
+    std::string address;                    ///< ADDRESS:PORT.
+    core::data_centre_id data_centre;
+    bool leaving = false; ///< Gets no new requests.
+    auto operator==(service_endpoint const&) const -> bool = default;
+};
+
+/** One worker as operators see it. */
+struct worker_view
+{
+    worker_info info;
+    core::shard_id shard;
+    core::resources committed;
+    std::uint32_t tasks = 0;
+    std::string state; ///< `live`, `unheard`, `lapsed`, `drained`, `excluded`.
+};
+
+/** Test-only faults; each breaks one rule so that checkers can be proved. */
+struct engine_faults
+{
+    bool ignore_lease_margin =
+        false; ///< Treats a silent worker as lapsed at once.
+    bool grant_stale_claims = false;  ///< Grants claims of old attempts.
+    bool ignore_commitments = false;  ///< Places without looking at room.
+    bool start_before_commit = false; ///< Sends starts of uncommitted tasks.
+    bool ignore_drain = false;        ///< Starts in drained data centres.
+    bool resume_without_end = false;  ///< New attempt at eviction request.
+};
+
+/** Hooks of an engine. Each may be empty. */
+struct engine_hooks
+{
+    placement_policy place; ///< Default: best_fit().
+    std::function<void(core::timeline_event)> on_event;
+    std::function<std::string()> unique_id; ///< Default: core::unique_id.
+};
+
+/**
+ * Decides for one shard: queue, placement, leases of workers, attempts,
+ * evictions and the protocol with other shards. All inputs are calls with the
+ * current time; all outputs are returned or queued. A change is answered only
+ * after its batch was committed. Not thread-safe: the caller holds the shard's
+ * lock. After batch_rejected(not_owner) only destruction is allowed.
+ */
+class shard_engine
+{
+public:
+    /** Called once: true after the commit, false with core::last_reason(). */
+    using done = std::function<void(bool committed)>;
+    /** Called once with the reply, or std::nullopt with last_reason(). */
+    using answer = std::function<void(std::optional<shard_reply>)>;
+
+    shard_engine(
+        core::epoch owner_epoch, shard_state recovered,
+        engine_settings settings, engine_hooks hooks, core::time_point now,
+        engine_faults faults = {});
+    ~shard_engine();
+    shard_engine(shard_engine&&) noexcept;
+    auto operator=(shard_engine&&) noexcept -> shard_engine&;
+
+    /** Adds a job. Repeating the same spec succeeds, another one conflicts. */
+    auto submit(job_spec spec, done on_done) -> void;
+
+    /** Cancels a job; succeeds if it is final or cancelled already. */
+    auto cancel(core::job_id const& id, std::string reason, done on_done)
+        -> void;
+
+    /** Handles a heartbeat of a worker of this shard. */
+    auto heartbeat(worker_report const& report, core::time_point now)
+        -> heartbeat_reply;
+
+    /** Handles a request of another shard's owner. */
+    auto
+    handle(shard_request const& request, core::time_point now, answer on_answer)
+        -> void;
+
+    /** Handles the reply to a request from take_requests(). */
+    auto replied(
+        shard_request const& request, std::optional<shard_reply> const& reply,
+        core::time_point now) -> void;
+
+    /** Advances leases, retries, placement, evictions and retention. */
+    auto tick(core::time_point now, cluster_view const& view) -> void;
+
+    /** Returns requests to send to owners of other shards. */
+    auto take_requests() -> std::vector<shard_request>;
+
+    /**
+     * Returns the waiting records as one batch, or std::nullopt if there are
+     * none or a batch is in flight.
+     */
+    auto take_batch(core::time_point now) -> std::optional<commit_batch>;
+
+    /** The batch in flight, sent at @p sent_at, is in the log: applies it. */
+    auto batch_committed(core::time_point sent_at) -> void;
+
+    /** The batch in flight is certainly not in the log. */
+    auto batch_rejected(batch_rejection cause) -> void;
+
+    [[nodiscard]] auto state() const -> shard_state const&;
+    [[nodiscard]] auto jobs() const -> std::vector<job>;
+    [[nodiscard]] auto workers(core::time_point now) const
+        -> std::vector<worker_view>;
+    [[nodiscard]] auto endpoints() const -> std::vector<service_endpoint>;
+    [[nodiscard]] auto summary(core::time_point now) const -> shard_summary;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace godwitcleat::state
+
+#endif
--- /dev/null
+++ b/state/state.hpp
@@ -0,0 +1,15 @@
+/** @file state.hpp Public header of the state library: decisions without I/O.
+ */
+#ifndef GODWITCLEAT_STATE_STATE_HPP
+#define GODWITCLEAT_STATE_STATE_HPP
+
+#include "state/config_type.hpp"
+#include "state/engine_base.hpp"
+#include "state/job_type.hpp"
+#include "state/placement_func.hpp"
+#include "state/record_type.hpp"
+#include "state/shard_base.hpp"
+#include "state/shard_message_type.hpp"
+#include "state/worker_type.hpp"
+
+#endif
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,107 @@
+/** @file core_test.cpp Tests of the plain helpers. */
+#include "core/core.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace core = godwitcleat::core;
+
+// Guards against errors that do not tell the operator where to look.
+TEST(ini, error_names_file_and_line)
+{
+    auto const file = core::parse_ini("[a]\nx = 1\nnonsense\n", "a.ini");
+    ASSERT_FALSE(file.has_value());
+    EXPECT_EQ(core::last_reason().kind, core::error_kind::invalid_input);
+    EXPECT_NE(core::last_reason().message.find("a.ini:3:"), std::string::npos);
+}
+
+// Guards against a key that is silently ignored or silently overwritten.
+TEST(ini, rejects_duplicate_and_unknown_keys)
+{
+    EXPECT_FALSE(core::parse_ini("[a]\nx = 1\nx = 2\n", "a.ini"));
+    auto const file = core::parse_ini("[a]\nx = 1\ny = 2\n", "a.ini");
+    ASSERT_TRUE(file);
+    auto reader = core::ini_reader{"a.ini", file->sections.front()};
+    EXPECT_EQ(reader.number("x", 0, 0, 10, "items"), 1);
+    auto const problems = reader.finish();
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_NE(problems.front().find("a.ini:3: key \"y\""), std::string::npos);
+}
+
+// Guards against numbers with trailing text or outside the range.
+TEST(ini, checks_numbers)
+{
+    auto const file =
+        core::parse_ini("[a]\nx = 12s\ny = 99\nz = -1\n", "a.ini");
+    ASSERT_TRUE(file);
+    auto reader = core::ini_reader{"a.ini", file->sections.front()};
+    EXPECT_EQ(reader.number("x", 7, 0, 50, "s"), 7);
+    EXPECT_EQ(reader.number("y", 7, 0, 50, "s"), 7);
+    EXPECT_EQ(reader.number("z", 7, 0, 50, "s"), 7);
+    EXPECT_EQ(reader.finish().size(), 3U);
+}
+
+// Guards against crashes on arbitrary bytes.
+RC_GTEST_PROP(ini, survives_any_text, (std::string const& text))
+{
+    core::parse_ini(text, "any.ini");
+}
+
+// Guards against a rendezvous choice that moves keys between the remaining
+// names when one name leaves.
+RC_GTEST_PROP(hash, rendezvous_moves_only_keys_of_the_lost_name, ())
+{
+    auto const keys = *rc::gen::arbitrary<std::vector<std::uint64_t>>();
+    auto const all = std::vector<std::string>{"a", "b", "c", "d"};
+    auto const fewer = std::vector<std::string>{"a", "b", "d"};
+    for (auto const key : keys)
+    {
+        auto const before = all[core::rendezvous_choice(all, key)];
+        auto const after = fewer[core::rendezvous_choice(fewer, key)];
+        RC_ASSERT(before == "c" || before == after);
+    }
+}
+
+// Guards against foreign input that forges a second log line.
+TEST(log, escapes_line_ends)
+{
+    auto line = std::string{};
+    auto const log = core::logger{
+        [&line](std::string_view text) { line = text; }, core::log_level::info};
+    log.info("Request refused.", {{"target", "/a\nb c"}});
+    EXPECT_EQ(line.find('\n'), std::string::npos);
+    EXPECT_NE(line.find("target=\"/a\\nb c\""), std::string::npos);
+}
+
+// Guards against an unbounded time line.
+TEST(timeline, keeps_the_newest_events)
+{
+    auto events = core::timeline{core::instance_id{"i"}, 3};
+    for (auto i = 0; i < 5; ++i)
+    {
+        events.record({});
+    }
+    auto const kept = events.since(0);
+    ASSERT_EQ(kept.size(), 3U);
+    EXPECT_EQ(kept.front().sequence, 3U);
+}
+
+// Guards against quantiles that are far off for common distributions.
+TEST(metrics, estimates_quantiles)
+{
+    auto values = core::metrics{};
+    for (auto i = 1; i <= 1000; ++i)
+    {
+        values.observe("latency_ms", (i * 7919) % 1000);
+    }
+    for (auto const& it : values.samples())
+    {
+        if (it.name == "latency_ms_p50")
+        {
+            EXPECT_NEAR(it.value, 500.0, 25.0);
+        }
+    }
+}
--- /dev/null
+++ b/transport/frame_base.hpp
@@ -0,0 +1,83 @@
+/** @file frame_base.hpp Request and reply frames over TCP between daemons. */
+#ifndef GODWITCLEAT_TRANSPORT_FRAME_BASE_HPP
+#define GODWITCLEAT_TRANSPORT_FRAME_BASE_HPP
+
+#include "core/core.hpp"
+#include "transport/endpoint_type.hpp"
+#include "transport/reactor_base.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace godwitcleat::transport
+{
+
+/** Limits of frame connections. */
+struct frame_limits
+{
+    std::size_t frame_bytes = 4 * 1024 * 1024;
+    std::size_t connections = 256;
+    std::size_t in_flight_per_connection = 1024;
+    core::duration idle_timeout = std::chrono::seconds{30};
+};
+
+/** Sends the reply payload; must be called at most once. */
+using frame_reply = std::function<void(std::string payload)>;
+
+/** Handles one request payload. */
+using frame_handler = std::function<void(std::string payload, frame_reply)>;
+
+/**
+ * Accepts connections of frames: a 4-byte length, an 8-byte request number,
+ * both big-endian, and the payload. Replies carry the request's number and
+ * may come in any order. A malformed or oversized frame closes its connection.
+ */
+class frame_server
+{
+public:
+    /** Listens at once; std::nullopt with unavailable. */
+    static auto listen(
+        reactor& loop, endpoint const& where, frame_limits limits,
+        frame_handler handler) -> std::optional<frame_server>;
+
+    ~frame_server();
+    frame_server(frame_server&&) noexcept;
+    auto operator=(frame_server&&) noexcept -> frame_server&;
+
+    [[nodiscard]] auto local() const -> endpoint;
+    auto close() -> void;
+
+private:
+    struct implementation;
+    explicit frame_server(std::shared_ptr<implementation> implementation);
+    std::shared_ptr<implementation> implementation_;
+};
+
+/** Sends frames over one connection for each endpoint, reopened as needed. */
+class frame_client
+{
+public:
+    frame_client(reactor& loop, frame_limits limits);
+    ~frame_client();
+    frame_client(frame_client&&) noexcept;
+    auto operator=(frame_client&&) noexcept -> frame_client&;
+
+    /**
+     * Sends @p payload. @p on_done is called exactly once on a thread of the
+     * reactor with the reply, or with std::nullopt and last_reason() of kind
+     * unavailable (nothing was sent), timeout or unknown_outcome.
+     */
+    auto call(
+        endpoint const& where, std::string payload, core::duration timeout,
+        std::function<void(std::optional<std::string>)> on_done) -> void;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace godwitcleat::transport
+
+#endif
--- /dev/null
+++ b/transport/http_base.hpp
@@ -0,0 +1,131 @@
+/** @file http_base.hpp HTTP/1.1 server and client. */
+#ifndef GODWITCLEAT_TRANSPORT_HTTP_BASE_HPP
+#define GODWITCLEAT_TRANSPORT_HTTP_BASE_HPP
+
+#include "core/core.hpp"
+#include "transport/endpoint_type.hpp"
+#include "transport/http_type.hpp"
+#include "transport/reactor_base.hpp"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace godwitcleat::transport
+{
+
+/** Limits of one HTTP server. */
+struct http_server_limits
+{
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t body_bytes = 8 * 1024 * 1024;
+    std::size_t connections = 4096; ///< More are closed at once.
+    core::duration read_timeout = std::chrono::seconds{10}; ///< One request.
+    core::duration idle_timeout = std::chrono::seconds{60};
+};
+
+/** Sends the response; must be called exactly once, from any thread. */
+using http_reply = std::function<void(http_response)>;
+
+/** Handles one request. */
+using http_handler = std::function<void(http_request, http_reply)>;
+
+/**
+ * Serves HTTP/1.1 with keep-alive; one request at a time on a connection.
+ * Malformed or oversized requests get 400, 413 or 431 and a closed
+ * connection.
+ */
+class http_server
+{
+public:
+    /**
+     * Listens on @p where at once.
+     * @return the server, or std::nullopt with unavailable.
+     */
+    static auto listen(
+        reactor& loop, endpoint const& where, http_server_limits limits,
+        http_handler handler) -> std::optional<http_server>;
+
+    ~http_server();
+    http_server(http_server&&) noexcept;
+    auto operator=(http_server&&) noexcept -> http_server&;
+
+    /** Returns the address with the port in use. */
+    [[nodiscard]] auto local() const -> endpoint;
+
+    /** Returns the number of requests not yet fully answered. */
+    [[nodiscard]] auto in_flight() const -> std::size_t;
+
+    /**
+     * Stops accepting and closes idle connections. Requests in flight finish
+     * with `Connection: close`.
+     */
+    auto close_listener() -> void;
+
+    /** Closes all connections. */
+    auto close() -> void;
+
+private:
+    struct implementation;
+    explicit http_server(std::shared_ptr<implementation> implementation);
+    std::shared_ptr<implementation> implementation_;
+};
+
+/** What is known about a request that got no response. */
+enum class send_progress
+{
+    nothing_written, ///< No byte was handed to the connection.
+    maybe_written    ///< The server may have received and run the request.
+};
+
+/** Result of one request. */
+struct http_result
+{
+    std::optional<http_response> response; ///< The whole response.
+    core::failure reason;                  ///< Set if there is no response.
+    send_progress progress = send_progress::nothing_written;
+};
+
+/** Limits of one HTTP client. */
+struct http_client_limits
+{
+    std::size_t connections_per_endpoint = 9;
+    std::size_t waiting_per_endpoint = 64; ///< Requests waiting for one.
+    std::size_t body_bytes = 8 * 1024 * 1024;
+    core::duration idle_timeout = std::chrono::seconds{20};
+};
+
+/**
+ * Sends requests over pooled connections, one request at a time on each. A
+ * request is never repeated by the client. A pooled connection that the
+ * server has closed is replaced before anything is written. A connection
+ * whose request failed or timed out is closed.
+ */
+class http_client
+{
+public:
+    http_client(reactor& loop, http_client_limits limits);
+    ~http_client();
+    http_client(http_client&&) noexcept;
+    auto operator=(http_client&&) noexcept -> http_client&;
+
+    /**
+     * Sends @p request to @p where. @p on_done is called exactly once on a
+     * thread of the reactor, at the latest when @p timeout has passed.
+     */
+    auto send(
+        endpoint const& where, http_request request, core::duration timeout,
+        std::function<void(http_result)> on_done) -> void;
+
+    /** Returns the number of connections open to @p where. */
+    [[nodiscard]] auto connections(endpoint const& where) const -> std::size_t;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace godwitcleat::transport
+
+#endif
--- /dev/null
+++ b/transport/transport.hpp
@@ -0,0 +1,11 @@
+/** @file transport.hpp Public header of the transport library. */
+#ifndef GODWITCLEAT_TRANSPORT_TRANSPORT_HPP
+#define GODWITCLEAT_TRANSPORT_TRANSPORT_HPP
+
+#include "transport/endpoint_type.hpp"
+#include "transport/frame_base.hpp"
+#include "transport/http_base.hpp"
+#include "transport/http_type.hpp"
+#include "transport/reactor_base.hpp"
+
+#endif
