--- a/protocol/peer_type.hpp
+++ b/protocol/peer_type.hpp
@@ -53,6 +53,7 @@
     std::vector<state::shard_summary> summaries;
     std::vector<endpoint_table> tables; ///< Changed since the last reply.
     std::vector<backend_load> loads;
+    std::vector<owned_shard> seen; ///< Highest epochs seen, of any owner.
 };
 
 /** Receiver's view, so that the sender can leave out what is known. */
