--- a/coordination/peers_base.hpp
+++ b/coordination/peers_base.hpp
@@ -121,6 +121,8 @@
     auto handle_reply(
         transport::endpoint const& address,
         protocol::peer_update_reply const& reply) -> void;
+    [[nodiscard]] auto seen_epochs(protocol::peer_update const& own) const
+        -> std::vector<protocol::owned_shard>;
     [[nodiscard]] auto
     is_suspect(peer_info const& peer, core::time_point now) const -> bool;
 
