--- a/transport/frame_base.hpp
+++ b/transport/frame_base.hpp
@@ -20,7 +20,9 @@
     std::size_t frame_bytes = 4 * 1024 * 1024;
     std::size_t connections = 256;
     std::size_t in_flight_per_connection = 1024;
+    /** Longest time without a frame, within one frame or within one write. */
     core::duration idle_timeout = std::chrono::seconds{30};
+    core::duration connect_timeout = std::chrono::seconds{2};
 };
 
 /** Sends the reply payload; must be called at most once. */
@@ -67,7 +69,8 @@
     /**
      * Sends @p payload. @p on_done is called exactly once on a thread of the
      * reactor with the reply, or with std::nullopt and last_reason() of kind
-     * unavailable (nothing was sent), timeout or unknown_outcome.
+     * unavailable (nothing was sent), invalid_input (the payload exceeds
+     * frame_bytes; nothing was sent), timeout or unknown_outcome.
      */
     auto call(
         endpoint const& where, std::string payload, core::duration timeout,
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -23,9 +23,13 @@
     std::size_t connections = 4096; ///< More are closed at once.
     core::duration read_timeout = std::chrono::seconds{10}; ///< One request.
     core::duration idle_timeout = std::chrono::seconds{60};
+    core::duration write_timeout = std::chrono::seconds{30}; ///< One response.
 };
 
-/** Sends the response; must be called exactly once, from any thread. */
+/**
+ * Sends the response; must be called exactly once, from any thread. Status 500
+ * is sent if all copies are destroyed without a call.
+ */
 using http_reply = std::function<void(http_response)>;
 
 /** Handles one request. */
@@ -112,7 +116,11 @@
 
     /**
      * Sends @p request to @p where. @p on_done is called exactly once on a
-     * thread of the reactor, at the latest when @p timeout has passed.
+     * thread of the reactor, at the latest when @p timeout has passed. Reasons
+     * of failure: invalid_input, no_capacity (too many requests wait),
+     * unavailable (nothing was written), unknown_outcome, timeout, protocol
+     * (the response cannot be used) and shutting_down. A response must carry
+     * its length; one that ends with its connection is a failure.
      */
     auto send(
         endpoint const& where, http_request request, core::duration timeout,
--- /dev/null
+++ b/transport/http_internal.hpp
@@ -0,0 +1,43 @@
+/** @file http_internal.hpp Conversion between messages and Beast's types. */
+#ifndef GODWITCLEAT_TRANSPORT_HTTP_INTERNAL_HPP
+#define GODWITCLEAT_TRANSPORT_HTTP_INTERNAL_HPP
+
+#include "transport/endpoint_type.hpp"
+#include "transport/http_type.hpp"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace godwitcleat::transport
+{
+
+using beast_request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using beast_response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+/** Takes the parts of a received message, without hop-by-hop headers. */
+auto from_beast(beast_request&& message) -> http_request;
+auto from_beast(beast_response&& message) -> http_response;
+
+/**
+ * Builds the message to send to @p where; framing headers are set from the
+ * body, hop-by-hop headers are left out.
+ * @return std::nullopt with invalid_input if a part cannot be sent.
+ */
+auto to_beast(http_request&& request, endpoint const& where)
+    -> std::optional<beast_request>;
+
+/**
+ * Builds a response; a status, a header name or a value that cannot be sent
+ * gives status 500. @p to_head: the request was HEAD, so no body is sent.
+ */
+auto to_beast(http_response&& response, bool to_head) -> beast_response;
+
+} // namespace godwitcleat::transport
+
+#endif
--- a/transport/http_type.hpp
+++ b/transport/http_type.hpp
@@ -11,7 +11,12 @@
 namespace godwitcleat::transport
 {
 
-/** Header fields in order; names are compared without case. */
+/**
+ * Header fields in order; names are compared without case. Hop-by-hop fields
+ * are removed from received messages and are not sent, except that a response
+ * with `Connection: close` closes its connection. Content-Length is set from
+ * the body, except in a response to HEAD without a body.
+ */
 struct http_headers
 {
     std::vector<std::pair<std::string, std::string>> values;
--- /dev/null
+++ b/transport/listener_internal.hpp
@@ -0,0 +1,59 @@
+/** @file listener_internal.hpp Accepts TCP connections for both servers. */
+#ifndef GODWITCLEAT_TRANSPORT_LISTENER_INTERNAL_HPP
+#define GODWITCLEAT_TRANSPORT_LISTENER_INTERNAL_HPP
+
+#include "transport/endpoint_type.hpp"
+
+#include <boost/asio.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace godwitcleat::transport
+{
+
+/** Returns the library's form of @p where; the address must be valid. */
+auto to_tcp(endpoint const& where)
+    -> std::optional<boost::asio::ip::tcp::endpoint>;
+
+/** Returns true if the peer has sent nothing and has not closed. */
+auto is_quiet(boost::asio::ip::tcp::socket& socket) -> bool;
+
+/** A listening socket. Thread-safe. */
+class listener : public std::enable_shared_from_this<listener>
+{
+public:
+    using socket_handler = std::function<void(boost::asio::ip::tcp::socket)>;
+
+    /** Listens on @p where; nullptr with unavailable. */
+    static auto open(boost::asio::io_context& context, endpoint const& where)
+        -> std::shared_ptr<listener>;
+
+    explicit listener(boost::asio::io_context& context);
+
+    /** Passes each connection, on a strand of its own, to @p handler. */
+    auto start(socket_handler handler) -> void;
+
+    auto close() -> void;
+    [[nodiscard]] auto local() const -> endpoint;
+
+private:
+    auto accept() -> void;
+    auto
+    on_accept(boost::system::error_code ec, boost::asio::ip::tcp::socket socket)
+        -> void;
+    auto retry_later() -> void;
+
+    boost::asio::io_context& context_;
+    std::mutex mutex_; ///< Guards the acceptor and the timer.
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retry_;
+    socket_handler handler_;
+    endpoint local_;
+};
+
+} // namespace godwitcleat::transport
+
+#endif
