--- a/state/shard_base.hpp
+++ b/state/shard_base.hpp
@@ -4,6 +4,7 @@
 
 #include "state/record_type.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +12,10 @@
 namespace godwitcleat::state
 {
 
+/** Failed attempts after which a batch job is failed. It is a rule of the log,
+ * so it is equal in all instances and not a setting. */
+inline constexpr std::uint32_t most_failed_attempts = 5;
+
 /** Everything that a snapshot holds. Plain data, so that codecs can fill it. */
 struct shard_data
 {
