Add the shard engine

Decides queue, placement, leases, attempts and the protocol with other shards without I/O. Records that belong together form one change, which is committed or dropped as a whole.

A start needs one committed batch with a generation compare that was sent less than commit_to_start ago. Any such batch proves that no drain was accepted before, so it serves for all tasks, and reconfirm is needed only without one. A worker counts as leased by this owner only after it has reported this owner's epoch, because until then the former owner may renew its lease.

--- /dev/null
+++ b/state/engine_base.cpp
@@ -0,0 +1,173 @@
+/** @file engine_base.cpp Public functions of the shard engine. */
+#include "state/engine_internal.hpp"
+
+#include <fmt/format.h>
+
+namespace godwitcleat::state
+{
+
+auto attempt_text(core::attempt_number number) -> std::string
+{
+    return fmt::format("attempt={}", number.value);
+}
+
+auto with_margin(core::duration length, engine_settings const& settings)
+    -> core::duration
+{
+    auto const count = static_cast<double>(length.count());
+    return core::duration{static_cast<core::duration::rep>(
+        count * (1.0 + settings.clock_rate_margin))};
+}
+
+shard_engine::implementation::implementation(
+    core::epoch owner_epoch, shard_state recovered, engine_settings settings,
+    engine_hooks hooks, core::time_point now, engine_faults faults)
+    : epoch_(owner_epoch)
+    , state_(std::move(recovered))
+    , settings_(settings)
+    , hooks_(std::move(hooks))
+    , faults_(faults)
+    , now_(now)
+    , made_at_(now)
+{
+    if (!hooks_.place)
+    {
+        hooks_.place = best_fit();
+    }
+    if (!hooks_.unique_id)
+    {
+        hooks_.unique_id = core::unique_id;
+    }
+    // The first owner of a shard has no former owner.
+    if (epoch_.value <= 1)
+    {
+        former_stopped_at_ = now;
+    }
+    for (auto const& [key, task] : state_.data().tasks)
+    {
+        tasks_[key].recovered = true;
+        tasks_of_[task.worker].insert(key);
+    }
+    for (auto const& [id, job] : state_.data().jobs)
+    {
+        home_[id].heard_at = now;
+    }
+}
+
+shard_engine::shard_engine(
+    core::epoch owner_epoch, shard_state recovered, engine_settings settings,
+    engine_hooks hooks, core::time_point now, engine_faults faults)
+    : implementation_(std::make_unique<implementation>(
+          owner_epoch, std::move(recovered), settings, std::move(hooks), now,
+          faults))
+{
+}
+
+shard_engine::~shard_engine()
+{
+    if (implementation_)
+    {
+        implementation_->fail_everything(
+            {core::error_kind::unknown_outcome,
+             "the owner of the shard stops; repeat the call"});
+    }
+}
+
+shard_engine::shard_engine(shard_engine&&) noexcept = default;
+
+auto shard_engine::operator=(shard_engine&& other) noexcept -> shard_engine&
+{
+    // The former state is destroyed with `other`, which answers its callers.
+    std::swap(implementation_, other.implementation_);
+    return *this;
+}
+
+auto shard_engine::submit(job_spec spec, done on_done) -> void
+{
+    implementation_->submit(std::move(spec), std::move(on_done));
+}
+
+auto shard_engine::cancel(
+    core::job_id const& id, std::string reason, done on_done) -> void
+{
+    implementation_->cancel(id, std::move(reason), std::move(on_done));
+}
+
+auto shard_engine::heartbeat(worker_report const& report, core::time_point now)
+    -> heartbeat_reply
+{
+    implementation_->now_ = now;
+    return implementation_->heartbeat(report);
+}
+
+auto shard_engine::handle(
+    shard_request const& request, core::time_point now, answer on_answer)
+    -> void
+{
+    implementation_->now_ = now;
+    implementation_->handle(request, std::move(on_answer));
+}
+
+auto shard_engine::replied(
+    shard_request const& request, std::optional<shard_reply> const& reply,
+    core::time_point now) -> void
+{
+    implementation_->now_ = now;
+    implementation_->replied(request, reply);
+}
+
+auto shard_engine::tick(core::time_point now, cluster_view const& view) -> void
+{
+    implementation_->now_ = now;
+    implementation_->tick(view);
+}
+
+auto shard_engine::take_requests() -> std::vector<shard_request>
+{
+    return std::exchange(implementation_->outbox_, {});
+}
+
+auto shard_engine::take_batch(core::time_point now)
+    -> std::optional<commit_batch>
+{
+    implementation_->now_ = now;
+    return implementation_->take_batch();
+}
+
+auto shard_engine::batch_committed(core::time_point sent_at) -> void
+{
+    implementation_->batch_committed(sent_at);
+}
+
+auto shard_engine::batch_rejected(batch_rejection cause) -> void
+{
+    implementation_->batch_rejected(cause);
+}
+
+auto shard_engine::state() const -> shard_state const&
+{
+    return implementation_->state_;
+}
+
+auto shard_engine::jobs() const -> std::vector<job>
+{
+    return implementation_->jobs();
+}
+
+auto shard_engine::workers(core::time_point now) const
+    -> std::vector<worker_view>
+{
+    return implementation_->workers(now);
+}
+
+auto shard_engine::endpoints() const -> std::vector<service_endpoint>
+{
+    return implementation_->endpoints();
+}
+
+auto shard_engine::summary(core::time_point now) const -> shard_summary
+{
+    return implementation_->summary(now);
+}
+
+} // namespace godwitcleat::state
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -32,10 +32,15 @@
     core::duration reservation = std::chrono::seconds{3};
     core::duration message_retry = std::chrono::seconds{1};
     core::duration status_interval = std::chrono::seconds{5};
+    /// Time between `leaving` and the planned stop of a service runner.
+    core::duration leaving_grace = std::chrono::seconds{5};
+    core::duration eviction_hold =
+        std::chrono::seconds{10}; ///< Room is kept for urgent work.
     core::duration retention = std::chrono::minutes{60};
     core::duration exclusion_first = std::chrono::seconds{30};
     core::duration exclusion_most = std::chrono::minutes{10};
-    std::uint32_t most_failures = 5;      ///< Failed attempts until failed.
+    std::uint32_t most_failures =
+        most_failed_attempts; ///< For display; the log's rule is the constant.
     std::uint32_t excluding_failures = 3; ///< In a row on one worker.
     std::uint32_t starts_per_tick = 64;
     std::uint32_t shard_count = 16;
--- /dev/null
+++ b/state/engine_views.cpp
@@ -0,0 +1,188 @@
+/** @file engine_views.cpp What peers and operators see of a shard. */
+#include "state/engine_internal.hpp"
+
+#include <algorithm>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+constexpr std::size_t most_free_workers = 8; // Limit of shard_summary.
+constexpr std::size_t per_amount = 3; // Each amount gets a share of the 8.
+
+auto raise_to(std::int64_t& value, std::int64_t other) -> void
+{
+    value = std::max(value, other);
+}
+
+// Moves the workers with the most of one amount from @p all to @p chosen.
+auto choose_by(
+    std::int64_t core::resources::*amount, std::size_t count,
+    std::vector<core::resources>& all, std::vector<core::resources>& chosen)
+    -> void
+{
+    std::sort(
+        all.begin(), all.end(),
+        [amount](auto const& left, auto const& right)
+        { return left.*amount < right.*amount; });
+    while (count > 0 && !all.empty() && chosen.size() < most_free_workers)
+    {
+        chosen.push_back(all.back());
+        all.pop_back();
+        --count;
+    }
+}
+
+} // namespace
+
+auto shard_engine::implementation::jobs() const -> std::vector<job>
+{
+    auto result = std::vector<job>{};
+    result.reserve(state_.data().jobs.size());
+    for (auto const& [id, known] : state_.data().jobs)
+    {
+        auto value = known;
+        value.phase = phase_of(known);
+        auto const entry = home_.find(id);
+        if (!known.binding && !is_final(known.phase) && entry != home_.end() &&
+            !entry->second.waits.empty())
+        {
+            value.reason = entry->second.waits;
+        }
+        result.push_back(std::move(value));
+    }
+    return result;
+}
+
+auto shard_engine::implementation::workers(core::time_point now) const
+    -> std::vector<worker_view>
+{
+    auto result = std::vector<worker_view>{};
+    auto const count_tasks = [this](core::worker_id const& id)
+    {
+        auto const it = tasks_of_.find(id);
+        return it == tasks_of_.end()
+                   ? 0
+                   : std::count_if(
+                         it->second.begin(), it->second.end(),
+                         [this](auto const& key)
+                         { return !state_.find_task(key)->outcome; });
+    };
+    auto const add = [&](worker_info info, std::string state)
+    {
+        auto value = worker_view{};
+        value.committed = state_.committed(info.worker);
+        value.tasks = static_cast<std::uint32_t>(count_tasks(info.worker));
+        value.info = std::move(info);
+        value.shard = state_.shard();
+        value.state = std::move(state);
+        result.push_back(std::move(value));
+    };
+    for (auto const& [id, worker] : workers_)
+    {
+        add(worker.info, worker.lapsed                 ? "lapsed"
+                         : is_drained_worker(id)       ? "drained"
+                         : now < worker.excluded_until ? "excluded"
+                                                       : "live");
+    }
+    for (auto const& [id, keys] : tasks_of_)
+    {
+        if (!workers_.contains(id))
+        {
+            auto info = worker_info{};
+            info.worker = id;
+            add(info, "unheard");
+        }
+    }
+    return result;
+}
+
+auto shard_engine::implementation::endpoints() const
+    -> std::vector<service_endpoint>
+{
+    auto result = std::vector<service_endpoint>{};
+    for (auto const& [id, worker] : workers_)
+    {
+        for (auto const& [key, report] : worker.reports)
+        {
+            auto const* task = state_.find_task(key);
+            if (report.endpoint.empty() || task == nullptr || task->outcome ||
+                task->worker != id || task->spec.kind != job_kind::service ||
+                (report.phase != task_phase::running &&
+                 report.phase != task_phase::checkpointing))
+            {
+                continue;
+            }
+            auto const entry = tasks_.find(key);
+            auto value = service_endpoint{};
+            value.service = task->spec.service;
+            value.backend_server = core::backend_server_id{
+                key.job.value + "#" + std::to_string(key.attempt.value)};
+            value.address = report.endpoint;
+            value.data_centre = worker.info.data_centre;
+            value.leaving = is_drained_worker(id) || is_busy(key) ||
+                            report.phase == task_phase::checkpointing ||
+                            (entry != tasks_.end() &&
+                             entry->second.wanted != stop_kind::none);
+            result.push_back(std::move(value));
+        }
+    }
+    return result;
+}
+
+auto shard_engine::implementation::summary(core::time_point now) const
+    -> shard_summary
+{
+    auto result = shard_summary{};
+    result.shard = state_.shard();
+    result.owner_epoch = epoch_;
+    auto free = std::vector<core::resources>{};
+    for (auto const& [id, worker] : workers_)
+    {
+        auto const& capacity = worker.info.capacity;
+        auto& largest = result.largest_capacity;
+        raise_to(largest.cpu_milli, capacity.cpu_milli);
+        raise_to(largest.memory_mb, capacity.memory_mb);
+        raise_to(largest.accelerators, capacity.accelerators);
+        if (is_usable(worker) && now >= worker.excluded_until)
+        {
+            free.push_back(free_room(worker, {}));
+        }
+    }
+    choose_by(
+        &core::resources::cpu_milli, per_amount, free, result.largest_free);
+    choose_by(
+        &core::resources::memory_mb, per_amount, free, result.largest_free);
+    choose_by(
+        &core::resources::accelerators, most_free_workers, free,
+        result.largest_free);
+    for (auto const& [id, known] : state_.data().jobs)
+    {
+        if (known.binding)
+        {
+            result.team_use[known.spec.team] += known.spec.need;
+        }
+    }
+    return result;
+}
+
+auto shard_engine::implementation::event(
+    std::string kind, core::job_id job, core::worker_id worker,
+    std::string detail) const -> void
+{
+    if (!hooks_.on_event)
+    {
+        return;
+    }
+    auto value = core::timeline_event{};
+    value.part = "shard";
+    value.kind = std::move(kind);
+    value.job = std::move(job);
+    value.worker = std::move(worker);
+    value.detail = std::move(detail);
+    hooks_.on_event(std::move(value));
+}
+
+} // namespace godwitcleat::state
--- /dev/null
+++ b/state/engine_workers.cpp
@@ -0,0 +1,598 @@
+/** @file engine_workers.cpp Heartbeats, leases, starts and ends of tasks. */
+#include "state/engine_internal.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+auto is_ended(task_phase phase) -> bool
+{
+    return phase != task_phase::running && phase != task_phase::checkpointing;
+}
+
+auto outcome_of(task_phase phase) -> attempt_outcome
+{
+    switch (phase)
+    {
+    case task_phase::finished: return attempt_outcome::finished;
+    case task_phase::failed: return attempt_outcome::failed;
+    default: return attempt_outcome::stopped;
+    }
+}
+
+auto key_of(hosted_task const& task) -> attempt_key
+{
+    return {task.spec.id, task.attempt};
+}
+
+auto command_of(worker_command_kind kind, attempt_key const& key)
+    -> worker_command
+{
+    auto result = worker_command{};
+    result.kind = kind;
+    result.key = key;
+    return result;
+}
+
+auto start_of(hosted_task const& task) -> worker_command
+{
+    auto result = command_of(worker_command_kind::start, key_of(task));
+    result.spec = task.spec;
+    result.checkpoint = task.checkpoint;
+    result.progress = task.progress;
+    return result;
+}
+
+// Returns true if no start of the task can have been sent.
+auto is_unsent(task_entry const& entry) -> bool
+{
+    return !entry.reported && !entry.start_sent &&
+           (!entry.recovered || entry.cleared);
+}
+
+// Lengths of an exclusion: the first one, then twice the former one.
+auto next_exclusion(core::duration former, engine_settings const& settings)
+    -> core::duration
+{
+    return former.count() == 0 ? settings.exclusion_first
+                               : std::min(2 * former, settings.exclusion_most);
+}
+
+} // namespace
+
+auto shard_engine::implementation::heartbeat(worker_report const& report)
+    -> heartbeat_reply
+{
+    auto reply = heartbeat_reply{};
+    reply.shard = state_.shard();
+    reply.lease_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.lease)
+            .count();
+    reply.start_valid_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            settings_.start_validity)
+            .count();
+    reply.next_heartbeat_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            settings_.heartbeat_interval)
+            .count();
+    if (is_outdated(report))
+    {
+        // Epoch 0 makes the worker refuse this reply.
+        return reply;
+    }
+    reply.owner_epoch = epoch_;
+    auto& worker = accept_report(report);
+    for (auto const& it : report.tasks)
+    {
+        follow_report(worker, it, reply);
+    }
+    auto const hosted = tasks_of_.find(report.info.worker);
+    if (hosted != tasks_of_.end())
+    {
+        for (auto const& key : hosted->second)
+        {
+            if (!worker.reports.contains(key))
+            {
+                follow_missing(worker, key, reply);
+            }
+        }
+    }
+    if (faults_.start_before_commit)
+    {
+        send_uncommitted_starts(worker, reply);
+    }
+    return reply;
+}
+
+// A heartbeat that was overtaken by a later one is not an inventory.
+auto shard_engine::implementation::is_outdated(
+    worker_report const& report) const -> bool
+{
+    auto const it = workers_.find(report.info.worker);
+    if (it == workers_.end())
+    {
+        return false;
+    }
+    auto const& known = it->second;
+    return known.past_boots.contains(report.boot) ||
+           (known.boot == report.boot && report.sequence <= known.sequence);
+}
+
+auto shard_engine::implementation::accept_report(worker_report const& report)
+    -> worker_entry&
+{
+    auto const [it, is_new] = workers_.try_emplace(report.info.worker);
+    auto& worker = it->second;
+    if (is_new)
+    {
+        event("worker_heard", {}, report.info.worker, report.info.rack.value);
+    }
+    else if (worker.boot != report.boot)
+    {
+        worker.past_boots.insert(worker.boot);
+        event("worker_restarted", {}, report.info.worker, {});
+        lose_former_boot(report);
+    }
+    worker.info = report.info;
+    worker.boot = report.boot;
+    worker.sequence = report.sequence;
+    worker.last_reply = now_;
+    worker.adopted = report.highest_epoch >= epoch_;
+    worker.lapsed = false;
+    worker.reports.clear();
+    for (auto const& task : report.tasks)
+    {
+        worker.reports[task.key] = task;
+    }
+    return worker;
+}
+
+// The tasks of a worker's former boot ended with its process.
+auto shard_engine::implementation::lose_former_boot(worker_report const& report)
+    -> void
+{
+    auto const hosted = tasks_of_.find(report.info.worker);
+    if (hosted == tasks_of_.end())
+    {
+        return;
+    }
+    for (auto const& key : hosted->second)
+    {
+        auto const is_listed = std::any_of(
+            report.tasks.begin(), report.tasks.end(),
+            [&key](task_report const& it) { return it.key == key; });
+        auto const* task = state_.find_task(key);
+        if (!is_listed && task != nullptr && !is_unsent(tasks_[key]))
+        {
+            end_hosted(*task, attempt_outcome::lost);
+        }
+    }
+}
+
+auto shard_engine::implementation::follow_report(
+    worker_entry& worker, task_report const& report, heartbeat_reply& reply)
+    -> void
+{
+    auto const* task = state_.find_task(report.key);
+    auto const is_known = task != nullptr && task->worker == worker.info.worker;
+    if (is_known && !task->outcome)
+    {
+        follow_known(worker, report, reply);
+        return;
+    }
+    auto const reserved = reservations_.find(report.key);
+    if (!is_known && reserved != reservations_.end() &&
+        faults_.start_before_commit)
+    {
+        return;
+    }
+    auto const kind = is_ended(report.phase) ? worker_command_kind::forget
+                                             : worker_command_kind::stop;
+    reply.commands.push_back(command_of(kind, report.key));
+    if (kind == worker_command_kind::stop)
+    {
+        event(
+            "stop_sent", report.key.job, worker.info.worker,
+            attempt_text(report.key.attempt) + " unknown");
+    }
+}
+
+auto shard_engine::implementation::follow_known(
+    worker_entry& worker, task_report const& report, heartbeat_reply& reply)
+    -> void
+{
+    auto const& task = *state_.find_task(report.key);
+    auto& entry = tasks_[report.key];
+    if (!entry.reported)
+    {
+        entry.reported = true;
+        event(
+            "task_running", report.key.job, worker.info.worker,
+            attempt_text(report.key.attempt));
+    }
+    entry.phase = report.phase;
+    entry.progress = report.progress;
+    if (!report.checkpoint.empty() && report.checkpoint != entry.checkpoint)
+    {
+        entry.checkpoint = report.checkpoint;
+        entry.checkpoint_progress = report.progress;
+    }
+    if (is_ended(report.phase))
+    {
+        if (!is_busy(report.key))
+        {
+            count_failure(worker, outcome_of(report.phase));
+            if (report.phase == task_phase::failed &&
+                task.home == state_.shard())
+            {
+                home_[report.key.job].failed_on.insert(worker.info.worker);
+            }
+            end_hosted(task, outcome_of(report.phase));
+        }
+        return;
+    }
+    if (!is_stop_due(task))
+    {
+        return;
+    }
+    if (entry.wanted == stop_kind::stop)
+    {
+        reply.commands.push_back(
+            command_of(worker_command_kind::stop, report.key));
+    }
+    else if (report.phase == task_phase::running)
+    {
+        reply.commands.push_back(
+            command_of(worker_command_kind::checkpoint, report.key));
+    }
+}
+
+// A committed task that the worker does not report: it is not yet started, its
+// start was refused, or it is lost.
+auto shard_engine::implementation::follow_missing(
+    worker_entry& worker, attempt_key const& key, heartbeat_reply& reply)
+    -> void
+{
+    auto const* task = state_.find_task(key);
+    if (task == nullptr || task->outcome || is_busy(key))
+    {
+        return;
+    }
+    auto& entry = tasks_[key];
+    if (entry.reported)
+    {
+        end_hosted(*task, attempt_outcome::lost);
+        return;
+    }
+    // The worker refuses replies of former owners, so none of their starts
+    // can take effect after this heartbeat.
+    entry.cleared |= worker.adopted;
+    auto const is_unwanted =
+        entry.wanted != stop_kind::none ||
+        (!faults_.ignore_drain && is_drained_worker(worker.info.worker));
+    if (!is_unwanted)
+    {
+        send_start(worker, *task, reply);
+        return;
+    }
+    if (is_unsent(entry))
+    {
+        end_hosted(*task, attempt_outcome::not_started);
+        return;
+    }
+    // A heartbeat may have been sent before the start's validity passed, even
+    // if it is received later. The worker sends the next one only after it, so
+    // the second one after the validity decides.
+    auto const valid = with_margin(settings_.start_validity, settings_);
+    if (!entry.start_sent || now_ - entry.start_sent_at < valid)
+    {
+        return;
+    }
+    if (entry.after_validity)
+    {
+        end_hosted(*task, attempt_outcome::not_started);
+        return;
+    }
+    entry.after_validity = worker.sequence;
+}
+
+auto shard_engine::implementation::send_start(
+    worker_entry& worker, hosted_task const& task, heartbeat_reply& reply)
+    -> void
+{
+    auto const key = key_of(task);
+    auto& entry = tasks_[key];
+    if (!view_.config || (entry.recovered && !entry.cleared))
+    {
+        return;
+    }
+    if (!start_allowed_at_ ||
+        now_ - *start_allowed_at_ >= settings_.commit_to_start)
+    {
+        if (!reconfirm_waits_)
+        {
+            enqueue({reconfirm{}});
+        }
+        return;
+    }
+    if (!entry.start_sent)
+    {
+        event(
+            "start_sent", key.job, worker.info.worker,
+            attempt_text(key.attempt));
+    }
+    entry.start_sent = true;
+    entry.start_sent_at = now_;
+    entry.after_validity.reset();
+    reply.commands.push_back(start_of(task));
+}
+
+// The fault start_before_commit: sends starts of tasks that are only decided.
+auto shard_engine::implementation::send_uncommitted_starts(
+    worker_entry const& worker, heartbeat_reply& reply) -> void
+{
+    for (auto const& [key, value] : reservations_)
+    {
+        if (value.task.worker == worker.info.worker &&
+            !worker.reports.contains(key))
+        {
+            reply.commands.push_back(start_of(value.task));
+            event(
+                "start_sent", key.job, worker.info.worker,
+                attempt_text(key.attempt));
+        }
+    }
+}
+
+auto shard_engine::implementation::count_failure(
+    worker_entry& worker, attempt_outcome outcome) -> void
+{
+    if (outcome == attempt_outcome::finished)
+    {
+        worker.failures_in_row = 0;
+        worker.exclusion = core::duration{0};
+    }
+    if (outcome != attempt_outcome::failed)
+    {
+        return;
+    }
+    ++worker.failures_in_row;
+    if (worker.failures_in_row < settings_.excluding_failures ||
+        now_ < worker.excluded_until)
+    {
+        return;
+    }
+    worker.exclusion = next_exclusion(worker.exclusion, settings_);
+    worker.excluded_until = now_ + worker.exclusion;
+    event(
+        "worker_excluded", {}, worker.info.worker,
+        fmt::format("failures={}", worker.failures_in_row));
+}
+
+// Enqueues the end of a hosted task. For a job of this shard, both sides end
+// in one batch.
+auto shard_engine::implementation::end_hosted(
+    hosted_task const& task, attempt_outcome outcome) -> void
+{
+    auto const key = key_of(task);
+    if (task.outcome || is_busy(key))
+    {
+        return;
+    }
+    auto const& entry = tasks_[key];
+    auto const* known = state_.find_job(key.job);
+    auto records = std::vector<record>{end_task{
+        key, outcome, entry.checkpoint,
+        outcome == attempt_outcome::finished ? entry.progress
+                                             : entry.checkpoint_progress}};
+    if (task.home == state_.shard() && !is_busy(key.job) && known != nullptr &&
+        known->binding && known->binding->number == key.attempt)
+    {
+        auto const& end = std::get<end_task>(records.front());
+        records.emplace_back(end_attempt{
+            key.job, key.attempt, outcome, end.checkpoint, end.progress,
+            outcome == attempt_outcome::finished
+                ? std::string{}
+                : fmt::format(
+                      "attempt {} ended: {}", key.attempt.value,
+                      to_string(outcome))});
+        records.emplace_back(forget_task{key});
+    }
+    enqueue(std::move(records));
+}
+
+// Returns when the lease of a worker has certainly lapsed, if that is known.
+auto shard_engine::implementation::lapse_time(core::worker_id const& id) const
+    -> std::optional<core::time_point>
+{
+    auto const it = workers_.find(id);
+    auto const is_heard = it != workers_.end();
+    if (faults_.ignore_lease_margin)
+    {
+        return (is_heard ? it->second.last_reply : made_at_) +
+               2 * settings_.heartbeat_interval;
+    }
+    auto const lease = with_margin(settings_.lease, settings_);
+    if (is_heard && it->second.adopted)
+    {
+        return it->second.last_reply + lease;
+    }
+    // A worker that has not seen this owner's epoch may hold a lease from the
+    // former owner.
+    if (!former_stopped_at_)
+    {
+        return std::nullopt;
+    }
+    auto const latest =
+        is_heard ? std::max(it->second.last_reply, *former_stopped_at_)
+                 : *former_stopped_at_;
+    return latest + lease;
+}
+
+auto shard_engine::implementation::follow_leases() -> void
+{
+    for (auto& [id, worker] : workers_)
+    {
+        auto const time = lapse_time(id);
+        if (!worker.lapsed && time && now_ > *time)
+        {
+            worker.lapsed = true;
+            worker.reports.clear();
+            event("worker_lapsed", {}, id, {});
+        }
+    }
+}
+
+auto shard_engine::implementation::follow_tasks() -> void
+{
+    // Batch work on drained workers is stopped after the services there have
+    // been told to stop, so that services find room first.
+    auto const& all = state_.data().tasks;
+    auto const services_left = std::any_of(
+        all.begin(), all.end(),
+        [this](auto const& it)
+        {
+            return it.second.spec.kind == job_kind::service &&
+                   !it.second.outcome && is_drained_worker(it.second.worker) &&
+                   !is_stop_due(it.second);
+        });
+    for (auto const& [key, task] : all)
+    {
+        if (task.outcome)
+        {
+            follow_over(task);
+        }
+        else if (!is_busy(key))
+        {
+            follow_task(task, services_left);
+        }
+    }
+}
+
+auto shard_engine::implementation::follow_task(
+    hosted_task const& task, bool services_left) -> void
+{
+    auto const key = key_of(task);
+    auto const& entry = tasks_[key];
+    auto const lapse = lapse_time(task.worker);
+    auto const is_drained = is_drained_worker(task.worker);
+    if (lapse && now_ > *lapse)
+    {
+        end_hosted(
+            task, is_unsent(entry) ? attempt_outcome::not_started
+                                   : attempt_outcome::lost);
+    }
+    else if (
+        is_unsent(entry) && ((is_drained && !faults_.ignore_drain) ||
+                             entry.wanted != stop_kind::none))
+    {
+        end_hosted(task, attempt_outcome::not_started);
+    }
+    else if (is_drained && !faults_.ignore_drain)
+    {
+        auto const is_service = task.spec.kind == job_kind::service;
+        if (task.spec.interruptible && (is_service || !services_left))
+        {
+            want_stop(key, stop_kind::checkpoint);
+        }
+        else if (is_service)
+        {
+            want_stop(key, stop_kind::stop);
+        }
+    }
+}
+
+// Reports the end of a task to its home until it is stored there.
+auto shard_engine::implementation::follow_over(hosted_task const& task) -> void
+{
+    auto const key = key_of(task);
+    auto& entry = tasks_[key];
+    if (is_busy(key))
+    {
+        return;
+    }
+    if (task.home != state_.shard())
+    {
+        if (now_ >= entry.next_over)
+        {
+            entry.next_over = now_ + settings_.message_retry;
+            outbox_.emplace_back(over_request{
+                task.home, state_.shard(), key, *task.outcome,
+                task.end_checkpoint, task.end_progress});
+        }
+        return;
+    }
+    auto const* known = state_.find_job(key.job);
+    if (known == nullptr || !known->binding ||
+        known->binding->number != key.attempt)
+    {
+        enqueue({forget_task{key}});
+    }
+    else if (!is_busy(key.job))
+    {
+        enqueue(
+            {end_attempt{
+                 key.job, key.attempt, *task.outcome, task.end_checkpoint,
+                 task.end_progress, std::string{to_string(*task.outcome)}},
+             forget_task{key}});
+    }
+}
+
+auto shard_engine::implementation::want_stop(
+    attempt_key const& key, stop_kind kind) -> void
+{
+    auto const it = tasks_.find(key);
+    if (it == tasks_.end() || it->second.wanted == kind ||
+        it->second.wanted == stop_kind::stop)
+    {
+        return;
+    }
+    auto& entry = it->second;
+    if (entry.wanted == stop_kind::none)
+    {
+        entry.wanted_since = now_;
+        event(
+            "stop_requested", key.job, state_.find_task(key)->worker,
+            attempt_text(key.attempt));
+    }
+    entry.wanted = kind;
+    auto const* known = state_.find_job(key.job);
+    if (faults_.resume_without_end && kind == stop_kind::checkpoint &&
+        known != nullptr && known->binding &&
+        known->binding->number == key.attempt && !is_busy(key.job))
+    {
+        end_binding(*known, attempt_outcome::stopped, entry.checkpoint, 0, {});
+    }
+}
+
+auto shard_engine::implementation::is_drained_worker(
+    core::worker_id const& id) const -> bool
+{
+    auto const it = workers_.find(id);
+    auto const place = it == workers_.end() ? core::data_centre_id{}
+                                            : it->second.info.data_centre;
+    return view_.config && is_drained(*view_.config, id, place);
+}
+
+// Returns true if a stop may be sent now. A service runner first gets time to
+// answer the requests in flight while no new ones arrive.
+auto shard_engine::implementation::is_stop_due(hosted_task const& task) const
+    -> bool
+{
+    auto const it = tasks_.find(key_of(task));
+    if (it == tasks_.end() || it->second.wanted == stop_kind::none)
+    {
+        return false;
+    }
+    return task.spec.kind != job_kind::service ||
+           now_ - it->second.wanted_since >= settings_.leaving_grace;
+}
+
+} // namespace godwitcleat::state
