Add the shard log

A write is repeated with the same compares until its outcome is certain. After a failed compare the epoch and config/head are read before the written key: read the other way round, a late write between the two reads would be reported as rejected.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -2,6 +2,8 @@
 #ifndef GODWITCLEAT_COORDINATION_COORDINATION_HPP
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
+#include "coordination/key_func.hpp"
+#include "coordination/shard_log_base.hpp"
 #include "coordination/store_type.hpp"
 
 #endif
--- /dev/null
+++ b/coordination/shard_log_base.cpp
@@ -0,0 +1,644 @@
+/** @file shard_log_base.cpp Recovery and writing of one shard's log. */
+#include "coordination/shard_log_base.hpp"
+
+#include "coordination/key_func.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+namespace
+{
+
+/** An append or a snapshot until its outcome is certain. */
+struct operation
+{
+    store_transaction transaction;
+    std::string key;                  ///< The key that tells the outcome.
+    std::int64_t former_revision = 0; ///< Of that key before the write.
+    std::function<bool(std::string const&)> is_ours; ///< Tests its value.
+    std::optional<std::int64_t> config_revision;
+    std::size_t bytes = 0;
+    bool is_snapshot = false;
+    shard_log::done on_done;
+    core::time_point sent_at;
+    std::optional<core::time_point> unknown_since; ///< First unknown sending.
+    std::optional<core::time_point> retry_at;
+};
+
+using operation_pointer = std::shared_ptr<operation>;
+
+/** A recovery that is reading. */
+struct recovery
+{
+    recovered_log result;
+    core::log_index applied;
+    std::int64_t snapshot_revision = 0;
+    std::size_t snapshot_bytes = 0;
+    std::size_t batch_bytes = 0;
+    bool complete = true; ///< No log entry is missing.
+    store::handler<recovered_log> on_done;
+};
+
+using recovery_pointer = std::shared_ptr<recovery>;
+
+auto single(std::optional<store_range> const& found) -> store_entry const*
+{
+    return found && !found->entries.empty() ? &found->entries.front() : nullptr;
+}
+
+/** Returns true if @p entry is what @p it wrote. */
+auto written_by(operation const& it, store_entry const* entry) -> bool
+{
+    return entry != nullptr && entry->modify_revision != it.former_revision &&
+           it.is_ours(entry->value);
+}
+
+auto revision_of(std::optional<store_range> const& found) -> std::int64_t
+{
+    auto const* const entry = single(found);
+    return entry == nullptr ? 0 : entry->modify_revision;
+}
+
+} // namespace
+
+struct shard_log::implementation
+    : public std::enable_shared_from_this<shard_log::implementation>
+{
+    implementation(
+        store& platform, core::clock clock, core::logger log,
+        core::shard_id shard, std::int64_t epoch_revision,
+        shard_log_codec codec, shard_log_settings settings)
+        : store_(platform)
+        , clock_(std::move(clock))
+        , log_(log.with_prefix("shard"))
+        , shard_(shard)
+        , epoch_revision_(epoch_revision)
+        , codec_(std::move(codec))
+        , settings_(settings)
+        , page_entries_(settings.page_entries)
+    {
+    }
+
+    /** Wraps a handler that must not run after the log was destroyed. */
+    template <class Handler>
+    auto guarded(Handler handler)
+    {
+        return [self = weak_from_this(), handler = std::move(handler)](auto arg)
+        {
+            auto const alive = self.lock();
+            if (alive && !alive->closed_)
+            {
+                handler(*alive, std::move(arg));
+            }
+        };
+    }
+
+    auto read_snapshot(recovery_pointer const& it) -> void;
+    auto read_page(recovery_pointer const& it) -> void;
+    auto take_page(recovery_pointer const& it, store_range const& page) -> bool;
+    auto check_epoch(recovery_pointer const& it) -> void;
+    auto finish_recovery(recovery_pointer const& it) -> void;
+
+    auto start(operation_pointer const& it) -> std::optional<bool>;
+    auto send(operation_pointer const& it) -> void;
+    auto
+    on_commit(operation_pointer const& it, std::optional<store_commit> result)
+        -> void;
+    auto read_key(operation_pointer const& it) -> void;
+    auto find_cause(operation_pointer const& it) -> void;
+    auto find_config_cause(operation_pointer const& it) -> void;
+    auto settle(operation_pointer const& it, std::optional<log_outcome> cause)
+        -> void;
+    auto retry(operation_pointer const& it) -> void;
+    auto committed(
+        operation_pointer const& it, core::time_point sent_at,
+        std::int64_t revision) -> void;
+    auto finish(operation_pointer const& it, log_result result) -> void;
+    auto size_locked() const -> std::size_t
+    {
+        return snapshot_bytes_ + batch_bytes_;
+    }
+
+    store& store_;
+    core::clock clock_;
+    core::logger log_;
+    core::shard_id shard_;
+    std::int64_t epoch_revision_;
+    shard_log_codec codec_;
+    shard_log_settings settings_;
+    std::atomic<bool> closed_ = false;
+
+    std::mutex mutex_;
+    std::int64_t page_entries_;
+    bool recovered_ = false;
+    core::log_index applied_;
+    std::int64_t snapshot_revision_ = 0;
+    std::size_t snapshot_bytes_ = 0;
+    std::size_t batch_bytes_ = 0;
+    std::uint64_t batches_ = 0;           ///< Since the last written snapshot.
+    std::uint64_t batches_since_try_ = 0; ///< Or since a too large one.
+    operation_pointer current_;
+};
+
+auto shard_log::implementation::read_snapshot(recovery_pointer const& it)
+    -> void
+{
+    store_.range(
+        snapshot_key(shard_), "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                if (!found)
+                {
+                    return it->on_done(std::nullopt);
+                }
+                if (auto const* const entry = single(found))
+                {
+                    auto snapshot = self.codec_.decode_snapshot(entry->value);
+                    if (!snapshot)
+                    {
+                        return it->on_done(std::nullopt);
+                    }
+                    it->applied = snapshot->applied;
+                    it->result.data = std::move(snapshot->data);
+                    it->snapshot_revision = entry->modify_revision;
+                    it->snapshot_bytes = entry->value.size();
+                }
+                self.read_page(it);
+            }));
+}
+
+auto shard_log::implementation::read_page(recovery_pointer const& it) -> void
+{
+    auto limit = std::int64_t{0};
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        limit = page_entries_;
+    }
+    // Entries up to `applied` can only stem from a write that took effect
+    // after a snapshot had covered it, so they are not read.
+    store_.range(
+        log_key(shard_, it->applied.next()), prefix_end(log_prefix(shard_)),
+        limit,
+        guarded(
+            [it](implementation& self, std::optional<store_range> page)
+            {
+                if (!page)
+                {
+                    // The page may exceed the body limit of the HTTP client.
+                    auto const lock = std::scoped_lock{self.mutex_};
+                    self.page_entries_ =
+                        std::max<std::int64_t>(1, self.page_entries_ / 2);
+                }
+                if (!page || !self.take_page(it, *page))
+                {
+                    return it->on_done(std::nullopt);
+                }
+                if (page->more && it->complete)
+                {
+                    return self.read_page(it);
+                }
+                self.check_epoch(it);
+            }));
+}
+
+auto shard_log::implementation::take_page(
+    recovery_pointer const& it, store_range const& page) -> bool
+{
+    for (auto const& entry : page.entries)
+    {
+        if (trailing_number(entry.key) != it->applied.next().value)
+        {
+            it->complete = false;
+            return true;
+        }
+        auto batch = codec_.decode_batch(entry.value);
+        if (!batch)
+        {
+            return false;
+        }
+        it->result.batches.push_back(std::move(*batch));
+        it->batch_bytes += entry.value.size();
+        it->applied = it->applied.next();
+    }
+    return true;
+}
+
+// The reads are several calls. Only an owner of a later epoch can have written
+// between them, so an unchanged epoch proves that they belong together.
+auto shard_log::implementation::check_epoch(recovery_pointer const& it) -> void
+{
+    store_.range(
+        epoch_key(shard_), "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                if (!found)
+                {
+                    return it->on_done(std::nullopt);
+                }
+                if (revision_of(found) != self.epoch_revision_)
+                {
+                    return it->on_done(core::fail(
+                        core::error_kind::stale_epoch,
+                        "The shard has a newer owner; drop it."));
+                }
+                if (!it->complete)
+                {
+                    return it->on_done(core::fail(
+                        core::error_kind::protocol,
+                        "An entry of the shard's log is missing after " +
+                            std::to_string(it->applied.value) +
+                            "; restore the store's keys."));
+                }
+                self.finish_recovery(it);
+            }));
+}
+
+auto shard_log::implementation::finish_recovery(recovery_pointer const& it)
+    -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        recovered_ = true;
+        applied_ = it->applied;
+        snapshot_revision_ = it->snapshot_revision;
+        snapshot_bytes_ = it->snapshot_bytes;
+        batch_bytes_ = it->batch_bytes;
+        batches_ = it->result.batches.size();
+        batches_since_try_ = batches_;
+    }
+    log_.info(
+        "Log recovered.", {{"shard", shard_.value},
+                           {"index", it->applied.value},
+                           {"batches", it->result.batches.size()}});
+    it->on_done(std::move(it->result));
+}
+
+auto shard_log::implementation::start(operation_pointer const& it)
+    -> std::optional<bool>
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        if (!recovered_ || current_)
+        {
+            return core::fail(
+                core::error_kind::conflict,
+                "The log is not recovered or a write is in flight; wait.");
+        }
+        current_ = it;
+        it->transaction.compares.push_back(
+            {epoch_key(shard_), epoch_revision_});
+        it->transaction.compares.push_back({it->key, it->former_revision});
+        if (it->config_revision)
+        {
+            it->transaction.compares.push_back(
+                {config_head_key(), *it->config_revision});
+        }
+    }
+    send(it);
+    return true;
+}
+
+auto shard_log::implementation::send(operation_pointer const& it) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        it->retry_at.reset();
+        it->sent_at = clock_();
+    }
+    store_.commit(
+        it->transaction,
+        guarded([it](implementation& self, std::optional<store_commit> result)
+                { self.on_commit(it, result); }));
+}
+
+auto shard_log::implementation::on_commit(
+    operation_pointer const& it, std::optional<store_commit> result) -> void
+{
+    if (result && result->succeeded)
+    {
+        // An earlier sending cannot have taken effect, because the compares
+        // of this one held.
+        return committed(it, it->sent_at, result->revision);
+    }
+    if (result)
+    {
+        return find_cause(it);
+    }
+    if (core::last_reason().kind != core::error_kind::unknown_outcome)
+    {
+        return retry(it);
+    }
+    if (!it->unknown_since)
+    {
+        it->unknown_since = it->sent_at;
+    }
+    read_key(it);
+}
+
+auto shard_log::implementation::read_key(operation_pointer const& it) -> void
+{
+    store_.range(
+        it->key, "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                auto const* const entry = single(found);
+                if (written_by(*it, entry))
+                {
+                    return self.committed(
+                        it, it->unknown_since.value_or(it->sent_at),
+                        entry->modify_revision);
+                }
+                // Absent is no answer yet: the write may take effect later.
+                // Repeating it ends in a commit or in a failed compare.
+                self.retry(it);
+            }));
+}
+
+// A compare has failed. The cause is read before the written key: once the
+// epoch or the configuration has changed, no earlier sending can take effect,
+// so the key that is read afterwards is final.
+auto shard_log::implementation::find_cause(operation_pointer const& it) -> void
+{
+    store_.range(
+        epoch_key(shard_), "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                if (!found)
+                {
+                    return self.retry(it);
+                }
+                if (revision_of(found) != self.epoch_revision_)
+                {
+                    return self.settle(it, log_outcome::epoch_changed);
+                }
+                if (it->config_revision)
+                {
+                    return self.find_config_cause(it);
+                }
+                self.settle(it, std::nullopt);
+            }));
+}
+
+auto shard_log::implementation::find_config_cause(operation_pointer const& it)
+    -> void
+{
+    store_.range(
+        config_head_key(), "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                if (!found)
+                {
+                    return self.retry(it);
+                }
+                auto const changed = revision_of(found) != *it->config_revision;
+                self.settle(
+                    it, changed ? std::optional{log_outcome::config_changed}
+                                : std::nullopt);
+            }));
+}
+
+auto shard_log::implementation::settle(
+    operation_pointer const& it, std::optional<log_outcome> cause) -> void
+{
+    store_.range(
+        it->key, "", 1,
+        guarded(
+            [it, cause](implementation& self, std::optional<store_range> found)
+            {
+                if (!found)
+                {
+                    return self.retry(it);
+                }
+                auto const* const entry = single(found);
+                if (written_by(*it, entry))
+                {
+                    return self.committed(
+                        it, it->unknown_since.value_or(it->sent_at),
+                        entry->modify_revision);
+                }
+                if (cause == log_outcome::epoch_changed)
+                {
+                    return self.finish(it, {*cause, it->sent_at});
+                }
+                if (revision_of(found) != it->former_revision)
+                {
+                    self.log_.error(
+                        "Another process writes this shard's log.",
+                        {{"shard", self.shard_.value}, {"key", it->key}});
+                    return self.finish(
+                        it, {log_outcome::epoch_changed, it->sent_at});
+                }
+                if (!cause)
+                {
+                    return self.retry(it);
+                }
+                self.finish(it, {*cause, it->sent_at});
+            }));
+}
+
+auto shard_log::implementation::retry(operation_pointer const& it) -> void
+{
+    auto const lock = std::scoped_lock{mutex_};
+    it->retry_at = clock_() + settings_.retry_interval;
+}
+
+auto shard_log::implementation::committed(
+    operation_pointer const& it, core::time_point sent_at,
+    std::int64_t revision) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        if (it->is_snapshot)
+        {
+            snapshot_revision_ = revision;
+            snapshot_bytes_ = it->bytes;
+            batch_bytes_ = 0;
+            batches_ = 0;
+            batches_since_try_ = 0;
+        }
+        else
+        {
+            applied_ = applied_.next();
+            batch_bytes_ += it->bytes;
+            ++batches_;
+            ++batches_since_try_;
+        }
+    }
+    finish(it, {log_outcome::committed, sent_at});
+}
+
+auto shard_log::implementation::finish(
+    operation_pointer const& it, log_result result) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        current_.reset();
+    }
+    it->on_done(result);
+}
+
+shard_log::shard_log(
+    store& platform, core::clock clock, core::logger log, core::shard_id shard,
+    std::int64_t epoch_revision, shard_log_codec codec,
+    shard_log_settings settings)
+    : implementation_(std::make_shared<implementation>(
+          platform, std::move(clock), std::move(log), shard, epoch_revision,
+          std::move(codec), settings))
+{
+}
+
+shard_log::~shard_log()
+{
+    if (implementation_)
+    {
+        implementation_->closed_ = true;
+    }
+}
+
+shard_log::shard_log(shard_log&&) noexcept = default;
+
+auto shard_log::operator=(shard_log&& other) noexcept -> shard_log&
+{
+    std::swap(implementation_, other.implementation_);
+    return *this;
+}
+
+auto shard_log::recover(store::handler<recovered_log> on_done) -> void
+{
+    auto const it = std::make_shared<recovery>();
+    it->on_done = std::move(on_done);
+    implementation_->read_snapshot(it);
+}
+
+auto shard_log::append(
+    state::record_batch const& batch,
+    std::optional<std::int64_t> config_revision, done on_done)
+    -> std::optional<bool>
+{
+    auto& self = *implementation_;
+    auto const it = std::make_shared<operation>();
+    auto value = self.codec_.encode_batch(batch);
+    if (value.size() > self.settings_.value_limit_bytes)
+    {
+        return core::fail(
+            core::error_kind::invalid_input,
+            "The batch exceeds the store's value limit; split it.");
+    }
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        it->key = log_key(self.shard_, self.applied_.next());
+    }
+    it->is_ours =
+        [&codec = self.codec_, id = batch.unique_id](std::string const& text)
+    {
+        auto const found = codec.decode_batch(text);
+        return found && found->unique_id == id;
+    };
+    it->config_revision = config_revision;
+    it->bytes = value.size();
+    it->on_done = std::move(on_done);
+    it->transaction.writes.push_back({it->key, std::move(value), "", {}});
+    return self.start(it);
+}
+
+auto shard_log::snapshot_due() const -> bool
+{
+    auto const& self = *implementation_;
+    auto const lock = std::scoped_lock{implementation_->mutex_};
+    auto const full = self.size_locked() >= self.settings_.full_bytes;
+    auto const wait = full || self.batches_ > self.batches_since_try_
+                          ? self.settings_.full_snapshot_batches
+                          : self.settings_.snapshot_batches;
+    return self.batches_since_try_ >= wait;
+}
+
+auto shard_log::write_snapshot(state::shard_data const& data, done on_done)
+    -> std::optional<bool>
+{
+    auto& self = *implementation_;
+    auto const it = std::make_shared<operation>();
+    auto applied = core::log_index{};
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        applied = self.applied_;
+        it->former_revision = self.snapshot_revision_;
+    }
+    auto value = self.codec_.encode_snapshot({applied, data});
+    if (value.size() > self.settings_.value_limit_bytes)
+    {
+        {
+            auto const lock = std::scoped_lock{self.mutex_};
+            self.snapshot_bytes_ = value.size();
+            self.batch_bytes_ = 0;
+            self.batches_since_try_ = 0;
+        }
+        self.log_.error(
+            "Snapshot exceeds the store's value limit; submits are refused.",
+            {{"shard", self.shard_.value}, {"bytes", value.size()}});
+        on_done({log_outcome::too_large, self.clock_()});
+        return true;
+    }
+    it->key = snapshot_key(self.shard_);
+    it->is_ours = [value](std::string const& text)
+    {
+        return text == value;
+    };
+    it->bytes = value.size();
+    it->is_snapshot = true;
+    it->on_done = std::move(on_done);
+    it->transaction.writes.push_back({it->key, std::move(value), "", {}});
+    it->transaction.writes.push_back(
+        {log_key(self.shard_, core::log_index{}),
+         std::nullopt,
+         log_key(self.shard_, applied.next()),
+         {}});
+    return self.start(it);
+}
+
+auto shard_log::size_bytes() const -> std::size_t
+{
+    auto const lock = std::scoped_lock{implementation_->mutex_};
+    return implementation_->size_locked();
+}
+
+auto shard_log::full() const -> bool
+{
+    return size_bytes() >= implementation_->settings_.full_bytes;
+}
+
+auto shard_log::busy() const -> bool
+{
+    auto const lock = std::scoped_lock{implementation_->mutex_};
+    return implementation_->current_ != nullptr;
+}
+
+auto shard_log::tick() -> void
+{
+    auto& self = *implementation_;
+    auto due = operation_pointer{};
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        auto const& it = self.current_;
+        if (it && it->retry_at && *it->retry_at <= self.clock_())
+        {
+            due = it;
+            due->retry_at.reset();
+        }
+    }
+    if (due)
+    {
+        self.send(due);
+    }
+}
+
+} // namespace godwitcleat::coordination
