--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_COORDINATION_COORDINATION_HPP
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
+#include "coordination/router_base.hpp"
 #include "coordination/store_type.hpp"
 
 #endif
