--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -2,7 +2,17 @@
 #ifndef GODWITCLEAT_COORDINATION_COORDINATION_HPP
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
+#include "coordination/admission_base.hpp"
+#include "coordination/control_base.hpp"
+#include "coordination/forwarding_base.hpp"
+#include "coordination/instance_list_base.hpp"
 #include "coordination/key_func.hpp"
+#include "coordination/peer_server_base.hpp"
+#include "coordination/peers_base.hpp"
+#include "coordination/request_policy_func.hpp"
+#include "coordination/retry_budget_base.hpp"
+#include "coordination/router_base.hpp"
+#include "coordination/shard_host_base.hpp"
 #include "coordination/shard_log_base.hpp"
 #include "coordination/store_type.hpp"
 
--- a/protocol/members_internal.hpp
+++ b/protocol/members_internal.hpp
@@ -414,6 +414,7 @@
     visit("summaries", value.summaries);
     visit("tables", value.tables);
     visit("loads", value.loads);
+    visit("seen", value.seen);
 }
 
 auto visit_members(is<peer_update_reply> auto& value, auto&& visit) -> void
--- /dev/null
+++ b/tests/shard_history_test.cpp
@@ -0,0 +1,170 @@
+/** @file shard_history_test.cpp Histories of shard engines under faults. */
+#include "tests/support/shard_cluster_base.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+using namespace godwitcleat;
+using tests::fault_kind;
+
+namespace
+{
+
+constexpr std::uint32_t chaos_ms = 30000;
+
+auto any_fault() -> rc::Gen<tests::fault>
+{
+    return rc::gen::build<tests::fault>(
+        rc::gen::set(
+            &tests::fault::at_ms, rc::gen::inRange<std::uint32_t>(0, chaos_ms)),
+        rc::gen::set(
+            &tests::fault::kind, rc::gen::map(
+                                     rc::gen::inRange(0, 10), [](int n)
+                                     { return static_cast<fault_kind>(n); })),
+        rc::gen::set(
+            &tests::fault::target, rc::gen::inRange<std::uint32_t>(0, 60)),
+        rc::gen::set(
+            &tests::fault::duration_ms,
+            rc::gen::inRange<std::uint32_t>(200, 15000)));
+}
+
+auto describe(tests::cluster_options const& options) -> std::string
+{
+    auto text = fmt::format("seed {}", options.seed);
+    for (auto const& it : options.faults)
+    {
+        text += "\n  " + to_string(it);
+    }
+    return text;
+}
+
+auto any_options() -> tests::cluster_options
+{
+    auto options = tests::cluster_options{};
+    options.seed = *rc::gen::arbitrary<std::uint32_t>();
+    auto const n = *rc::gen::inRange<std::size_t>(0, 10);
+    options.faults =
+        *rc::gen::container<std::vector<tests::fault>>(n, any_fault());
+    return options;
+}
+
+// Runs schedules until one breaks a rule; the planted fault must be found.
+auto finds(
+    state::engine_faults planted, std::string const& rule,
+    std::vector<fault_kind> const& kinds) -> bool
+{
+    constexpr std::uint64_t most_schedules = 300;
+    for (std::uint64_t seed = 1; seed <= most_schedules; ++seed)
+    {
+        auto options = tests::cluster_options{};
+        options.seed = seed;
+        options.engine_faults = planted;
+        for (std::uint32_t i = 0; i < 12; ++i)
+        {
+            auto const n = static_cast<std::uint32_t>(seed + i);
+            options.faults.push_back(
+                {2000 + i * 2000, kinds[i % kinds.size()], n, 8000});
+        }
+        auto const found = tests::find_violation(tests::run_cluster(options));
+        if (found && found->rule == rule)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against double runs, too much work on a worker, lost or invented
+// checkpoints, starts in drained data centres, and jobs that never end.
+RC_GTEST_PROP(shard_history, holds_under_faults, ())
+{
+    auto const options = any_options();
+    auto const result = tests::run_cluster(options);
+    auto const violation = tests::find_violation(result);
+    if (violation)
+    {
+        RC_FAIL(describe(options) + "\n" + to_string(*violation));
+    }
+    if (!result.unfinished.empty())
+    {
+        RC_FAIL(describe(options) + "\nopen: " + result.unfinished.front());
+    }
+}
+
+// Guards against a harness in which nothing happens.
+TEST(shard_history, exercises_starts_and_resumes)
+{
+    auto starts = std::uint64_t{0};
+    auto resumes = std::uint64_t{0};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        auto options = tests::cluster_options{};
+        options.seed = seed;
+        options.faults = {
+            {3000, fault_kind::drain, 0, 8000},
+            {15000, fault_kind::submit_urgent, 1, 0}};
+        auto const result = tests::run_cluster(options);
+        EXPECT_TRUE(result.unfinished.empty()) << result.unfinished.front();
+        starts += result.starts;
+        resumes += result.resumes;
+    }
+    EXPECT_GT(starts, 150U);
+    EXPECT_GT(resumes, 10U);
+}
+
+// Each planted fault must be found, or the checks above prove nothing.
+TEST(shard_history, finds_a_lease_that_is_not_waited_for)
+{
+    auto planted = state::engine_faults{};
+    planted.ignore_lease_margin = true;
+    EXPECT_TRUE(finds(planted, "overlap", {fault_kind::cut_worker}));
+}
+
+TEST(shard_history, finds_granted_stale_claims)
+{
+    auto planted = state::engine_faults{};
+    planted.grant_stale_claims = true;
+    EXPECT_TRUE(finds(
+        planted, "overlap",
+        {fault_kind::crash_owner, fault_kind::lose_replies,
+         fault_kind::pause_owner}));
+}
+
+TEST(shard_history, finds_ignored_commitments)
+{
+    auto planted = state::engine_faults{};
+    planted.ignore_commitments = true;
+    EXPECT_TRUE(finds(planted, "overcommitment", {fault_kind::submit_urgent}));
+}
+
+TEST(shard_history, finds_starts_before_commit)
+{
+    auto planted = state::engine_faults{};
+    planted.start_before_commit = true;
+    EXPECT_TRUE(finds(
+        planted, "overlap",
+        {fault_kind::crash_owner, fault_kind::pause_owner,
+         fault_kind::isolate_owner}));
+}
+
+TEST(shard_history, finds_ignored_drains)
+{
+    auto planted = state::engine_faults{};
+    planted.ignore_drain = true;
+    EXPECT_TRUE(finds(planted, "drain", {fault_kind::drain}));
+}
+
+TEST(shard_history, finds_attempts_before_the_former_is_over)
+{
+    auto planted = state::engine_faults{};
+    planted.resume_without_end = true;
+    EXPECT_TRUE(finds(
+        planted, "overlap", {fault_kind::drain, fault_kind::submit_urgent}));
+}
--- a/tests/support/shard_cluster_base.cpp
+++ b/tests/support/shard_cluster_base.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace godwitcleat::tests
@@ -63,6 +64,7 @@
     core::time_point cut_until;
     double clock_rate = 1.0;
     std::map<state::attempt_key, task_event> running;
+    std::set<state::attempt_key> checkpointed;
 };
 
 /** One generation of the configuration and when it was accepted. */
@@ -90,6 +92,8 @@
     auto observe(std::size_t i, standins::worker_event const& event) -> void;
     auto kill_worker(std::size_t i) -> void;
     auto worker_time(worker_entry const& entry) const -> core::time_point;
+    static auto true_time(worker_entry const& entry, core::time_point at)
+        -> core::time_point;
     auto heartbeat_loop(std::size_t i) -> void;
     auto worker_tick_loop(std::size_t i) -> void;
     auto deliver_heartbeat(
@@ -218,12 +222,25 @@
         std::chrono::duration_cast<core::duration>(elapsed)};
 }
 
+auto shard_cluster::true_time(worker_entry const& entry, core::time_point at)
+    -> core::time_point
+{
+    auto const elapsed =
+        std::chrono::duration<double, std::nano>(at.time_since_epoch()) /
+        entry.clock_rate;
+    return core::time_point{
+        std::chrono::duration_cast<core::duration>(elapsed)};
+}
+
 auto shard_cluster::boot_worker(std::size_t i) -> void
 {
     auto& entry = workers_[i];
     ++entry.boot;
+    auto settings = standins::worker_settings{};
+    settings.info = entry.info;
+    settings.boot = entry.boot;
     entry.worker = std::make_unique<standins::standin_worker>(
-        entry.info, entry.boot, standins::worker_settings{},
+        settings,
         [this, i](standins::worker_event const& event) { observe(i, event); });
 }
 
@@ -249,7 +266,7 @@
 auto shard_cluster::heartbeat_loop(std::size_t i) -> void
 {
     auto& entry = workers_[i];
-    auto const report = entry.worker->make_heartbeat(worker_time(entry));
+    auto const report = entry.worker->make_report(worker_time(entry));
     auto const shard = state::shard_of(entry.info.rack, options_.shards);
     auto const to = choose_owner(shard);
     auto const lost = now_ < entry.cut_until || chance(0.03) || !to;
@@ -313,7 +330,7 @@
             auto& entry = workers_[i];
             if (entry.boot == boot && now_ >= entry.cut_until)
             {
-                entry.worker->handle_reply(
+                entry.worker->take_reply(
                     report.sequence, reply, worker_time(entry));
             }
         });
@@ -323,35 +340,30 @@
     -> void
 {
     auto& entry = workers_[i];
+    if (event.kind == standins::worker_event_kind::checkpointed)
+    {
+        entry.checkpointed.insert(event.key);
+        return;
+    }
     auto seen = task_event{};
-    seen.at = now_;
+    seen.at = true_time(entry, event.at);
     seen.key = event.key;
     seen.worker = entry.info.worker;
     seen.data_centre = entry.info.data_centre;
     seen.progress = event.progress;
     seen.text = std::string{standins::to_string(event.kind)};
-    switch (event.kind)
+    if (event.kind == standins::worker_event_kind::started)
     {
-    case standins::worker_event_kind::started:
-        seen.kind = task_event_kind::started;
         entry.running[event.key] = seen;
         ++result_.starts;
         result_.resumes += event.progress > 0 ? 1 : 0;
-        break;
-    case standins::worker_event_kind::checkpointed:
-        seen.checkpointed = true;
-        seen.kind = task_event_kind::ended;
-        entry.running.erase(event.key);
-        break;
-    case standins::worker_event_kind::finished:
-        seen.finished = true;
-        [[fallthrough]];
-    case standins::worker_event_kind::failed:
-    case standins::worker_event_kind::stopped:
-    case standins::worker_event_kind::lapsed:
+    }
+    else
+    {
         seen.kind = task_event_kind::ended;
+        seen.finished = event.kind == standins::worker_event_kind::finished;
+        seen.checkpointed = entry.checkpointed.contains(event.key);
         entry.running.erase(event.key);
-        break;
     }
     result_.history.events.push_back(seen);
 }
@@ -817,6 +829,12 @@
         run_until(now_ + 1s);
     }
     result_.unfinished = open_jobs();
+    // A worker tells of an event when it is advanced, which is later than the
+    // event.
+    auto& events = result_.history.events;
+    std::stable_sort(
+        events.begin(), events.end(),
+        [](auto const& left, auto const& right) { return left.at < right.at; });
     return std::move(result_);
 }
 
