--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -126,6 +126,7 @@
  * current time; all outputs are returned or queued. A change is answered only
  * after its batch was committed. Not thread-safe: the caller holds the shard's
  * lock. After batch_rejected(not_owner) only destruction is allowed.
+ * Destruction answers all open calls, with unknown_outcome.
  */
 class shard_engine
 {
--- a/state/engine_batch.cpp
+++ b/state/engine_batch.cpp
@@ -13,6 +13,10 @@
 // About 1 KB per record keeps a batch below half of the store's 1 MB limit.
 constexpr std::size_t most_records_per_batch = 512;
 
+// A repeated offer, together with a delayed grant of its first claim, would
+// run a forgotten task again. Requests time out long before this.
+constexpr core::duration forgotten_retention = std::chrono::minutes{1};
+
 struct record_keys
 {
     std::optional<core::job_id> job;
@@ -191,7 +195,7 @@
         apply(it, calls);
     }
     retry_cancels();
-    run(std::move(calls));
+    run(calls);
 }
 
 auto shard_engine::implementation::apply(
@@ -275,6 +279,7 @@
     else if (auto const* it = std::get_if<forget_task>(&value))
     {
         tasks_.erase(it->key);
+        forgotten_[it->key] = now_ + forgotten_retention;
         for (auto worker = tasks_of_.begin(); worker != tasks_of_.end();)
         {
             worker->second.erase(it->key);
@@ -320,7 +325,7 @@
         waiting_.begin(), std::make_move_iterator(kept.begin()),
         std::make_move_iterator(kept.end()));
     retry_cancels();
-    run(std::move(calls));
+    run(calls);
 }
 
 auto shard_engine::implementation::drop_start(
@@ -368,7 +373,7 @@
         }
     }
     waiting_ = std::move(kept);
-    run(std::move(calls));
+    run(calls);
 }
 
 auto shard_engine::implementation::fail_everything(core::failure const& reason)
@@ -401,10 +406,11 @@
     flight_.reset();
     waiting_.clear();
     cancels_.clear();
-    run(std::move(calls));
+    run(calls);
 }
 
-auto shard_engine::implementation::run(std::vector<due_call> calls) -> void
+auto shard_engine::implementation::run(std::vector<due_call> const& calls)
+    -> void
 {
     for (auto const& it : calls)
     {
--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -141,7 +141,7 @@
     auto drop_start(change value, std::vector<due_call>& calls) -> void;
     auto apply(change& value, std::vector<due_call>& calls) -> void;
     auto applied(record const& value) -> void;
-    auto run(std::vector<due_call> calls) -> void;
+    static auto run(std::vector<due_call> const& calls) -> void;
 
     // engine_jobs.cpp: jobs at home in this shard.
     auto submit(job_spec spec, done on_done) -> void;
@@ -255,6 +255,9 @@
         std::string kind, core::job_id job, core::worker_id worker,
         std::string detail) const -> void;
 
+private:
+    friend class shard_engine;
+
     core::epoch epoch_;
     shard_state state_;
     engine_settings settings_;
@@ -286,6 +289,9 @@
     std::map<attempt_key, reservation> reservations_;
     std::map<core::worker_id, core::resources> reserved_;
     std::map<core::job_id, room_hold> holds_;
+    /// Tasks forgotten lately, with the time until which repeated offers of
+    /// them are refused.
+    std::map<attempt_key, core::time_point> forgotten_;
     std::vector<shard_request> outbox_;
 };
 
--- a/state/engine_offers.cpp
+++ b/state/engine_offers.cpp
@@ -67,6 +67,7 @@
     }
     auto const declined = state_.data().declined.find(request.key.job);
     if (state_.find_task(request.key) != nullptr || is_busy(request.key) ||
+        forgotten_.contains(request.key) ||
         (declined != state_.data().declined.end() &&
          request.key.attempt <= declined->second))
     {
@@ -122,7 +123,20 @@
     if (known != nullptr && known->binding == binding)
     {
         home_[request.key.job].heard_at = now_;
-        on_answer(claim_reply{true});
+        // An owner that was replaced without its knowledge may still see the
+        // binding of an attempt that is over, so ownership is proved first.
+        auto const grant = [this, request, binding,
+                            on_answer = std::move(on_answer)](bool committed)
+        {
+            auto const* job = state_.find_job(request.key.job);
+            if (!committed)
+            {
+                on_answer(std::nullopt);
+                return;
+            }
+            on_answer(claim_reply{job != nullptr && job->binding == binding});
+        };
+        enqueue({reconfirm{}}, grant);
         return;
     }
     if (faults_.grant_stale_claims && known != nullptr &&
@@ -162,17 +176,25 @@
             answer_after_commit(std::move(on_answer), over_reply{true}));
         return;
     }
-    auto const* known = state_.find_job(request.key.job);
-    if (known != nullptr && is_busy(request.key.job))
+    if (is_busy(request.key.job))
     {
         answer_later(on_answer);
         return;
     }
-    if (known == nullptr || !known->binding ||
-        known->binding->number != request.key.attempt ||
+    auto const* known = state_.find_job(request.key.job);
+    if (known == nullptr || request.key.attempt > known->last_attempt)
+    {
+        // Either the job was dropped, or this owner was replaced without its
+        // knowledge and a later one bound the attempt.
+        enqueue(
+            {reconfirm{}},
+            answer_after_commit(std::move(on_answer), over_reply{true}));
+        return;
+    }
+    if (!known->binding || known->binding->number != request.key.attempt ||
         known->binding->host != request.host)
     {
-        // The outcome was stored before, or the attempt was never bound.
+        // The outcome was stored before, or the attempt was never bound there.
         on_answer(over_reply{true});
         return;
     }
@@ -434,6 +456,8 @@
     {
         release(key);
     }
+    std::erase_if(
+        forgotten_, [this](auto const& it) { return now_ >= it.second; });
     for (auto const& value : granted)
     {
         host_granted(value);
--- a/state/job_type.hpp
+++ b/state/job_type.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace godwitcleat::state
 {
@@ -128,7 +129,12 @@
     core::job_id job;
     core::attempt_number attempt;
 
-    auto operator<=>(attempt_key const&) const = default;
+    auto operator==(attempt_key const&) const -> bool = default;
+    // A defaulted operator makes clang-tidy 14 report modernize-use-nullptr.
+    auto operator<=>(attempt_key const& other) const
+    {
+        return std::tie(job, attempt) <=> std::tie(other.job, other.attempt);
+    }
 };
 
 } // namespace godwitcleat::state
