Do not repeat a start that a former owner may have sent

Cause: a worker that started attempt 1 and was restarted while its shard changed owners reports no task to the new owner. The new owner took the committed task for one that was never sent, and sent the start again, so one attempt ran twice.

Ruled out: storing the worker's boot number in the log (a record for each restart); waiting for the start's validity (the worker refuses the former owner's replies as soon as it has seen the new epoch).

Conclusion: a recovered task that its worker does not report under the new epoch is over as lost; the next attempt starts it.

--- a/state/engine_workers.cpp
+++ b/state/engine_workers.cpp
@@ -274,6 +274,13 @@
     // The worker refuses replies of former owners, so none of their starts
     // can take effect after this heartbeat.
     entry.cleared |= worker.adopted;
+    if (entry.recovered && entry.cleared)
+    {
+        // The former owner may have sent the start to a worker that has been
+        // restarted since. Sending it again could run one attempt twice.
+        end_hosted(*task, attempt_outcome::lost);
+        return;
+    }
     auto const is_unwanted =
         entry.wanted != stop_kind::none ||
         (!faults_.ignore_drain && is_drained_worker(worker.info.worker));
