Add shard ownership

One store lease and one range read a second serve all shards of an instance. A lost reply to a take-over is settled by the next read: a key with this process's identity and current lease is adopted, any other key of this process is deleted. An epoch is never held twice, because a batch of its former engine could still take effect.

A lapsed lease means lost shards only while the store answers; during an outage they are unconfirmed, since nobody else can take them, and the first renewal afterwards decides.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
 #include "coordination/key_func.hpp"
+#include "coordination/ownership_base.hpp"
 #include "coordination/shard_log_base.hpp"
 #include "coordination/store_type.hpp"
 
--- /dev/null
+++ b/coordination/ownership_base.cpp
@@ -0,0 +1,815 @@
+/** @file ownership_base.cpp Which shards this instance owns. */
+#include "coordination/ownership_base.hpp"
+
+#include "coordination/key_func.hpp"
+#include "coordination/ordered_hook_internal.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+namespace
+{
+
+/** A shard that this instance holds. Owner and epoch key were put by one
+ *  transaction, so both have the same modify_revision. */
+struct held_shard
+{
+    core::epoch owner_epoch;
+    std::int64_t revision = 0;
+    ownership_state announced = ownership_state::owned;
+};
+
+/** The keys of one shard as the last poll returned them. */
+struct polled_shard
+{
+    std::optional<store_entry> owner;
+    core::epoch owner_epoch;
+    std::int64_t epoch_revision = 0;
+};
+
+using polled_shards = std::map<core::shard_id, polled_shard>;
+
+auto text_of_line(std::string_view text, std::size_t line) -> std::string_view
+{
+    for (std::size_t i = 0; i < line; ++i)
+    {
+        auto const end = text.find('\n');
+        text = end == std::string_view::npos ? "" : text.substr(end + 1);
+    }
+    return text.substr(0, text.find('\n'));
+}
+
+auto instance_of(store_entry const& owner) -> core::instance_id
+{
+    return core::instance_id{std::string{text_of_line(owner.value, 0)}};
+}
+
+auto add_entry(polled_shards& shards, store_entry entry) -> void
+{
+    auto const path =
+        std::string_view{entry.key}.substr(ownership_prefix().size());
+    auto const slash = path.find('/');
+    auto const number = trailing_number(path.substr(0, slash));
+    if (slash == std::string_view::npos || !number)
+    {
+        return;
+    }
+    auto& it = shards[core::shard_id{*number}];
+    if (path.substr(slash) == "/epoch")
+    {
+        it.owner_epoch = core::epoch{trailing_number(entry.value).value_or(0)};
+        it.epoch_revision = entry.modify_revision;
+    }
+    else
+    {
+        it.owner = std::move(entry);
+    }
+}
+
+} // namespace
+
+auto to_string(ownership_state value) -> std::string_view
+{
+    switch (value)
+    {
+    case ownership_state::owned: return "owned";
+    case ownership_state::unconfirmed: return "unconfirmed";
+    case ownership_state::lost: return "lost";
+    }
+    return "lost";
+}
+
+struct ownership::implementation
+    : public std::enable_shared_from_this<ownership::implementation>
+{
+    implementation(
+        store& platform, core::clock clock, core::logger log,
+        core::instance_id instance, std::string boot_id,
+        ownership_settings settings, ownership_hooks hooks)
+        : store_(platform)
+        , clock_(std::move(clock))
+        , log_(log.with_prefix("shard"))
+        , instance_(std::move(instance))
+        , boot_id_(std::move(boot_id))
+        , settings_(settings)
+        , changes_(std::move(hooks.on_change))
+        , live_{instance_.value}
+    {
+    }
+
+    /** Wraps a handler that must not run after destruction. */
+    template <class Handler>
+    auto guarded(Handler handler)
+    {
+        return [self = weak_from_this(), handler = std::move(handler)](auto arg)
+        {
+            auto const alive = self.lock();
+            if (alive && !alive->closed_)
+            {
+                handler(*alive, std::move(arg));
+            }
+        };
+    }
+
+    /** Notes whether the store answered; call with the handler's result. */
+    auto note_answer(bool has_result, bool is_renewal = false) -> void;
+    auto identity(store_lease lease) const -> std::string;
+    auto state_now(core::time_point now) const -> ownership_state;
+    auto lease_length() const -> core::duration;
+    auto rank_of(core::shard_id shard) const -> std::size_t;
+    auto proposed(core::shard_id shard) const -> core::instance_id;
+
+    auto hold(core::shard_id shard, held_shard value) -> void;
+    auto lose(core::shard_id shard, std::string_view cause) -> void;
+    auto lose_all(std::string_view cause) -> void;
+    auto announce(core::time_point now) -> void;
+
+    auto grant() -> void;
+    auto renew(store_lease lease) -> void;
+    auto poll() -> void;
+    auto on_poll(store_range found) -> void;
+    auto check_held(
+        core::shard_id shard, polled_shard const& it, std::int64_t revision)
+        -> void;
+    auto check_own_key(core::shard_id shard, polled_shard const& it) -> void;
+    auto check_absent(core::shard_id shard, polled_shard const& it) -> void;
+    auto rebalance(polled_shards const& shards) -> void;
+    auto take(core::shard_id shard, polled_shard const& it) -> void;
+    auto on_taken(
+        core::shard_id shard, core::epoch owner_epoch, store_lease lease,
+        std::optional<store_commit> result) -> void;
+    auto delete_owner_key(core::shard_id shard, std::int64_t revision) -> void;
+    auto finish_leaving() -> void;
+    auto run_actions() -> void;
+
+    store& store_;
+    core::clock clock_;
+    core::logger log_;
+    core::instance_id instance_;
+    std::string boot_id_;
+    ownership_settings settings_;
+    std::atomic<bool> closed_ = false;
+    ordered_hook<shard_ownership> changes_;
+
+    mutable std::mutex mutex_;
+    std::vector<std::string> live_; ///< Sorted.
+    std::map<core::shard_id, held_shard> held_;
+    std::map<core::shard_id, core::instance_id> owners_;
+    /** Owner keys up to this revision are given up and must be deleted. */
+    std::map<core::shard_id, std::int64_t> given_up_;
+    std::map<core::shard_id, core::time_point> absent_since_;
+    std::map<core::shard_id, core::instance_id> handed_to_;
+    std::map<core::instance_id, core::time_point> avoid_until_;
+    std::set<core::shard_id> taking_;
+    /** Store calls to make once the lock is released. */
+    std::vector<std::function<void()>> actions_;
+    std::optional<store_lease> lease_;
+    core::time_point renewed_at_; ///< Sending of the last good renewal.
+    core::time_point next_renew_;
+    core::time_point next_grant_;
+    core::time_point next_poll_;
+    core::time_point next_rebalance_;
+    bool renewing_ = false;
+    bool granting_ = false;
+    bool polling_ = false;
+    bool reachable_ = true;
+    bool leaving_ = false;
+    bool revoking_ = false;
+    std::function<void()> on_left_;
+};
+
+auto ownership::implementation::note_answer(bool has_result, bool is_renewal)
+    -> void
+{
+    auto const kind = core::last_reason().kind;
+    auto const answered =
+        has_result || (kind != core::error_kind::unavailable &&
+                       kind != core::error_kind::unknown_outcome);
+    auto const lapsed = lease_ && clock_() - renewed_at_ >= lease_length();
+    if (answered && !reachable_ && lapsed && !is_renewal)
+    {
+        // After an outage the renewal tells whether the lease has survived.
+        next_renew_ = clock_();
+        return;
+    }
+    reachable_ = answered;
+}
+
+auto ownership::implementation::identity(store_lease lease) const -> std::string
+{
+    return fmt::format("{}\n{}\n{}", instance_.value, boot_id_, lease.value);
+}
+
+auto ownership::implementation::lease_length() const -> core::duration
+{
+    return std::chrono::duration_cast<core::duration>(
+        settings_.lease * (1.0 - settings_.clock_rate_margin));
+}
+
+auto ownership::implementation::state_now(core::time_point now) const
+    -> ownership_state
+{
+    if (!lease_)
+    {
+        return ownership_state::lost;
+    }
+    if (now - renewed_at_ < settings_.unconfirmed_after)
+    {
+        return ownership_state::owned;
+    }
+    // A lease that lapsed while the store was reachable, for example because
+    // this process was paused, may have gone to another owner. While the store
+    // is down, nobody else can take the shards.
+    auto const lapsed = now - renewed_at_ >= lease_length();
+    return lapsed && reachable_ ? ownership_state::lost
+                                : ownership_state::unconfirmed;
+}
+
+auto ownership::implementation::rank_of(core::shard_id shard) const
+    -> std::size_t
+{
+    auto names = live_;
+    auto rank = std::size_t{0};
+    while (!names.empty())
+    {
+        auto const best = core::rendezvous_choice(names, shard.value);
+        if (names.at(best) == instance_.value)
+        {
+            return rank;
+        }
+        names.erase(names.begin() + static_cast<std::ptrdiff_t>(best));
+        ++rank;
+    }
+    return rank;
+}
+
+auto ownership::implementation::proposed(core::shard_id shard) const
+    -> core::instance_id
+{
+    return core::instance_id{
+        live_.at(core::rendezvous_choice(live_, shard.value))};
+}
+
+auto ownership::implementation::hold(core::shard_id shard, held_shard value)
+    -> void
+{
+    held_[shard] = value;
+    changes_.push(
+        {shard, ownership_state::owned, value.owner_epoch, value.revision});
+    log_.info(
+        "Shard taken.",
+        {{"shard", shard.value}, {"epoch", value.owner_epoch.value}});
+}
+
+auto ownership::implementation::lose(
+    core::shard_id shard, std::string_view cause) -> void
+{
+    auto const it = held_.find(shard);
+    if (it == held_.end())
+    {
+        return;
+    }
+    auto const former = it->second;
+    held_.erase(it);
+    given_up_[shard] = former.revision;
+    changes_.push(
+        {shard, ownership_state::lost, former.owner_epoch, former.revision});
+    log_.info(
+        "Shard given up.", {{"shard", shard.value},
+                            {"epoch", former.owner_epoch.value},
+                            {"cause", cause}});
+}
+
+auto ownership::implementation::lose_all(std::string_view cause) -> void
+{
+    while (!held_.empty())
+    {
+        lose(held_.begin()->first, cause);
+    }
+}
+
+auto ownership::implementation::announce(core::time_point now) -> void
+{
+    auto const state = state_now(now);
+    for (auto& [shard, it] : held_)
+    {
+        if (it.announced != state)
+        {
+            it.announced = state;
+            changes_.push({shard, state, it.owner_epoch, it.revision});
+        }
+    }
+}
+
+auto ownership::implementation::grant() -> void
+{
+    auto const sent_at = clock_();
+    store_.grant(
+        settings_.lease,
+        guarded(
+            [sent_at](implementation& self, std::optional<store_lease> result)
+            {
+                auto const lock = std::scoped_lock{self.mutex_};
+                self.note_answer(result.has_value());
+                self.granting_ = false;
+                self.next_grant_ =
+                    self.clock_() + self.settings_.retry_interval;
+                if (result && !self.leaving_)
+                {
+                    self.lease_ = result;
+                    self.renewed_at_ = sent_at;
+                    self.next_renew_ = sent_at + self.settings_.renew_interval;
+                }
+            }));
+}
+
+auto ownership::implementation::renew(store_lease lease) -> void
+{
+    auto const sent_at = clock_();
+    store_.keep_alive(
+        lease,
+        guarded(
+            [lease,
+             sent_at](implementation& self, std::optional<store_lease> result)
+            {
+                {
+                    auto const lock = std::scoped_lock{self.mutex_};
+                    self.note_answer(result.has_value(), true);
+                    self.renewing_ = false;
+                    if (self.lease_ != lease)
+                    {
+                        return;
+                    }
+                    self.next_renew_ =
+                        result ? sent_at + self.settings_.renew_interval
+                               : self.clock_() + self.settings_.retry_interval;
+                    if (result)
+                    {
+                        self.renewed_at_ = sent_at;
+                    }
+                    else if (
+                        core::last_reason().kind == core::error_kind::not_found)
+                    {
+                        self.lease_.reset();
+                        self.lose_all("the store lease has lapsed");
+                    }
+                }
+                self.changes_.drain();
+            }));
+}
+
+auto ownership::implementation::poll() -> void
+{
+    store_.range(
+        ownership_prefix(), prefix_end(ownership_prefix()), 0,
+        guarded(
+            [](implementation& self, std::optional<store_range> found)
+            {
+                {
+                    auto const lock = std::scoped_lock{self.mutex_};
+                    self.note_answer(found.has_value());
+                    self.polling_ = false;
+                    if (found)
+                    {
+                        self.on_poll(std::move(*found));
+                    }
+                }
+                self.run_actions();
+            }));
+}
+
+auto ownership::implementation::on_poll(store_range found) -> void
+{
+    auto shards = polled_shards{};
+    for (std::uint32_t i = 0; i < settings_.shard_count; ++i)
+    {
+        shards[core::shard_id{i}];
+    }
+    for (auto& it : found.entries)
+    {
+        add_entry(shards, std::move(it));
+    }
+    owners_.clear();
+    for (auto const& [shard, it] : shards)
+    {
+        if (it.owner)
+        {
+            owners_[shard] = instance_of(*it.owner);
+            absent_since_.erase(shard);
+            if (owners_[shard] != instance_)
+            {
+                handed_to_.erase(shard);
+            }
+        }
+        if (shard.value >= settings_.shard_count || taking_.contains(shard))
+        {
+            continue;
+        }
+        if (held_.contains(shard))
+        {
+            check_held(shard, it, found.revision);
+        }
+        else if (it.owner)
+        {
+            check_own_key(shard, it);
+        }
+        else
+        {
+            check_absent(shard, it);
+        }
+    }
+    rebalance(shards);
+}
+
+auto ownership::implementation::check_held(
+    core::shard_id shard, polled_shard const& it, std::int64_t revision) -> void
+{
+    auto const& mine = held_.at(shard);
+    if (revision < mine.revision)
+    {
+        return; // Read before the take-over.
+    }
+    if (it.epoch_revision != mine.revision || !it.owner ||
+        it.owner->modify_revision != mine.revision)
+    {
+        lose(shard, "another owner or no owner key in the store");
+    }
+}
+
+// The store names this process as the owner of a shard that it does not hold:
+// the reply to a take-over was lost, or the shard was given up and the key is
+// still there.
+auto ownership::implementation::check_own_key(
+    core::shard_id shard, polled_shard const& it) -> void
+{
+    auto const& value = it.owner->value;
+    if (text_of_line(value, 0) != instance_.value ||
+        text_of_line(value, 1) != boot_id_)
+    {
+        return;
+    }
+    auto const revision = it.owner->modify_revision;
+    auto const given_up = given_up_.find(shard);
+    auto const current =
+        !leaving_ && lease_ && value == identity(*lease_) &&
+        it.epoch_revision == revision &&
+        (given_up == given_up_.end() || given_up->second < revision);
+    if (current && state_now(clock_()) == ownership_state::owned)
+    {
+        hold(shard, {it.owner_epoch, revision});
+    }
+    else if (!current)
+    {
+        // The same epoch is never held twice: a batch of its former engine
+        // could still take effect beside the new one.
+        delete_owner_key(shard, revision);
+    }
+}
+
+auto ownership::implementation::check_absent(
+    core::shard_id shard, polled_shard const& it) -> void
+{
+    auto const now = clock_();
+    auto const since = absent_since_.try_emplace(shard, now).first->second;
+    if (leaving_ || state_now(now) != ownership_state::owned)
+    {
+        return;
+    }
+    auto const rank = static_cast<core::duration::rep>(rank_of(shard));
+    if (now - since >= settings_.candidate_delay * rank)
+    {
+        take(shard, it);
+    }
+}
+
+auto ownership::implementation::rebalance(polled_shards const& shards) -> void
+{
+    auto const now = clock_();
+    auto const unowned = std::any_of(
+        shards.begin(), shards.end(),
+        [](auto const& it) { return !it.second.owner; });
+    if (leaving_ || unowned || now < next_rebalance_ ||
+        state_now(now) != ownership_state::owned)
+    {
+        return;
+    }
+    auto counts = std::map<core::instance_id, std::size_t>{};
+    for (auto const& [shard, owner] : owners_)
+    {
+        ++counts[owner];
+    }
+    for (auto const& [shard, mine] : held_)
+    {
+        auto const target = proposed(shard);
+        if (target == instance_ || now < avoid_until_[target] ||
+            held_.size() <= counts[target] + 1)
+        {
+            continue;
+        }
+        next_rebalance_ = now + settings_.rebalance_interval;
+        handed_to_[shard] = target;
+        auto const revision = mine.revision;
+        auto const moved = shard;
+        lose(moved, "handed over for balance");
+        delete_owner_key(moved, revision);
+        return;
+    }
+}
+
+auto ownership::implementation::take(
+    core::shard_id shard, polled_shard const& it) -> void
+{
+    taking_.insert(shard);
+    auto const lease = *lease_;
+    auto const next = it.owner_epoch.next();
+    auto transaction = store_transaction{
+        {{owner_key(shard), 0}, {epoch_key(shard), it.epoch_revision}},
+        {{epoch_key(shard), std::to_string(next.value), "", {}},
+         {owner_key(shard), identity(lease), "", lease}}};
+    actions_.emplace_back(
+        [this, shard, next, lease, transaction = std::move(transaction)]
+        {
+            store_.commit(
+                transaction,
+                guarded([shard, next, lease](
+                            implementation& self,
+                            std::optional<store_commit> result)
+                        { self.on_taken(shard, next, lease, result); }));
+        });
+}
+
+auto ownership::implementation::on_taken(
+    core::shard_id shard, core::epoch owner_epoch, store_lease lease,
+    std::optional<store_commit> result) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        note_answer(result.has_value());
+        taking_.erase(shard);
+        if (result && result->succeeded && lease_ == lease && !leaving_)
+        {
+            absent_since_.erase(shard);
+            hold(shard, {owner_epoch, result->revision});
+            if (auto const it = handed_to_.find(shard); it != handed_to_.end())
+            {
+                avoid_until_[it->second] = clock_() + settings_.avoid_interval;
+            }
+        }
+        handed_to_.erase(shard);
+        if (!result)
+        {
+            // The next poll shows whether the take-over took effect.
+            next_poll_ = clock_();
+        }
+    }
+    changes_.drain();
+}
+
+auto ownership::implementation::delete_owner_key(
+    core::shard_id shard, std::int64_t revision) -> void
+{
+    actions_.emplace_back(
+        [this, shard, revision]
+        {
+            store_.commit(
+                {{{owner_key(shard), revision}},
+                 {{owner_key(shard), std::nullopt, "", {}}}},
+                guarded(
+                    [](implementation& self, std::optional<store_commit> result)
+                    {
+                        // If it failed, the next poll finds the key again.
+                        auto const lock = std::scoped_lock{self.mutex_};
+                        self.note_answer(result.has_value());
+                    }));
+        });
+}
+
+auto ownership::implementation::finish_leaving() -> void
+{
+    auto on_left = std::function<void()>{};
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        revoking_ = false;
+        lease_.reset();
+        std::swap(on_left, on_left_);
+    }
+    if (on_left)
+    {
+        on_left();
+    }
+}
+
+auto ownership::implementation::run_actions() -> void
+{
+    changes_.drain();
+    auto actions = std::vector<std::function<void()>>{};
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        actions.swap(actions_);
+    }
+    for (auto const& it : actions)
+    {
+        it();
+    }
+}
+
+ownership::ownership(
+    store& platform, core::clock clock, core::logger log,
+    core::instance_id instance, std::string boot_id,
+    ownership_settings settings, ownership_hooks hooks)
+    : implementation_(std::make_shared<implementation>(
+          platform, std::move(clock), std::move(log), std::move(instance),
+          std::move(boot_id), settings, std::move(hooks)))
+{
+}
+
+ownership::~ownership()
+{
+    implementation_->closed_ = true;
+}
+
+auto ownership::set_live(std::vector<core::instance_id> const& instances)
+    -> void
+{
+    auto& self = *implementation_;
+    auto names = std::set<std::string>{self.instance_.value};
+    for (auto const& it : instances)
+    {
+        names.insert(it.value);
+    }
+    auto const lock = std::scoped_lock{self.mutex_};
+    self.live_.assign(names.begin(), names.end());
+}
+
+auto ownership::tick() -> void
+{
+    auto& self = *implementation_;
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        auto const now = self.clock_();
+        if (self.lease_ && !self.leaving_ &&
+            self.state_now(now) == ownership_state::lost)
+        {
+            self.lose_all("the store lease may have lapsed");
+            self.actions_.emplace_back(
+                [&self, lease = *self.lease_]
+                { self.store_.revoke(lease, [](auto) {}); });
+            self.lease_.reset();
+        }
+        self.announce(now);
+        if (!self.lease_ && !self.granting_ && !self.leaving_ &&
+            now >= self.next_grant_)
+        {
+            self.granting_ = true;
+            self.actions_.emplace_back([&self] { self.grant(); });
+        }
+        if (self.lease_ && !self.renewing_ && !self.leaving_ &&
+            now >= self.next_renew_)
+        {
+            self.renewing_ = true;
+            self.actions_.emplace_back([&self, lease = *self.lease_]
+                                       { self.renew(lease); });
+        }
+        if (!self.polling_ && !self.leaving_ && now >= self.next_poll_)
+        {
+            self.polling_ = true;
+            self.next_poll_ = now + self.settings_.poll_interval;
+            self.actions_.emplace_back([&self] { self.poll(); });
+        }
+        if (self.leaving_ && self.lease_ && !self.revoking_ &&
+            now >= self.next_renew_)
+        {
+            self.revoking_ = true;
+            self.next_renew_ = now + self.settings_.retry_interval;
+            auto const lapsed = now - self.renewed_at_ >= self.settings_.lease;
+            self.actions_.emplace_back(
+                [&self, lapsed, lease = *self.lease_]
+                {
+                    if (lapsed)
+                    {
+                        return self.finish_leaving();
+                    }
+                    self.store_.revoke(
+                        lease,
+                        self.guarded(
+                            [](implementation& it,
+                               std::optional<store_lease> done)
+                            {
+                                auto const gone =
+                                    done || core::last_reason().kind ==
+                                                core::error_kind::not_found;
+                                if (gone)
+                                {
+                                    return it.finish_leaving();
+                                }
+                                auto const held = std::scoped_lock{it.mutex_};
+                                it.revoking_ = false;
+                            }));
+                });
+        }
+    }
+    self.run_actions();
+}
+
+auto ownership::observe(core::shard_id shard, core::epoch seen) -> void
+{
+    auto& self = *implementation_;
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        auto const it = self.held_.find(shard);
+        if (it != self.held_.end() && it->second.owner_epoch < seen)
+        {
+            self.lose(shard, "a higher epoch was seen");
+        }
+    }
+    self.changes_.drain();
+}
+
+auto ownership::release(core::shard_id shard) -> void
+{
+    auto& self = *implementation_;
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        auto const it = self.held_.find(shard);
+        if (it == self.held_.end())
+        {
+            return;
+        }
+        auto const revision = it->second.revision;
+        self.lose(shard, "released");
+        self.delete_owner_key(shard, revision);
+    }
+    self.run_actions();
+}
+
+auto ownership::leave(std::function<void()> on_done) -> void
+{
+    auto& self = *implementation_;
+    auto nothing_to_do = false;
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        self.leaving_ = true;
+        self.lose_all("this instance is leaving");
+        self.next_renew_ = self.clock_();
+        nothing_to_do = !self.lease_;
+        self.on_left_ = std::move(on_done);
+    }
+    self.changes_.drain();
+    if (nothing_to_do)
+    {
+        self.finish_leaving();
+    }
+    tick();
+}
+
+auto ownership::find(core::shard_id shard) const -> shard_ownership
+{
+    auto const& self = *implementation_;
+    auto const lock = std::scoped_lock{self.mutex_};
+    auto const it = self.held_.find(shard);
+    if (it == self.held_.end())
+    {
+        return {shard, ownership_state::lost, {}, 0};
+    }
+    return {
+        shard, self.state_now(self.clock_()), it->second.owner_epoch,
+        it->second.revision};
+}
+
+auto ownership::held() const -> std::vector<shard_ownership>
+{
+    auto const& self = *implementation_;
+    auto const lock = std::scoped_lock{self.mutex_};
+    auto result = std::vector<shard_ownership>{};
+    auto const state = self.state_now(self.clock_());
+    for (auto const& [shard, it] : self.held_)
+    {
+        if (state != ownership_state::lost)
+        {
+            result.push_back({shard, state, it.owner_epoch, it.revision});
+        }
+    }
+    return result;
+}
+
+auto ownership::owners() const -> std::map<core::shard_id, core::instance_id>
+{
+    auto const lock = std::scoped_lock{implementation_->mutex_};
+    return implementation_->owners_;
+}
+
+auto ownership::store_reachable() const -> bool
+{
+    auto const lock = std::scoped_lock{implementation_->mutex_};
+    return implementation_->reachable_;
+}
+
+} // namespace godwitcleat::coordination
