Add the configuration follower

A publish reads the head, then writes head and change key in one transaction that compares the head. Lost replies are settled by the change key: author, summary and time must match, and also the document while the head still has this generation. After a failed compare the read is final, since the head never returns to an earlier revision.

A document learned from a peer has no head revision until the store was read, so that no start is committed against an unknown revision.

--- /dev/null
+++ b/coordination/config_follower_base.cpp
@@ -0,0 +1,461 @@
+/** @file config_follower_base.cpp Holds and publishes the configuration. */
+#include "coordination/config_follower_base.hpp"
+
+#include "coordination/key_func.hpp"
+#include "coordination/ordered_hook_internal.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+namespace
+{
+
+/** A publish until its outcome is certain. */
+struct publication
+{
+    core::generation base;
+    state::config_change change;
+    state::config_document document;
+    std::string change_value;
+    std::string document_value;
+    store_transaction transaction;
+    store::handler<publish_result> on_done;
+    core::time_point deadline;
+    std::optional<core::time_point> retry_at;
+    bool maybe_sent = false; ///< A sending had an unknown outcome.
+};
+
+using publication_pointer = std::shared_ptr<publication>;
+
+auto single(store_range const& found) -> store_entry const*
+{
+    return found.entries.empty() ? nullptr : &found.entries.front();
+}
+
+} // namespace
+
+struct config_follower::implementation
+    : public std::enable_shared_from_this<config_follower::implementation>
+{
+    implementation(
+        store& platform, core::clock clock, core::logger log,
+        config_codec codec, config_follower_settings settings,
+        config_follower_hooks hooks)
+        : store_(platform)
+        , clock_(std::move(clock))
+        , log_(log.with_prefix("config"))
+        , codec_(std::move(codec))
+        , settings_(settings)
+        , wall_us_(
+              hooks.wall_us ? std::move(hooks.wall_us) : &core::wall_clock_us)
+        , generations_(std::move(hooks.on_generation))
+        , view_{std::make_shared<state::config_document const>(), std::nullopt}
+    {
+    }
+
+    /** Wraps a handler that must not run after destruction. */
+    template <class Handler>
+    auto guarded(Handler handler)
+    {
+        return [self = weak_from_this(), handler = std::move(handler)](auto arg)
+        {
+            auto const alive = self.lock();
+            if (alive && !alive->closed_)
+            {
+                handler(*alive, std::move(arg));
+            }
+        };
+    }
+
+    auto read_head() -> void;
+    /** Takes over what the head key holds; returns its generation. */
+    auto take_head(store_range const& found) -> std::optional<core::generation>;
+    auto
+    set(state::config_document document, std::optional<std::int64_t> revision)
+        -> bool;
+
+    auto begin(publication_pointer const& it) -> void;
+    auto prepare(publication_pointer const& it, std::int64_t head_revision)
+        -> std::optional<bool>;
+    auto send(publication_pointer const& it) -> void;
+    auto
+    on_commit(publication_pointer const& it, std::optional<store_commit> result)
+        -> void;
+    auto settle(publication_pointer const& it, bool is_final) -> void;
+    auto compare_head(publication_pointer const& it) -> void;
+    auto retry(publication_pointer const& it) -> void;
+    auto conflict(publication_pointer const& it, core::generation head) -> void;
+    auto accept(publication_pointer const& it) -> void;
+
+    store& store_;
+    core::clock clock_;
+    core::logger log_;
+    config_codec codec_;
+    config_follower_settings settings_;
+    std::function<std::int64_t()> wall_us_;
+    std::atomic<bool> closed_ = false;
+    ordered_hook<state::config_pointer> generations_;
+
+    std::mutex mutex_;
+    config_view view_;
+    core::time_point next_read_;
+    bool reading_ = false;
+    std::vector<publication_pointer> waiting_; ///< For their retry_at.
+};
+
+auto config_follower::implementation::set(
+    state::config_document document, std::optional<std::int64_t> revision)
+    -> bool
+{
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        auto const present = view_.document->number;
+        if (document.number < present)
+        {
+            return false;
+        }
+        if (document.number == present)
+        {
+            if (revision && document == *view_.document)
+            {
+                view_.head_revision = revision;
+            }
+            else if (revision)
+            {
+                log_.error(
+                    "Two documents have the same generation; publish again.",
+                    {{"generation", present.value}});
+            }
+            return false;
+        }
+        view_.document =
+            std::make_shared<state::config_document const>(std::move(document));
+        view_.head_revision = revision;
+        generations_.push(view_.document);
+        log_.info(
+            "Configuration applied.",
+            {{"generation", view_.document->number.value},
+             {"source", revision ? "store" : "peer"}});
+    }
+    generations_.drain();
+    return true;
+}
+
+auto config_follower::implementation::take_head(store_range const& found)
+    -> std::optional<core::generation>
+{
+    auto const* const entry = single(found);
+    if (entry == nullptr)
+    {
+        set({}, 0);
+        return core::generation{};
+    }
+    auto document = codec_.decode_document(entry->value);
+    if (!document)
+    {
+        log_.error(
+            "The document in the store cannot be decoded; publish again.",
+            {{"reason", core::last_reason().message}});
+        return std::nullopt;
+    }
+    auto const number = document->number;
+    set(std::move(*document), entry->modify_revision);
+    return number;
+}
+
+auto config_follower::implementation::read_head() -> void
+{
+    store_.range(
+        config_head_key(), "", 1,
+        guarded(
+            [](implementation& self, std::optional<store_range> found)
+            {
+                {
+                    auto const lock = std::scoped_lock{self.mutex_};
+                    self.reading_ = false;
+                }
+                if (found)
+                {
+                    self.take_head(*found);
+                }
+            }));
+}
+
+auto config_follower::implementation::begin(publication_pointer const& it)
+    -> void
+{
+    store_.range(
+        config_head_key(), "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                auto const head = found ? self.take_head(*found) : std::nullopt;
+                if (!head)
+                {
+                    return it->on_done(std::nullopt);
+                }
+                if (*head != it->base)
+                {
+                    return self.conflict(it, *head);
+                }
+                auto const* const entry = single(*found);
+                auto const revision = entry ? entry->modify_revision : 0;
+                if (!self.prepare(it, revision))
+                {
+                    return it->on_done(std::nullopt);
+                }
+                self.send(it);
+            }));
+}
+
+auto config_follower::implementation::prepare(
+    publication_pointer const& it, std::int64_t head_revision)
+    -> std::optional<bool>
+{
+    auto const number = it->base.next();
+    it->document.number = number;
+    it->change.number = number;
+    it->change.wall_us = wall_us_();
+    it->document_value = codec_.encode_document(it->document);
+    it->change_value = codec_.encode_change(it->change);
+    if (it->document_value.size() > settings_.value_limit_bytes)
+    {
+        return core::fail(
+            core::error_kind::invalid_input,
+            "The document exceeds the store's value limit of " +
+                std::to_string(settings_.value_limit_bytes) +
+                " bytes; remove entries.");
+    }
+    auto& transaction = it->transaction;
+    transaction.compares = {{config_head_key(), head_revision}};
+    transaction.writes = {
+        {config_head_key(), it->document_value, "", {}},
+        {config_change_key(number), it->change_value, "", {}}};
+    if (number.value > settings_.kept_changes)
+    {
+        auto const oldest_kept =
+            core::generation{number.value - settings_.kept_changes + 1};
+        transaction.writes.push_back(
+            {config_change_prefix(),
+             std::nullopt,
+             config_change_key(oldest_kept),
+             {}});
+    }
+    return true;
+}
+
+auto config_follower::implementation::send(publication_pointer const& it)
+    -> void
+{
+    store_.commit(
+        it->transaction,
+        guarded([it](implementation& self, std::optional<store_commit> result)
+                { self.on_commit(it, result); }));
+}
+
+auto config_follower::implementation::on_commit(
+    publication_pointer const& it, std::optional<store_commit> result) -> void
+{
+    if (result && result->succeeded)
+    {
+        set(it->document, result->revision);
+        return accept(it);
+    }
+    if (result)
+    {
+        return settle(it, true);
+    }
+    if (core::last_reason().kind == core::error_kind::unknown_outcome)
+    {
+        it->maybe_sent = true;
+        return settle(it, false);
+    }
+    if (it->maybe_sent)
+    {
+        return retry(it);
+    }
+    it->on_done(std::nullopt);
+}
+
+// Reads the change key back. After a failed compare the answer is final: the
+// head never returns to the former revision, so no earlier sending can take
+// effect later.
+auto config_follower::implementation::settle(
+    publication_pointer const& it, bool is_final) -> void
+{
+    store_.range(
+        config_change_key(it->change.number), "", 1,
+        guarded(
+            [it,
+             is_final](implementation& self, std::optional<store_range> found)
+            {
+                auto const* const entry = found ? single(*found) : nullptr;
+                if (!found || (entry == nullptr && !is_final))
+                {
+                    return self.retry(it);
+                }
+                // Author, summary and time of publishing.
+                if (entry != nullptr && entry->value == it->change_value)
+                {
+                    return self.compare_head(it);
+                }
+                self.conflict(it, it->change.number);
+            }));
+}
+
+auto config_follower::implementation::compare_head(
+    publication_pointer const& it) -> void
+{
+    store_.range(
+        config_head_key(), "", 1,
+        guarded(
+            [it](implementation& self, std::optional<store_range> found)
+            {
+                auto const head = found ? self.take_head(*found) : std::nullopt;
+                if (!head)
+                {
+                    return self.retry(it);
+                }
+                auto const* const entry = single(*found);
+                if (entry != nullptr && *head == it->change.number &&
+                    entry->value != it->document_value)
+                {
+                    return self.conflict(it, *head);
+                }
+                self.accept(it);
+            }));
+}
+
+auto config_follower::implementation::retry(publication_pointer const& it)
+    -> void
+{
+    auto const lock = std::scoped_lock{mutex_};
+    it->retry_at = clock_() + settings_.retry_interval;
+    waiting_.push_back(it);
+}
+
+auto config_follower::implementation::accept(publication_pointer const& it)
+    -> void
+{
+    log_.info(
+        "Configuration published.", {{"generation", it->change.number.value},
+                                     {"author", it->change.author}});
+    it->on_done(publish_result{true, it->change.number, {}});
+}
+
+auto config_follower::implementation::conflict(
+    publication_pointer const& it, core::generation head) -> void
+{
+    store_.range(
+        config_change_key(it->base.next()), prefix_end(config_change_prefix()),
+        static_cast<std::int64_t>(settings_.kept_changes),
+        guarded(
+            [it, head](implementation& self, std::optional<store_range> found)
+            {
+                auto result = publish_result{false, head, {}};
+                for (auto const& entry : found.value_or(store_range{}).entries)
+                {
+                    if (auto change = self.codec_.decode_change(entry.value))
+                    {
+                        result.number = std::max(head, change->number);
+                        result.changes.push_back(std::move(*change));
+                    }
+                }
+                it->on_done(std::move(result));
+            }));
+}
+
+config_follower::config_follower(
+    store& platform, core::clock clock, core::logger log, config_codec codec,
+    config_follower_settings settings, config_follower_hooks hooks)
+    : implementation_(std::make_shared<implementation>(
+          platform, std::move(clock), std::move(log), std::move(codec),
+          settings, std::move(hooks)))
+{
+}
+
+config_follower::~config_follower()
+{
+    implementation_->closed_ = true;
+}
+
+auto config_follower::tick() -> void
+{
+    auto& self = *implementation_;
+    auto due = std::vector<publication_pointer>{};
+    auto read = false;
+    auto const now = self.clock_();
+    {
+        auto const lock = std::scoped_lock{self.mutex_};
+        auto const first_due = std::partition(
+            self.waiting_.begin(), self.waiting_.end(),
+            [now](auto const& it) { return *it->retry_at > now; });
+        due.assign(first_due, self.waiting_.end());
+        self.waiting_.erase(first_due, self.waiting_.end());
+        read = !self.reading_ && now >= self.next_read_;
+        if (read)
+        {
+            self.reading_ = true;
+            self.next_read_ = now + self.settings_.read_interval;
+        }
+    }
+    if (read)
+    {
+        self.read_head();
+    }
+    for (auto const& it : due)
+    {
+        if (now < it->deadline)
+        {
+            self.send(it);
+            continue;
+        }
+        core::fail(
+            core::error_kind::unknown_outcome,
+            "The store did not tell whether the document was published; read "
+            "the configuration.");
+        it->on_done(std::nullopt);
+    }
+}
+
+auto config_follower::offer(state::config_document document) -> bool
+{
+    auto& self = *implementation_;
+    auto const taken = self.set(std::move(document), std::nullopt);
+    if (taken)
+    {
+        // The next tick learns the revision that belongs to the document.
+        auto const lock = std::scoped_lock{self.mutex_};
+        self.next_read_ = self.clock_();
+    }
+    return taken;
+}
+
+auto config_follower::current() const -> config_view
+{
+    auto const lock = std::scoped_lock{implementation_->mutex_};
+    return implementation_->view_;
+}
+
+auto config_follower::publish(
+    core::generation base, std::string author, std::string summary,
+    state::config_document document, store::handler<publish_result> on_done)
+    -> void
+{
+    auto& self = *implementation_;
+    auto const it = std::make_shared<publication>();
+    it->base = base;
+    it->change.author = std::move(author);
+    it->change.summary = std::move(summary);
+    it->document = std::move(document);
+    it->on_done = std::move(on_done);
+    it->deadline = self.clock_() + self.settings_.settle_time;
+    self.begin(it);
+}
+
+} // namespace godwitcleat::coordination
--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_COORDINATION_COORDINATION_HPP
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
+#include "coordination/config_follower_base.hpp"
 #include "coordination/key_func.hpp"
 #include "coordination/ownership_base.hpp"
 #include "coordination/shard_log_base.hpp"
