--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -2,6 +2,7 @@
 #include "coordination/coordination.hpp"
 #include "standins/support/etcd_gateway_base.hpp"
 #include "standins/support/memory_store_base.hpp"
+#include "standins/support/standin_store_base.hpp"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -379,3 +380,72 @@
         behind.time.advance(500ms);
     }
 }
+
+namespace
+{
+
+/** Collects the replies of a stand-in. */
+struct standin_fixture
+{
+    core::manual_clock time;
+    standins::standin_store store{time.reader(), {"", 2, 1}};
+    std::vector<int> statuses;
+
+    auto post(std::string_view path, std::string_view body) -> void
+    {
+        store.handle(
+            "POST", path, body,
+            [this](int status, std::string const&)
+            { statuses.push_back(status); });
+    }
+};
+
+constexpr auto read_request = R"({"key":"Zm9v"})";
+constexpr auto write_request =
+    R"({"success":[{"request_put":{"key":"Zm9v","value":"YmFy"}}]})";
+
+} // namespace
+
+// Guards against a stand-in that is faster than the platform's store, and
+// against reads that use up the rate of writes.
+TEST(standin_store, limits_reads_and_writes)
+{
+    auto it = standin_fixture{};
+    for (auto i = 0; i < 2; ++i)
+    {
+        it.post("/v3/kv/range", read_request);
+    }
+    for (auto i = 0; i < 3; ++i)
+    {
+        it.post("/v3/kv/txn", write_request);
+    }
+    it.time.advance(1s);
+    it.post("/v3/kv/txn", write_request);
+    EXPECT_EQ(it.statuses, (std::vector{200, 429, 200, 200, 429, 200}));
+}
+
+// Guards against faults that tests set but that have no effect.
+TEST(standin_store, carries_out_faults)
+{
+    auto it = standin_fixture{};
+    it.post("/fault", R"({"lose_replies": 1})");
+    it.post("/v3/kv/txn", write_request);
+    it.post("/v3/kv/txn", write_request);
+    EXPECT_EQ(it.statuses, (std::vector{200, 503, 200}));
+    it.time.advance(1s);
+    it.post("/fault", R"({"down": true})");
+    it.post("/v3/kv/txn", write_request);
+    it.post("/fault", R"({"delay_ms": 50})");
+    it.post("/v3/kv/range", read_request);
+    it.store.tick();
+    EXPECT_EQ(it.statuses, (std::vector{200, 503, 200, 200, 503, 200}));
+    it.time.advance(50ms);
+    it.store.tick();
+    EXPECT_EQ(it.statuses.size(), 7U);
+    it.post("/fault", "{}");
+    it.post("/fault", "[]");
+    it.post("/v3/kv/txn", "nonsense");
+    EXPECT_EQ(
+        it.statuses,
+        (std::vector{200, 503, 200, 200, 503, 200, 200, 200, 400, 400}));
+}
