--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,10 +3,14 @@
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
 #include "coordination/admission_base.hpp"
+#include "coordination/config_follower_base.hpp"
 #include "coordination/control_base.hpp"
+#include "coordination/etcd_func.hpp"
+#include "coordination/etcd_store_base.hpp"
 #include "coordination/forwarding_base.hpp"
 #include "coordination/instance_list_base.hpp"
 #include "coordination/key_func.hpp"
+#include "coordination/ownership_base.hpp"
 #include "coordination/peer_server_base.hpp"
 #include "coordination/peers_base.hpp"
 #include "coordination/request_policy_func.hpp"
