--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
 #include "coordination/admission_base.hpp"
+#include "coordination/gateway_base.hpp"
 #include "coordination/request_policy_func.hpp"
 #include "coordination/retry_budget_base.hpp"
 #include "coordination/router_base.hpp"
