--- a/coordination/router_base.cpp
+++ b/coordination/router_base.cpp
@@ -26,30 +26,20 @@
 /// Weight of one answer in the mean of a service.
 constexpr double service_weight = 0.01;
 
-/// Requests in flight above this quantile of recent probes are hot. The
-/// published evaluation finds values from 0.6 to 0.9 about equal.
-constexpr double hot_quantile = 0.84;
-
 /// Recent probe answers that the quantile is taken from.
 constexpr std::size_t probe_history = 128;
 
 /// Reports of free slots that are kept for one backend server.
 constexpr std::uint32_t most_idle_reports = 8;
 
-struct peer_count
-{
-    std::uint32_t in_flight = 0;
-    core::time_point counted;
-};
-
 struct backend
 {
     state::service_endpoint endpoint;
     transport::endpoint where;
     bool listed = true;
     std::uint32_t in_flight = 0;
-    std::map<core::instance_id, std::uint32_t> peers;
-    double latency_ns = 0.0; ///< 0: no answer yet.
+    std::vector<std::uint32_t> peers; ///< As in service_state::peers.
+    double latency_ns = 0.0;          ///< 0: no answer yet.
     core::time_point latency_at;
     std::uint32_t failures = 0; ///< In a row.
     core::time_point suspect_until;
@@ -59,6 +49,7 @@
 /** A peer's counts for one service. */
 struct peer_summary
 {
+    core::instance_id peer;
     core::time_point counted;
     double mean = 0.0; ///< Over the listed backend servers.
 };
@@ -74,7 +65,7 @@
 struct service_state
 {
     std::vector<backend> backends;
-    std::map<core::instance_id, peer_summary> peers;
+    std::vector<peer_summary> peers;
     double mean_ns = 0.0; ///< 0: no answer yet.
     std::uint64_t turn = 0;
     std::vector<pooled_probe> probes;       ///< Oldest first.
@@ -116,7 +107,7 @@
 /** One peer's share of an estimate at the present time. */
 struct peer_weight
 {
-    core::instance_id peer;
+    std::size_t index = 0; ///< In service_state::peers.
     double mean = 0.0;
     double weight = 0.0; ///< Of the difference from the mean.
 };
@@ -130,12 +121,13 @@
     -> std::vector<peer_weight>
 {
     auto result = std::vector<peer_weight>{};
-    for (auto const& [peer, summary] : state.peers)
+    for (std::size_t i = 0; i < state.peers.size(); ++i)
     {
-        auto const age = now - summary.counted;
+        auto const& it = state.peers[i];
+        auto const age = now - it.counted;
         if (age < silence)
         {
-            result.push_back({peer, summary.mean, decay(age, state.mean_ns)});
+            result.push_back({i, it.mean, decay(age, state.mean_ns)});
         }
     }
     return result;
@@ -145,15 +137,29 @@
     -> double
 {
     auto sum = 0.0;
-    for (auto const& [peer, mean, weight] : peers)
+    for (auto const& [index, mean, weight] : peers)
     {
-        auto const found = it.peers.find(peer);
-        auto const count = found == it.peers.end() ? 0.0 : found->second;
+        auto const count = index < it.peers.size() ? it.peers[index] : 0U;
         sum += mean + weight * (count - mean);
     }
     return sum;
 }
 
+/** Returns the position of @p peer, which is added if it is new. */
+auto peer_index(service_state& state, core::instance_id const& peer)
+    -> std::size_t
+{
+    auto const it = std::find_if(
+        state.peers.begin(), state.peers.end(),
+        [&](auto const& p) { return p.peer == peer; });
+    if (it != state.peers.end())
+    {
+        return static_cast<std::size_t>(it - state.peers.begin());
+    }
+    state.peers.push_back({peer, {}, 0.0});
+    return state.peers.size() - 1;
+}
+
 /**
  * An estimate that is not renewed moves towards the mean, so that a backend
  * server that was slow is tried again.
@@ -171,7 +177,7 @@
     return state.mean_ns + left * (it.latency_ns - state.mean_ns);
 }
 
-auto hot_limit(service_state const& state) -> std::uint32_t
+auto hot_limit(service_state const& state, double quantile) -> std::uint32_t
 {
     if (state.recent_load.empty())
     {
@@ -180,7 +186,7 @@
     auto sorted = state.recent_load;
     auto const n = static_cast<double>(sorted.size());
     auto const at =
-        std::min(static_cast<std::size_t>(hot_quantile * n), sorted.size() - 1);
+        std::min(static_cast<std::size_t>(quantile * n), sorted.size() - 1);
     std::nth_element(
         sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(at),
         sorted.end());
@@ -419,16 +425,19 @@
         auto const lock = std::scoped_lock{shard.mutex};
         for (auto& [service, state] : shard.services)
         {
+            auto const index = peer_index(state, peer);
             auto sum = 0.0;
             for (auto& it : state.backends)
             {
                 auto const found = counts.find(it.endpoint.backend_server);
                 auto const n = found == counts.end() ? 0 : found->second;
-                it.peers[peer] = n;
+                it.peers.resize(state.peers.size());
+                it.peers[index] = n;
                 sum += n;
             }
             auto const size = std::max<std::size_t>(state.backends.size(), 1);
-            state.peers[peer] = {counted, sum / static_cast<double>(size)};
+            state.peers[index] = {
+                peer, counted, sum / static_cast<double>(size)};
         }
     }
 }
@@ -440,10 +449,15 @@
         auto const lock = std::scoped_lock{shard.mutex};
         for (auto& [service, state] : shard.services)
         {
-            state.peers.erase(peer);
+            auto const index = peer_index(state, peer);
+            auto const at = static_cast<std::ptrdiff_t>(index);
+            state.peers.erase(state.peers.begin() + at);
             for (auto& it : state.backends)
             {
-                it.peers.erase(peer);
+                if (index < it.peers.size())
+                {
+                    it.peers.erase(it.peers.begin() + at);
+                }
             }
         }
     }
@@ -546,7 +560,8 @@
     }
     auto const views = self.view_of(state, usable, at);
     auto const index = self.policy(
-        {views, to_duration(state.mean_ns), state.turn++, hot_limit(state)},
+        {views, to_duration(state.mean_ns), state.turn++,
+         hot_limit(state, self.settings.hot_quantile)},
         self.random);
     auto& chosen = state.backends[usable.at(index)];
     ++chosen.in_flight;
--- a/coordination/router_base.hpp
+++ b/coordination/router_base.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -60,17 +61,16 @@
 /** Returns a policy that takes the better of two by own requests in flight. */
 auto two_choices_own_policy() -> routing_policy;
 
-/**
- * Returns a policy that takes the best of @p choices random backend servers by
- * own and peers' requests in flight, weighted by latency outliers.
- */
-auto choices_shared_policy(std::size_t choices) -> routing_policy;
+/// Number of choices that considers all backend servers.
+constexpr auto all_choices = std::numeric_limits<std::size_t>::max();
 
 /**
- * Returns a policy that takes the least own and peers' requests in flight,
- * weighted by latency outliers.
+ * Returns a policy that takes the best of @p choices random backend servers by
+ * requests in flight, weighted by latency outliers.
+ * @param peers_weight of the peers' requests in flight; own ones weigh 1.
  */
-auto least_shared_policy() -> routing_policy;
+auto weighted_policy(std::size_t choices, double peers_weight)
+    -> routing_policy;
 
 /** Returns a policy that prefers reported free slots, else chooses randomly. */
 auto idle_queue_policy() -> routing_policy;
@@ -100,6 +100,9 @@
     std::size_t probe_pool = 16; ///< Probes kept for each service.
     core::duration probe_age = std::chrono::seconds{1}; ///< Then removed.
     std::uint32_t probe_uses = 3; ///< Choices made from one probe.
+    /// Requests in flight above this quantile of recent probes are hot. The
+    /// published evaluation finds values from 0.6 to 0.9 about equal.
+    double hot_quantile = 0.84;
 };
 
 /** How an attempt ended. */
--- a/coordination/router_policy_func.cpp
+++ b/coordination/router_policy_func.cpp
@@ -15,58 +15,64 @@
 /// Latency up to this multiple of the mean is noise of the service times.
 constexpr double outlier_ratio = 2.0;
 
-/// Power of two choices.
-constexpr std::size_t default_choices = 2;
-
-using score_function = double (*)(routing_view const&, backend_view const&);
-
-auto own_score(routing_view const& /*view*/, backend_view const& it) -> double
+auto own_score(backend_view const& it, routing_view const& /*view*/) -> double
 {
     return it.own_in_flight;
 }
 
-auto shared_score(routing_view const& view, backend_view const& it) -> double
+/** Requests in flight, weighted by how far the latency is above the mean. */
+struct weighted_score
 {
-    auto const queue = it.own_in_flight + it.peers_in_flight + 1.0;
-    auto const mean = static_cast<double>(view.mean_latency.count());
-    if (mean <= 0.0)
+    double peers_weight = 1.0; ///< Of the peers' requests in flight.
+
+    auto operator()(backend_view const& it, routing_view const& view) const
+        -> double
     {
-        return queue;
+        auto const queue =
+            it.own_in_flight + peers_weight * it.peers_in_flight + 1.0;
+        auto const mean = static_cast<double>(view.mean_latency.count());
+        if (mean <= 0.0)
+        {
+            return queue;
+        }
+        auto const ratio = static_cast<double>(it.latency.count()) / mean;
+        return queue * std::max(1.0, ratio / outlier_ratio);
     }
-    auto const ratio = static_cast<double>(it.latency.count()) / mean;
-    return queue * std::max(1.0, ratio / outlier_ratio);
-}
+};
 
 auto random_index(std::size_t n, core::random_source& random) -> std::size_t
 {
     return n == 1 ? 0 : random.below(n);
 }
 
-/** Returns the lowest score of all; ties are broken at random. */
+/** Returns the lowest score of all; ties are broken uniformly at random. */
+template <class Score>
 auto lowest(
-    routing_view const& view, score_function score, core::random_source& random)
+    routing_view const& view, Score const& score, core::random_source& random)
     -> std::size_t
 {
-    auto const n = view.backends.size();
-    auto const first = random_index(n, random);
-    auto best = first;
+    auto best = std::vector<std::size_t>{};
     auto best_score = std::numeric_limits<double>::infinity();
-    for (std::size_t i = 0; i < n; ++i)
+    for (std::size_t i = 0; i < view.backends.size(); ++i)
     {
-        auto const at = (first + i) % n;
-        auto const value = score(view, view.backends[at]);
+        auto const value = score(view.backends[i], view);
         if (value < best_score)
         {
-            best = at;
+            best.clear();
             best_score = value;
         }
+        if (value == best_score)
+        {
+            best.push_back(i);
+        }
     }
-    return best;
+    return best.at(random_index(best.size(), random));
 }
 
 /** Returns the lowest score of @p choices random ones without repetition. */
+template <class Score>
 auto lowest_of(
-    routing_view const& view, std::size_t choices, score_function score,
+    routing_view const& view, std::size_t choices, Score const& score,
     core::random_source& random) -> std::size_t
 {
     auto const n = view.backends.size();
@@ -86,8 +92,8 @@
     return *std::min_element(
         picked.begin(), picked.end(),
         [&](auto a, auto b) {
-            return score(view, view.backends[a]) <
-                   score(view, view.backends[b]);
+            return score(view.backends[a], view) <
+                   score(view.backends[b], view);
         });
 }
 
@@ -138,19 +144,12 @@
     };
 }
 
-auto choices_shared_policy(std::size_t choices) -> routing_policy
+auto weighted_policy(std::size_t choices, double peers_weight) -> routing_policy
 {
-    return [choices](routing_view const& view, core::random_source& random)
+    return [choices, score = weighted_score{peers_weight}](
+               routing_view const& view, core::random_source& random)
     {
-        return lowest_of(view, choices, shared_score, random);
-    };
-}
-
-auto least_shared_policy() -> routing_policy
-{
-    return [](routing_view const& view, core::random_source& random)
-    {
-        return lowest(view, shared_score, random);
+        return lowest_of(view, choices, score, random);
     };
 }
 
@@ -158,17 +157,11 @@
 {
     return [](routing_view const& view, core::random_source& random)
     {
-        auto const n = view.backends.size();
-        auto const first = random_index(n, random);
-        for (std::size_t i = 0; i < n; ++i)
+        auto const score = [](backend_view const& it, routing_view const&)
         {
-            auto const at = (first + i) % n;
-            if (view.backends[at].idle_reports > 0)
-            {
-                return at;
-            }
-        }
-        return first;
+            return it.idle_reports > 0 ? 0.0 : 1.0;
+        };
+        return lowest(view, score, random);
     };
 }
 
@@ -193,7 +186,7 @@
 
 auto default_policy() -> routing_policy
 {
-    return choices_shared_policy(default_choices);
+    return weighted_policy(all_choices, 0.0);
 }
 
 auto parse_routing_policy(std::string_view name)
@@ -209,9 +202,11 @@
         {"round_robin", round_robin_policy()},
         {"least_own", least_own_policy()},
         {"two_own", two_choices_own_policy()},
-        {"two_shared", choices_shared_policy(2)},
-        {"four_shared", choices_shared_policy(4)},
-        {"least_shared", least_shared_policy()},
+        {"two_shared", weighted_policy(2, 1.0)},
+        {"four_shared", weighted_policy(4, 1.0)},
+        {"least_shared", weighted_policy(all_choices, 1.0)},
+        {"least_quarter", weighted_policy(all_choices, 0.25)},
+        {"least_weighted", weighted_policy(all_choices, 0.0)},
         {"idle_queue", idle_queue_policy()},
         {"probing", probing_policy()}};
     auto names = std::string{};
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -72,8 +72,9 @@
 };
 
 auto const all_policies = std::vector<std::string>{
-    "random",      "round_robin",  "least_own",  "two_own", "two_shared",
-    "four_shared", "least_shared", "idle_queue", "probing"};
+    "random",         "round_robin", "least_own",    "two_own",
+    "two_shared",     "four_shared", "least_shared", "least_quarter",
+    "least_weighted", "idle_queue",  "probing"};
 
 } // namespace
 
