--- a/protocol/json_func.cpp
+++ b/protocol/json_func.cpp
@@ -2,6 +2,7 @@
 #include "protocol/json_func.hpp"
 
 #include "protocol/json_internal.hpp"
+#include "protocol/limits_internal.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -14,14 +15,6 @@
 namespace
 {
 
-// No single need, quota or time is larger; sums of many stay far below the
-// range of std::int64_t.
-constexpr auto most_amount = std::int64_t{1'000'000'000'000};
-
-// Each runner is a job; a shard's snapshot of 1 MB holds a few thousand of
-// them.
-constexpr auto most_runners = std::uint32_t{10'000};
-
 auto invalid(std::string message) -> std::nullopt_t
 {
     return core::fail(core::error_kind::invalid_input, std::move(message));
@@ -123,11 +116,23 @@
             "key \"runners\" is {}; use 0 to {}", service.runners,
             most_runners);
     }
-    if (service.slots == 0 || service.connections == 0 ||
-        service.default_deadline_ms <= 0)
+    if (service.slots == 0 || service.slots > most_slots)
+    {
+        return fmt::format(
+            "key \"slots\" is {}; use 1 to {}", service.slots, most_slots);
+    }
+    if (service.connections == 0 || service.connections > most_connections)
     {
-        return "key \"slots\", \"connections\" or \"default_deadline_ms\" is "
-               "0; use at least 1";
+        return fmt::format(
+            "key \"connections\" is {}; use 1 to {}", service.connections,
+            most_connections);
+    }
+    if (service.default_deadline_ms <= 0 ||
+        service.default_deadline_ms > most_deadline_ms)
+    {
+        return fmt::format(
+            "key \"default_deadline_ms\" is {}; use 1 to {}",
+            service.default_deadline_ms, most_deadline_ms);
     }
     return {};
 }
