Keep former owners in the epoch key and connect shard logs

Cause: a new owner has to know which processes may still renew leases of its workers, and the host needs the logs behind its hooks.

Ruled out: naming only the last owner. If it fails after taking over from an owner that lost the store only, that first one may still renew leases.

--- a/coordination/control_base.cpp
+++ b/coordination/control_base.cpp
@@ -152,23 +152,31 @@
         text("summary"), std::move(*document)};
 }
 
-auto publish_response(publish_result const& result) -> transport::http_response
+auto publish_response(std::optional<publish_result> const& result)
+    -> transport::http_response
 {
-    if (result.accepted)
+    if (!result)
+    {
+        return failure_response(core::last_reason());
+    }
+    if (result->accepted)
     {
         return json_response(
-            status_ok, json{{"generation", result.accepted->value}}.dump());
+            status_ok, json{{"generation", result->number.value}}.dump());
     }
-    auto body = json::parse(protocol::to_json(result.reason));
+    auto body = json::parse(protocol::to_json(core::failure{
+        core::error_kind::conflict,
+        "another change came first; read the configuration again, repeat the "
+        "change on it and publish again"}));
     body["changes"] = json::array();
-    for (auto const& it : result.since_base)
+    for (auto const& it : result->changes)
     {
         body["changes"].push_back(
             {{"number", it.number.value},
              {"author", it.author},
              {"summary", it.summary}});
     }
-    return json_response(http_status(result.reason.kind), body.dump());
+    return json_response(http_status(core::error_kind::conflict), body.dump());
 }
 
 auto status_json(daemon_status const& status) -> std::string
--- a/coordination/control_base.hpp
+++ b/coordination/control_base.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_COORDINATION_CONTROL_BASE_HPP
 #define GODWITCLEAT_COORDINATION_CONTROL_BASE_HPP
 
+#include "coordination/config_follower_base.hpp"
 #include "core/core.hpp"
 #include "protocol/protocol.hpp"
 #include "state/state.hpp"
@@ -55,14 +56,6 @@
     state::config_document document;
 };
 
-/** The accepted generation, or the changes that came first. */
-struct publish_result
-{
-    std::optional<core::generation> accepted;
-    core::failure reason; ///< Set if nothing was accepted.
-    std::vector<state::config_change> since_base;
-};
-
 /** What the control port calls. Handlers may answer on any thread. */
 struct control_hooks
 {
@@ -82,7 +75,8 @@
         workers;
     std::function<std::vector<state::service_endpoint>()> endpoints;
     std::function<state::config_pointer()> config;
-    std::function<void(publish_command, std::function<void(publish_result)>)>
+    std::function<void(
+        publish_command, std::function<void(std::optional<publish_result>)>)>
         publish;
     std::function<daemon_status()> status;
     std::function<std::string()> metrics;
--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -19,6 +19,7 @@
 #include "coordination/router_base.hpp"
 #include "coordination/shard_host_base.hpp"
 #include "coordination/shard_log_base.hpp"
+#include "coordination/shard_logs_base.hpp"
 #include "coordination/store_type.hpp"
 
 #endif
--- a/coordination/ownership_base.cpp
+++ b/coordination/ownership_base.cpp
@@ -33,8 +33,12 @@
     std::optional<store_entry> owner;
     core::epoch owner_epoch;
     std::int64_t epoch_revision = 0;
+    std::vector<shard_holder> holders; ///< Owner of the epoch, then former.
 };
 
+// Bounds the epoch key's value; more instances than this never share a shard.
+constexpr std::size_t most_holders = 32;
+
 using polled_shards = std::map<core::shard_id, polled_shard>;
 
 auto text_of_line(std::string_view text, std::size_t line) -> std::string_view
@@ -52,6 +56,60 @@
     return core::instance_id{std::string{text_of_line(owner.value, 0)}};
 }
 
+// The value of an epoch key: the epoch, then one line `INSTANCE BOOT` for each
+// holder.
+auto epoch_value(
+    core::epoch owner_epoch, std::vector<shard_holder> const& holders)
+    -> std::string
+{
+    auto result = std::to_string(owner_epoch.value);
+    for (auto const& it : holders)
+    {
+        result += "\n" + it.instance.value + " " + it.boot_id;
+    }
+    return result;
+}
+
+auto parse_holders(std::string_view value) -> std::vector<shard_holder>
+{
+    auto result = std::vector<shard_holder>{};
+    for (std::size_t i = 1; i <= most_holders; ++i)
+    {
+        auto const line = text_of_line(value, i);
+        auto const blank = line.find(' ');
+        if (blank == std::string_view::npos)
+        {
+            break;
+        }
+        result.push_back(
+            {core::instance_id{std::string{line.substr(0, blank)}},
+             std::string{line.substr(blank + 1)}});
+    }
+    return result;
+}
+
+// Returns the holders after @p next takes over. A later process of an instance
+// replaces an earlier one, which must have died to free its addresses.
+auto succeeded_by(shard_holder next, std::vector<shard_holder> holders)
+    -> std::vector<shard_holder>
+{
+    std::erase_if(
+        holders,
+        [&next](auto const& it) { return it.instance == next.instance; });
+    holders.insert(holders.begin(), std::move(next));
+    holders.resize(std::min(holders.size(), most_holders));
+    return holders;
+}
+
+auto former_of(std::vector<shard_holder> holders) -> std::vector<shard_holder>
+{
+    if (!holders.empty())
+    {
+        holders.erase(holders.begin());
+    }
+    return holders;
+}
+
 auto add_entry(polled_shards& shards, store_entry entry) -> void
 {
     auto const path =
@@ -65,7 +123,9 @@
     auto& it = shards[core::shard_id{*number}];
     if (path.substr(slash) == "/epoch")
     {
-        it.owner_epoch = core::epoch{trailing_number(entry.value).value_or(0)};
+        it.owner_epoch = core::epoch{
+            trailing_number(text_of_line(entry.value, 0)).value_or(0)};
+        it.holders = parse_holders(entry.value);
         it.epoch_revision = entry.modify_revision;
     }
     else
@@ -127,7 +187,9 @@
     auto rank_of(core::shard_id shard) const -> std::size_t;
     auto proposed(core::shard_id shard) const -> core::instance_id;
 
-    auto hold(core::shard_id shard, held_shard value) -> void;
+    auto hold(
+        core::shard_id shard, held_shard value,
+        std::vector<shard_holder> const& holders) -> void;
     auto lose(core::shard_id shard, std::string_view cause) -> void;
     auto lose_all(std::string_view cause) -> void;
     auto announce(core::time_point now) -> void;
@@ -145,6 +207,7 @@
     auto take(core::shard_id shard, polled_shard const& it) -> void;
     auto on_taken(
         core::shard_id shard, core::epoch owner_epoch, store_lease lease,
+        std::vector<shard_holder> const& holders,
         std::optional<store_commit> result) -> void;
     auto delete_owner_key(core::shard_id shard, std::int64_t revision) -> void;
     auto finish_leaving() -> void;
@@ -258,12 +321,14 @@
         live_.at(core::rendezvous_choice(live_, shard.value))};
 }
 
-auto ownership::implementation::hold(core::shard_id shard, held_shard value)
-    -> void
+auto ownership::implementation::hold(
+    core::shard_id shard, held_shard value,
+    std::vector<shard_holder> const& holders) -> void
 {
     held_[shard] = value;
     changes_.push(
-        {shard, ownership_state::owned, value.owner_epoch, value.revision});
+        {shard, ownership_state::owned, value.owner_epoch, value.revision,
+         former_of(holders)});
     log_.info(
         "Shard taken.",
         {{"shard", shard.value}, {"epoch", value.owner_epoch.value}});
@@ -281,7 +346,11 @@
     held_.erase(it);
     given_up_[shard] = former.revision;
     changes_.push(
-        {shard, ownership_state::lost, former.owner_epoch, former.revision});
+        {shard,
+         ownership_state::lost,
+         former.owner_epoch,
+         former.revision,
+         {}});
     log_.info(
         "Shard given up.", {{"shard", shard.value},
                             {"epoch", former.owner_epoch.value},
@@ -304,7 +373,7 @@
         if (it.announced != state)
         {
             it.announced = state;
-            changes_.push({shard, state, it.owner_epoch, it.revision});
+            changes_.push({shard, state, it.owner_epoch, it.revision, {}});
         }
     }
 }
@@ -464,7 +533,7 @@
         (given_up == given_up_.end() || given_up->second < revision);
     if (current && state_now(clock_()) == ownership_state::owned)
     {
-        hold(shard, {it.owner_epoch, revision});
+        hold(shard, {it.owner_epoch, revision}, it.holders);
     }
     else if (!current)
     {
@@ -530,24 +599,28 @@
     taking_.insert(shard);
     auto const lease = *lease_;
     auto const next = it.owner_epoch.next();
+    auto const holders = succeeded_by({instance_, boot_id_}, it.holders);
     auto transaction = store_transaction{
         {{owner_key(shard), 0}, {epoch_key(shard), it.epoch_revision}},
-        {{epoch_key(shard), std::to_string(next.value), "", {}},
+        {{epoch_key(shard), epoch_value(next, holders), "", {}},
          {owner_key(shard), identity(lease), "", lease}}};
     actions_.emplace_back(
-        [this, shard, next, lease, transaction = std::move(transaction)]
+        [this, shard, next, lease, holders,
+         transaction = std::move(transaction)]
         {
             store_.commit(
                 transaction,
-                guarded([shard, next, lease](
-                            implementation& self,
-                            std::optional<store_commit> result)
-                        { self.on_taken(shard, next, lease, result); }));
+                guarded(
+                    [shard, next, lease, holders](
+                        implementation& self,
+                        std::optional<store_commit> result)
+                    { self.on_taken(shard, next, lease, holders, result); }));
         });
 }
 
 auto ownership::implementation::on_taken(
     core::shard_id shard, core::epoch owner_epoch, store_lease lease,
+    std::vector<shard_holder> const& holders,
     std::optional<store_commit> result) -> void
 {
     {
@@ -557,7 +630,7 @@
         if (result && result->succeeded && lease_ == lease && !leaving_)
         {
             absent_since_.erase(shard);
-            hold(shard, {owner_epoch, result->revision});
+            hold(shard, {owner_epoch, result->revision}, holders);
             if (auto const it = handed_to_.find(shard); it != handed_to_.end())
             {
                 avoid_until_[it->second] = clock_() + settings_.avoid_interval;
@@ -777,11 +850,14 @@
     auto const it = self.held_.find(shard);
     if (it == self.held_.end())
     {
-        return {shard, ownership_state::lost, {}, 0};
+        return {shard, ownership_state::lost, {}, 0, {}};
     }
     return {
-        shard, self.state_now(self.clock_()), it->second.owner_epoch,
-        it->second.revision};
+        shard,
+        self.state_now(self.clock_()),
+        it->second.owner_epoch,
+        it->second.revision,
+        {}};
 }
 
 auto ownership::held() const -> std::vector<shard_ownership>
@@ -794,7 +870,7 @@
     {
         if (state != ownership_state::lost)
         {
-            result.push_back({shard, state, it.owner_epoch, it.revision});
+            result.push_back({shard, state, it.owner_epoch, it.revision, {}});
         }
     }
     return result;
--- a/coordination/ownership_base.hpp
+++ b/coordination/ownership_base.hpp
@@ -28,6 +28,14 @@
 /** Returns the fixed lower-case name of @p value. */
 auto to_string(ownership_state value) -> std::string_view;
 
+/** A process that owned a shard. */
+struct shard_holder
+{
+    core::instance_id instance;
+    std::string boot_id; ///< Tells processes of the instance apart.
+    auto operator==(shard_holder const&) const -> bool = default;
+};
+
 /** One shard and this instance's part in it. */
 struct shard_ownership
 {
@@ -35,6 +43,10 @@
     ownership_state state = ownership_state::lost;
     core::epoch owner_epoch;         ///< 0 if lost and never owned.
     std::int64_t epoch_revision = 0; ///< modify_revision of the epoch key.
+    /** While owned: the latest process of each other instance that owned the
+     *  shard before, newest first. One that lost the store only may still
+     *  renew leases of workers. */
+    std::vector<shard_holder> former;
     auto operator==(shard_ownership const&) const -> bool = default;
 };
 
--- a/coordination/shard_host_base.cpp
+++ b/coordination/shard_host_base.cpp
@@ -34,6 +34,7 @@
     bool released = false;
     bool former_owner_stopped = false;
     core::time_point last_batch;
+    bool writing = false; ///< A batch or a snapshot is being written.
     protocol::endpoint_table table;
 };
 
@@ -169,6 +170,7 @@
 {
     auto requests = std::vector<state::shard_request>{};
     auto batch = std::optional<state::commit_batch>{};
+    auto snapshot = std::optional<state::shard_data>{};
     {
         auto const lock = std::scoped_lock{entry->mutex};
         if (!entry->engine)
@@ -185,21 +187,49 @@
             hooks_.config(), summaries, entry->former_owner_stopped};
         entry->engine->tick(now, view);
         requests = entry->engine->take_requests();
-        if (now - entry->last_batch >= settings_.batch_interval)
+        refresh_table(*entry);
+        if (!entry->writing && hooks_.snapshot_due(entry->shard))
+        {
+            entry->writing = true;
+            snapshot = entry->engine->state().data();
+        }
+        if (!entry->writing &&
+            now - entry->last_batch >= settings_.batch_interval)
         {
             batch = entry->engine->take_batch(now);
         }
         if (batch)
         {
             entry->last_batch = now;
+            entry->writing = true;
         }
-        refresh_table(*entry);
     }
     send_requests(entry, std::move(requests));
     if (batch)
     {
         send_batch(entry, *batch);
     }
+    if (snapshot)
+    {
+        start_snapshot(entry, *snapshot);
+    }
+}
+
+auto shard_host::start_snapshot(
+    entry_pointer const& entry, state::shard_data const& data) -> void
+{
+    hooks_.write_snapshot(
+        entry->shard, data,
+        [this, entry](append_result result)
+        {
+            if (result == append_result::not_owner)
+            {
+                lost(entry);
+                return;
+            }
+            auto const lock = std::scoped_lock{entry->mutex};
+            entry->writing = false;
+        });
 }
 
 auto shard_host::refresh_table(shard_entry& entry) -> void
@@ -266,23 +296,11 @@
 {
     if (result == append_result::not_owner)
     {
-        log_.warn("Shard has another owner.", {{"shard", entry->shard.value}});
-        {
-            auto const lock = std::scoped_lock{entry->mutex};
-            if (entry->engine)
-            {
-                entry->engine->batch_rejected(
-                    state::batch_rejection::not_owner);
-            }
-        }
-        if (find(entry->shard) == entry)
-        {
-            release(entry->shard);
-            hooks_.on_lost(entry->shard);
-        }
+        lost(entry);
         return;
     }
     auto const lock = std::scoped_lock{entry->mutex};
+    entry->writing = false;
     if (!entry->engine)
     {
         return;
@@ -295,6 +313,23 @@
     entry->engine->batch_rejected(state::batch_rejection::config_changed);
 }
 
+auto shard_host::lost(entry_pointer const& entry) -> void
+{
+    log_.warn("Shard has another owner.", {{"shard", entry->shard.value}});
+    {
+        auto const lock = std::scoped_lock{entry->mutex};
+        if (entry->engine)
+        {
+            entry->engine->batch_rejected(state::batch_rejection::not_owner);
+        }
+    }
+    if (find(entry->shard) == entry)
+    {
+        release(entry->shard);
+        hooks_.on_lost(entry->shard);
+    }
+}
+
 auto shard_host::heartbeat(state::worker_report const& report)
     -> std::optional<state::heartbeat_reply>
 {
@@ -315,6 +350,15 @@
 auto shard_host::submit(state::job_spec spec, done on_done) -> void
 {
     auto const shard = state::shard_of(spec.id, settings_.engine.shard_count);
+    if (hooks_.full(shard))
+    {
+        core::fail(
+            core::error_kind::no_capacity,
+            "shard full: it holds too many jobs; cancel jobs or wait until "
+            "finished ones are removed");
+        on_done(false);
+        return;
+    }
     if (auto const entry = find(shard))
     {
         auto const lock = std::scoped_lock{entry->mutex};
--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -44,6 +44,18 @@
         std::optional<core::generation>, std::function<void(append_result)>)>
         append;
 
+    /** Returns true if the shard's log is long enough for a snapshot. */
+    std::function<bool(core::shard_id)> snapshot_due;
+
+    /** Writes a snapshot; only called while no batch is being appended. */
+    std::function<void(
+        core::shard_id, state::shard_data const&,
+        std::function<void(append_result)>)>
+        write_snapshot;
+
+    /** Returns true if the shard is too large to take more jobs. */
+    std::function<bool(core::shard_id)> full;
+
     /** Sends a request to the owner of another shard. */
     std::function<void(
         state::shard_request,
@@ -138,6 +150,10 @@
     auto
     send_batch(entry_pointer const& entry, state::commit_batch const& batch)
         -> void;
+    auto
+    start_snapshot(entry_pointer const& entry, state::shard_data const& data)
+        -> void;
+    auto lost(entry_pointer const& entry) -> void;
     auto batch_done(
         entry_pointer const& entry, append_result result,
         core::time_point sent_at) -> void;
