--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -679,7 +679,8 @@
         }
         for (auto n = std::size_t{0}; n < shards; ++n)
         {
-            if (is_calm_ || chance(60))
+            // An owner may learn of a change long after it was accepted.
+            if (is_calm_ || chance(10))
             {
                 seen_[n] = all.config;
             }
@@ -1187,6 +1188,98 @@
     EXPECT_EQ(all.engines[0]->endpoints().size(), 2U);
 }
 
+// Guards against final jobs that fill the snapshot, and against a batch job of
+// the configuration that is submitted and run again after its retention.
+TEST(engine, final_jobs_are_dropped_unless_configured)
+{
+    auto all = cluster{1};
+    auto& worker = all.add_worker("w");
+    all.change_config([](auto& it) { it.jobs[job_a] = {batch_spec("a")}; });
+    all.submit(batch_spec("b"));
+    all.steps(3);
+    worker.end(job_a, task_phase::finished);
+    worker.end(core::job_id{"b"}, task_phase::finished);
+    all.steps(2);
+    all.step(all.settings.retention - 1s);
+    EXPECT_EQ(all.engines[0]->jobs().size(), 2U);
+    all.steps(4);
+    ASSERT_EQ(all.engines[0]->jobs().size(), 1U);
+    EXPECT_EQ(all.find("a").phase, job_phase::finished);
+    EXPECT_EQ(worker.started.size(), 2U);
+}
+
+// Guards against batch work that starts before services, and against a team
+// that gets all room because it submitted first.
+TEST(engine, order_is_priority_then_share_then_submit)
+{
+    auto all = cluster{1};
+    auto& worker = all.add_worker("w");
+    all.change_config(
+        [](auto& it)
+        {
+            for (auto const* name : {"s", "t"})
+            {
+                auto const team = core::team_id{name};
+                it.teams[team] = {team, {4000, 4096, 0}};
+            }
+        });
+    auto const submit = [&all](
+                            std::string const& name, std::string const& team,
+                            priority_class priority)
+    {
+        auto spec = batch_spec(name, 1000, priority);
+        spec.team = core::team_id{team};
+        all.submit(spec);
+    };
+    submit("s1", "s", priority_class::batch);
+    submit("s2", "s", priority_class::batch);
+    submit("s3", "s", priority_class::batch);
+    submit("t1", "t", priority_class::batch);
+    submit("t2", "t", priority_class::batch);
+    submit("s4", "s", priority_class::service);
+    all.steps(3);
+    for (auto const* name : {"s4", "s1", "t1", "t2"})
+    {
+        EXPECT_TRUE(worker.runs(core::job_id{name})) << name;
+    }
+}
+
+// Guards against a changed service whose runners all stop at once.
+TEST(engine, changed_runners_are_replaced_one_by_one)
+{
+    auto all = cluster{1};
+    auto& worker = all.add_worker("w");
+    auto const name = core::service_id{"desk"};
+    auto const set_need = [&name](std::int64_t cpu_milli)
+    {
+        return [&name, cpu_milli](config_document& it)
+        {
+            it.services[name].service = name;
+            it.services[name].runners = 3;
+            it.services[name].need = {cpu_milli, 256, 0};
+        };
+    };
+    all.change_config(set_need(1000));
+    all.steps(5);
+    ASSERT_EQ(all.engines[0]->endpoints().size(), 3U);
+    all.change_config(set_need(500));
+    for (auto n = 0; n < 80; ++n)
+    {
+        all.step();
+        auto const endpoints = all.engines[0]->endpoints();
+        EXPECT_GE(
+            std::count_if(
+                endpoints.begin(), endpoints.end(),
+                [](auto const& it) { return !it.leaving; }),
+            2);
+    }
+    ASSERT_EQ(worker.tasks.size(), 3U);
+    for (auto const& [key, task] : worker.tasks)
+    {
+        EXPECT_EQ(worker.specs[key].need.cpu_milli, 500);
+    }
+}
+
 // Guards against tasks of a restarted worker that are counted as running.
 TEST(engine, restarted_worker_loses_its_tasks_at_once)
 {
@@ -1230,6 +1323,7 @@
     }
     EXPECT_TRUE(worker.runs(job_a));
     EXPECT_EQ(all.find("a").last_attempt, core::attempt_number{1});
+    ASSERT_EQ(all.engines[0]->workers(all.now).size(), 1U);
     EXPECT_EQ(all.engines[0]->workers(all.now).front().state, "unheard");
     all.former_stopped[0] = true;
     all.steps(10);
@@ -1237,6 +1331,26 @@
     EXPECT_FALSE(worker.runs(job_a));
 }
 
+// Guards against a worker that is counted as lapsed because the new owner heard
+// it once, although only the former owner's replies reach it.
+TEST(engine, lease_counts_after_the_worker_reports_the_epoch)
+{
+    auto all = cluster{1};
+    auto& worker = all.add_worker("w");
+    all.submit(batch_spec("a"));
+    all.steps(3);
+    worker.connected = false;
+    auto const former = all.replace(0);
+    all.engines[0]->heartbeat(worker.report(all.now), all.now);
+    for (auto n = 0; n < 20; ++n)
+    {
+        all.step();
+        all.beat(0, former.get());
+    }
+    EXPECT_TRUE(worker.runs(job_a));
+    EXPECT_TRUE(all.find("a").binding);
+}
+
 // Guards against a job that only runs on workers of its home shard.
 TEST(engines, job_runs_on_another_shard)
 {
@@ -1285,6 +1399,75 @@
     EXPECT_TRUE(std::get<claim_reply>(*all.replies[2].second).granted);
 }
 
+// Guards against a repeated offer that reserves room twice or runs a task that
+// is over again.
+TEST(engines, repeated_offer_changes_nothing)
+{
+    auto all = cluster{2};
+    auto const name = all.id_at(0);
+    all.add_worker("w0").connected = false;
+    auto& host = all.add_worker("w1");
+    all.step();
+    auto offer = std::optional<shard_request>{};
+    all.lose_request = [&offer](shard_request const& it)
+    {
+        offer = std::holds_alternative<offer_request>(it) ? it : offer;
+        return false;
+    };
+    all.submit(batch_spec(name));
+    all.step();
+    ASSERT_TRUE(offer);
+    auto const repeat = [&all, &offer]
+    {
+        all.deliver(*offer);
+        all.settle();
+        return all.engines[1]->summary(all.now).largest_free[0].cpu_milli;
+    };
+    EXPECT_EQ(repeat(), 3000);
+    all.steps(2);
+    ASSERT_TRUE(host.end(core::job_id{name}, task_phase::finished));
+    all.steps(3);
+    EXPECT_EQ(repeat(), 4000);
+    all.steps(3);
+    EXPECT_EQ(host.started.size(), 1U);
+}
+
+// Guards against urgent work that cannot evict on another shard.
+TEST(engines, host_evicts_for_urgent_work)
+{
+    auto all = cluster{2};
+    auto const name = all.id_at(0, "urgent");
+    all.add_worker("w0").connected = false;
+    auto& host = all.add_worker("w1");
+    all.submit(batch_spec(all.id_at(1), 3000));
+    all.steps(3);
+    all.submit(batch_spec(name, 3000, priority_class::urgent));
+    all.steps(10);
+    EXPECT_TRUE(host.runs(core::job_id{name}));
+    EXPECT_EQ(all.find(all.id_at(1)).evictions, 1U);
+}
+
+// Guards against an outcome that a replaced owner acknowledges although it is
+// not stored, because that owner never saw the attempt bound.
+TEST(engines, end_of_unseen_attempt_needs_ownership)
+{
+    auto all = cluster{2};
+    auto const name = all.id_at(0);
+    all.submit(batch_spec(name));
+    all.deliver(over_request{
+        core::shard_id{0},
+        core::shard_id{1},
+        {core::job_id{name}, core::attempt_number{1}},
+        attempt_outcome::finished,
+        {},
+        0});
+    EXPECT_TRUE(all.replies.empty());
+    ASSERT_TRUE(all.engines[0]->take_batch(all.now));
+    all.engines[0]->batch_rejected(batch_rejection::not_owner);
+    ASSERT_EQ(all.replies.size(), 1U);
+    EXPECT_FALSE(all.replies[0].second);
+}
+
 // Guards against lost replies that lose or double a task.
 TEST(engines, lost_replies_are_repaired)
 {
