Make size constants explicit for clang-tidy

clang-tidy reported products of int that widen to std::size_t, two needless copies, and a defaulted comparison that version 14 takes for a null pointer.

--- a/transport/endpoint_type.hpp
+++ b/transport/endpoint_type.hpp
@@ -17,6 +17,8 @@
     std::string address;    ///< IPv4 or IPv6 address in digits.
     std::uint16_t port = 0; ///< 0: the system chooses when listening.
 
+    // clang-tidy 14 takes the defaulted comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(endpoint const&) const = default;
 };
 
--- a/transport/frame_base.hpp
+++ b/transport/frame_base.hpp
@@ -17,7 +17,7 @@
 /** Limits of frame connections. */
 struct frame_limits
 {
-    std::size_t frame_bytes = 4 * 1024 * 1024;
+    std::size_t frame_bytes = std::size_t{4} * 1024 * 1024;
     std::size_t connections = 256;
     std::size_t in_flight_per_connection = 1024;
     /** Longest time without a frame, within one frame or within one write. */
--- a/transport/frame_connection_base.cpp
+++ b/transport/frame_connection_base.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t number_bytes = 8;
 
 // Queued frames are joined up to this size, to save system calls.
-constexpr std::size_t joined_write_bytes = 64 * 1024;
+constexpr std::size_t joined_write_bytes = std::size_t{64} * 1024;
 
 // Checks of the time limits within one idle timeout.
 constexpr int checks_per_timeout = 4;
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -18,8 +18,8 @@
 /** Limits of one HTTP server. */
 struct http_server_limits
 {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 8 * 1024 * 1024;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t connections = 4096; ///< More are closed at once.
     core::duration read_timeout = std::chrono::seconds{10}; ///< One request.
     core::duration idle_timeout = std::chrono::seconds{60};
@@ -96,7 +96,7 @@
 {
     std::size_t connections_per_endpoint = 9;
     std::size_t waiting_per_endpoint = 64; ///< Requests waiting for one.
-    std::size_t body_bytes = 8 * 1024 * 1024;
+    std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
     core::duration idle_timeout = std::chrono::seconds{20};
 };
 
--- a/transport/http_client_base.cpp
+++ b/transport/http_client_base.cpp
@@ -30,7 +30,7 @@
 constexpr std::uint32_t response_header_bytes = 64 * 1024;
 
 // Bytes that a connection may buffer beyond one header.
-constexpr std::size_t read_ahead_bytes = 64 * 1024;
+constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
 
 // Interim responses (100 to 199) accepted before the final one.
 constexpr int interim_responses = 8;
@@ -218,7 +218,7 @@
         auto const address = to_tcp(where_);
         if (!address)
         {
-            auto const reason = core::last_reason();
+            auto const& reason = core::last_reason();
             fail(reason.kind, reason.message);
             return;
         }
@@ -624,7 +624,7 @@
     auto message = to_beast(std::move(request), where);
     if (!message)
     {
-        auto const reason = core::last_reason();
+        auto const& reason = core::last_reason();
         implementation_->refuse(state, reason.kind, reason.message);
         return;
     }
--- a/transport/http_server_base.cpp
+++ b/transport/http_server_base.cpp
@@ -24,13 +24,13 @@
 class http_connection;
 
 // Bytes that a connection may buffer beyond one header.
-constexpr std::size_t read_ahead_bytes = 64 * 1024;
+constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
 
 // After the last response, input is read and dropped within these bounds. A
 // close with unread input would send a reset, which can destroy the response
 // before the caller has read it.
 constexpr auto linger_time = std::chrono::seconds{1};
-constexpr std::size_t linger_bytes = 4 * 1024 * 1024;
+constexpr std::size_t linger_bytes = std::size_t{4} * 1024 * 1024;
 
 auto status_of(error_code ec) -> std::optional<http::status>
 {
