--- a/standins/standin-instances/main.cpp
+++ b/standins/standin-instances/main.cpp
@@ -99,6 +99,11 @@
             .with_prefix("instances");
     auto const lag =
         std::chrono::milliseconds{parsed["lag-ms"].as<std::int64_t>()};
+    if (lag.count() < 0)
+    {
+        log.error("option --lag-ms is below 0; raise it");
+        return EXIT_FAILURE;
+    }
     auto list = service{lag, core::system_clock()};
     auto const where =
         transport::parse_endpoint(parsed["listen"].as<std::string>());
--- a/standins/standin-worker/main.cpp
+++ b/standins/standin-worker/main.cpp
@@ -49,9 +49,31 @@
     return options;
 }
 
+// Rejects amounts and durations below 0, which no worker can have.
+auto check_numbers(cxxopts::ParseResult const& from) -> bool
+{
+    for (auto const* it :
+         {"cpu-milli", "memory-mb", "accelerators", "checkpoint-ms",
+          "usage-lag-ms"})
+    {
+        if (from[it].as<std::int64_t>() < 0)
+        {
+            core::fail(
+                core::error_kind::invalid_input,
+                fmt::format("option --{} is below 0; raise it", it));
+            return false;
+        }
+    }
+    return true;
+}
+
 auto read_settings(cxxopts::ParseResult const& from)
     -> std::optional<standins::process_settings>
 {
+    if (!check_numbers(from))
+    {
+        return std::nullopt;
+    }
     auto result = standins::process_settings{};
     auto& info = result.worker.info;
     info.worker = core::worker_id{from["id"].as<std::string>()};
