--- a/coordination/config_follower_base.cpp
+++ b/coordination/config_follower_base.cpp
@@ -24,7 +24,7 @@
     std::string change_value;
     std::string document_value;
     store_transaction transaction;
-    store::handler<publish_result> on_done;
+    store::handler<publish_outcome> on_done;
     core::time_point deadline;
     std::optional<core::time_point> retry_at;
     bool maybe_sent = false; ///< A sending had an unknown outcome.
@@ -43,18 +43,18 @@
     : public std::enable_shared_from_this<config_follower::implementation>
 {
     implementation(
-        store& platform, core::clock clock, core::logger log,
+        store& platform, core::clock clock, core::logger const& log,
         config_codec codec, config_follower_settings settings,
         config_follower_hooks hooks)
-        : store_(platform)
-        , clock_(std::move(clock))
-        , log_(log.with_prefix("config"))
-        , codec_(std::move(codec))
-        , settings_(settings)
-        , wall_us_(
+        : platform(platform)
+        , clock(std::move(clock))
+        , log(log.with_prefix("config"))
+        , codec(std::move(codec))
+        , settings(settings)
+        , wall_us(
               hooks.wall_us ? std::move(hooks.wall_us) : &core::wall_clock_us)
-        , generations_(std::move(hooks.on_generation))
-        , view_{std::make_shared<state::config_document const>(), std::nullopt}
+        , generations(std::move(hooks.on_generation))
+        , view{std::make_shared<state::config_document const>(), std::nullopt}
     {
     }
 
@@ -65,7 +65,7 @@
         return [self = weak_from_this(), handler = std::move(handler)](auto arg)
         {
             auto const alive = self.lock();
-            if (alive && !alive->closed_)
+            if (alive && !alive->closed)
             {
                 handler(*alive, std::move(arg));
             }
@@ -92,20 +92,20 @@
     auto conflict(publication_pointer const& it, core::generation head) -> void;
     auto accept(publication_pointer const& it) -> void;
 
-    store& store_;
-    core::clock clock_;
-    core::logger log_;
-    config_codec codec_;
-    config_follower_settings settings_;
-    std::function<std::int64_t()> wall_us_;
-    std::atomic<bool> closed_ = false;
-    ordered_hook<state::config_pointer> generations_;
-
-    std::mutex mutex_;
-    config_view view_;
-    core::time_point next_read_;
-    bool reading_ = false;
-    std::vector<publication_pointer> waiting_; ///< For their retry_at.
+    store& platform;
+    core::clock clock;
+    core::logger log;
+    config_codec codec;
+    config_follower_settings settings;
+    std::function<std::int64_t()> wall_us;
+    std::atomic<bool> closed = false;
+    ordered_hook<state::config_pointer> generations;
+
+    std::mutex mutex;
+    config_view view;
+    core::time_point next_read;
+    bool reading = false;
+    std::vector<publication_pointer> waiting; ///< For their retry_at.
 };
 
 auto config_follower::implementation::set(
@@ -113,36 +113,36 @@
     -> bool
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
-        auto const present = view_.document->number;
+        auto const lock = std::scoped_lock{mutex};
+        auto const present = view.document->number;
         if (document.number < present)
         {
             return false;
         }
         if (document.number == present)
         {
-            if (revision && document == *view_.document)
+            if (revision && document == *view.document)
             {
-                view_.head_revision = revision;
+                view.head_revision = revision;
             }
             else if (revision)
             {
-                log_.error(
+                log.error(
                     "Two documents have the same generation; publish again.",
                     {{"generation", present.value}});
             }
             return false;
         }
-        view_.document =
+        view.document =
             std::make_shared<state::config_document const>(std::move(document));
-        view_.head_revision = revision;
-        generations_.push(view_.document);
-        log_.info(
+        view.head_revision = revision;
+        generations.push(view.document);
+        log.info(
             "Configuration applied.",
-            {{"generation", view_.document->number.value},
+            {{"generation", view.document->number.value},
              {"source", revision ? "store" : "peer"}});
     }
-    generations_.drain();
+    generations.drain();
     return true;
 }
 
@@ -155,10 +155,10 @@
         set({}, 0);
         return core::generation{};
     }
-    auto document = codec_.decode_document(entry->value);
+    auto document = codec.decode_document(entry->value);
     if (!document)
     {
-        log_.error(
+        log.error(
             "The document in the store cannot be decoded; publish again.",
             {{"reason", core::last_reason().message}});
         return std::nullopt;
@@ -170,14 +170,14 @@
 
 auto config_follower::implementation::read_head() -> void
 {
-    store_.range(
+    platform.range(
         config_head_key(), "", 1,
         guarded(
-            [](implementation& self, std::optional<store_range> found)
+            [](implementation& self, std::optional<store_range> const& found)
             {
                 {
-                    auto const lock = std::scoped_lock{self.mutex_};
-                    self.reading_ = false;
+                    auto const lock = std::scoped_lock{self.mutex};
+                    self.reading = false;
                 }
                 if (found)
                 {
@@ -189,10 +189,10 @@
 auto config_follower::implementation::begin(publication_pointer const& it)
     -> void
 {
-    store_.range(
+    platform.range(
         config_head_key(), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 auto const head = found ? self.take_head(*found) : std::nullopt;
                 if (!head)
@@ -220,15 +220,15 @@
     auto const number = it->base.next();
     it->document.number = number;
     it->change.number = number;
-    it->change.wall_us = wall_us_();
-    it->document_value = codec_.encode_document(it->document);
-    it->change_value = codec_.encode_change(it->change);
-    if (it->document_value.size() > settings_.value_limit_bytes)
+    it->change.wall_us = wall_us();
+    it->document_value = codec.encode_document(it->document);
+    it->change_value = codec.encode_change(it->change);
+    if (it->document_value.size() > settings.value_limit_bytes)
     {
         return core::fail(
             core::error_kind::invalid_input,
             "The document exceeds the store's value limit of " +
-                std::to_string(settings_.value_limit_bytes) +
+                std::to_string(settings.value_limit_bytes) +
                 " bytes; remove entries.");
     }
     auto& transaction = it->transaction;
@@ -236,10 +236,10 @@
     transaction.writes = {
         {config_head_key(), it->document_value, "", {}},
         {config_change_key(number), it->change_value, "", {}}};
-    if (number.value > settings_.kept_changes)
+    if (number.value > settings.kept_changes)
     {
         auto const oldest_kept =
-            core::generation{number.value - settings_.kept_changes + 1};
+            core::generation{number.value - settings.kept_changes + 1};
         transaction.writes.push_back(
             {config_change_prefix(),
              std::nullopt,
@@ -252,7 +252,7 @@
 auto config_follower::implementation::send(publication_pointer const& it)
     -> void
 {
-    store_.commit(
+    platform.commit(
         it->transaction,
         guarded([it](implementation& self, std::optional<store_commit> result)
                 { self.on_commit(it, result); }));
@@ -288,11 +288,11 @@
 auto config_follower::implementation::settle(
     publication_pointer const& it, bool is_final) -> void
 {
-    store_.range(
+    platform.range(
         config_change_key(it->change.number), "", 1,
         guarded(
-            [it,
-             is_final](implementation& self, std::optional<store_range> found)
+            [it, is_final](
+                implementation& self, std::optional<store_range> const& found)
             {
                 auto const* const entry = found ? single(*found) : nullptr;
                 if (!found || (entry == nullptr && !is_final))
@@ -311,10 +311,10 @@
 auto config_follower::implementation::compare_head(
     publication_pointer const& it) -> void
 {
-    store_.range(
+    platform.range(
         config_head_key(), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 auto const head = found ? self.take_head(*found) : std::nullopt;
                 if (!head)
@@ -334,33 +334,34 @@
 auto config_follower::implementation::retry(publication_pointer const& it)
     -> void
 {
-    auto const lock = std::scoped_lock{mutex_};
-    it->retry_at = clock_() + settings_.retry_interval;
-    waiting_.push_back(it);
+    auto const lock = std::scoped_lock{mutex};
+    it->retry_at = clock() + settings.retry_interval;
+    waiting.push_back(it);
 }
 
 auto config_follower::implementation::accept(publication_pointer const& it)
     -> void
 {
-    log_.info(
+    log.info(
         "Configuration published.", {{"generation", it->change.number.value},
                                      {"author", it->change.author}});
-    it->on_done(publish_result{true, it->change.number, {}});
+    it->on_done(publish_outcome{true, it->change.number, {}});
 }
 
 auto config_follower::implementation::conflict(
     publication_pointer const& it, core::generation head) -> void
 {
-    store_.range(
+    platform.range(
         config_change_key(it->base.next()), prefix_end(config_change_prefix()),
-        static_cast<std::int64_t>(settings_.kept_changes),
+        static_cast<std::int64_t>(settings.kept_changes),
         guarded(
-            [it, head](implementation& self, std::optional<store_range> found)
+            [it, head](
+                implementation& self, std::optional<store_range> const& found)
             {
-                auto result = publish_result{false, head, {}};
+                auto result = publish_outcome{false, head, {}};
                 for (auto const& entry : found.value_or(store_range{}).entries)
                 {
-                    if (auto change = self.codec_.decode_change(entry.value))
+                    if (auto change = self.codec.decode_change(entry.value))
                     {
                         result.number = std::max(head, change->number);
                         result.changes.push_back(std::move(*change));
@@ -371,17 +372,18 @@
 }
 
 config_follower::config_follower(
-    store& platform, core::clock clock, core::logger log, config_codec codec,
-    config_follower_settings settings, config_follower_hooks hooks)
+    store& platform, core::clock clock, core::logger const& log,
+    config_codec codec, config_follower_settings settings,
+    config_follower_hooks hooks)
     : implementation_(std::make_shared<implementation>(
-          platform, std::move(clock), std::move(log), std::move(codec),
-          settings, std::move(hooks)))
+          platform, std::move(clock), log, std::move(codec), settings,
+          std::move(hooks)))
 {
 }
 
 config_follower::~config_follower()
 {
-    implementation_->closed_ = true;
+    implementation_->closed = true;
 }
 
 auto config_follower::tick() -> void
@@ -389,19 +391,19 @@
     auto& self = *implementation_;
     auto due = std::vector<publication_pointer>{};
     auto read = false;
-    auto const now = self.clock_();
+    auto const now = self.clock();
     {
-        auto const lock = std::scoped_lock{self.mutex_};
+        auto const lock = std::scoped_lock{self.mutex};
         auto const first_due = std::partition(
-            self.waiting_.begin(), self.waiting_.end(),
+            self.waiting.begin(), self.waiting.end(),
             [now](auto const& it) { return *it->retry_at > now; });
-        due.assign(first_due, self.waiting_.end());
-        self.waiting_.erase(first_due, self.waiting_.end());
-        read = !self.reading_ && now >= self.next_read_;
+        due.assign(first_due, self.waiting.end());
+        self.waiting.erase(first_due, self.waiting.end());
+        read = !self.reading && now >= self.next_read;
         if (read)
         {
-            self.reading_ = true;
-            self.next_read_ = now + self.settings_.read_interval;
+            self.reading = true;
+            self.next_read = now + self.settings.read_interval;
         }
     }
     if (read)
@@ -430,21 +432,21 @@
     if (taken)
     {
         // The next tick learns the revision that belongs to the document.
-        auto const lock = std::scoped_lock{self.mutex_};
-        self.next_read_ = self.clock_();
+        auto const lock = std::scoped_lock{self.mutex};
+        self.next_read = self.clock();
     }
     return taken;
 }
 
 auto config_follower::current() const -> config_view
 {
-    auto const lock = std::scoped_lock{implementation_->mutex_};
-    return implementation_->view_;
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->view;
 }
 
 auto config_follower::publish(
     core::generation base, std::string author, std::string summary,
-    state::config_document document, store::handler<publish_result> on_done)
+    state::config_document document, store::handler<publish_outcome> on_done)
     -> void
 {
     auto& self = *implementation_;
@@ -454,7 +456,7 @@
     it->change.summary = std::move(summary);
     it->document = std::move(document);
     it->on_done = std::move(on_done);
-    it->deadline = self.clock_() + self.settings_.settle_time;
+    it->deadline = self.clock() + self.settings.settle_time;
     self.begin(it);
 }
 
--- a/coordination/config_follower_base.hpp
+++ b/coordination/config_follower_base.hpp
@@ -41,7 +41,7 @@
     /** A publish with unknown outcome is settled for this long. */
     core::duration settle_time = std::chrono::seconds{10};
     std::uint64_t kept_changes = 200;
-    std::size_t value_limit_bytes = 1024 * 1024; ///< Of the store's values.
+    std::size_t value_limit_bytes = 1024UL * 1024; ///< Of the store's values.
 };
 
 /** Hooks of a follower. Each may be empty. */
@@ -62,7 +62,7 @@
 };
 
 /** How a publish ended. */
-struct publish_result
+struct publish_outcome
 {
     bool accepted = false;
     core::generation number; ///< Of the accepted document, or of the head.
@@ -78,7 +78,7 @@
 {
 public:
     config_follower(
-        store& platform, core::clock clock, core::logger log,
+        store& platform, core::clock clock, core::logger const& log,
         config_codec codec, config_follower_settings settings = {},
         config_follower_hooks hooks = {});
     ~config_follower();
@@ -102,8 +102,8 @@
      */
     auto publish(
         core::generation base, std::string author, std::string summary,
-        state::config_document document, store::handler<publish_result> on_done)
-        -> void;
+        state::config_document document,
+        store::handler<publish_outcome> on_done) -> void;
 
 private:
     struct implementation;
--- a/coordination/etcd_store_base.cpp
+++ b/coordination/etcd_store_base.cpp
@@ -62,12 +62,12 @@
     : public std::enable_shared_from_this<etcd_store::implementation>
 {
     implementation(
-        etcd_send send, core::clock clock, core::logger log,
+        etcd_send send, core::clock clock, core::logger const& log,
         etcd_store_settings settings)
-        : send_(std::move(send))
-        , clock_(std::move(clock))
-        , log_(log.with_prefix("store"))
-        , settings_(std::move(settings))
+        : sender(std::move(send))
+        , clock(std::move(clock))
+        , log(log.with_prefix("store"))
+        , settings(std::move(settings))
     {
     }
 
@@ -84,11 +84,11 @@
         call_pointer const& it, transport::http_response const& response)
         -> void;
 
-    etcd_send send_;
-    core::clock clock_;
-    core::logger log_;
-    etcd_store_settings settings_;
-    std::atomic<std::size_t> preferred_ = 0; ///< Address that is tried first.
+    etcd_send sender;
+    core::clock clock;
+    core::logger log;
+    etcd_store_settings settings;
+    std::atomic<std::size_t> preferred = 0; ///< Address that is tried first.
 };
 
 template <class Result>
@@ -101,8 +101,8 @@
     it->path = std::move(path);
     it->body = std::move(body);
     it->changes = changes;
-    it->first_address = preferred_;
-    it->deadline = clock_() + settings_.timeout;
+    it->first_address = preferred;
+    it->deadline = clock() + settings.timeout;
     it->on_done = [changes, decode = std::move(decode),
                    on_done = std::move(on_done)](auto answer)
     {
@@ -122,8 +122,8 @@
 
 auto etcd_store::implementation::send(call_pointer const& it) -> void
 {
-    auto const count = settings_.addresses.size();
-    auto const left = it->deadline - clock_();
+    auto const count = settings.addresses.size();
+    auto const left = it->deadline - clock();
     if (it->tried >= count || left <= core::duration{})
     {
         core::fail(
@@ -132,13 +132,13 @@
         return it->on_done(std::nullopt);
     }
     auto const& where =
-        settings_.addresses.at((it->first_address + it->tried) % count);
+        settings.addresses.at((it->first_address + it->tried) % count);
     auto request = transport::http_request{};
     request.method = "POST";
     request.target = it->path;
     request.headers.values.emplace_back("Content-Type", "application/json");
     request.body = it->body;
-    send_(
+    sender(
         where, std::move(request), left,
         [self = shared_from_this(), it](transport::http_result result)
         { self->on_result(it, std::move(result)); });
@@ -151,13 +151,13 @@
     {
         return on_response(it, *result.response);
     }
-    auto const count = settings_.addresses.size();
+    auto const count = settings.addresses.size();
     auto const next = (it->first_address + it->tried + 1) % count;
-    log_.warn(
+    log.warn(
         "Store call failed.", {{"path", it->path},
                                {"reason", result.reason.message},
                                {"next_address", next}});
-    preferred_ = next;
+    preferred = next;
     if (result.progress == transport::send_progress::nothing_written)
     {
         ++it->tried;
@@ -206,11 +206,10 @@
 }
 
 etcd_store::etcd_store(
-    etcd_send send, core::clock clock, core::logger log,
+    etcd_send send, core::clock clock, core::logger const& log,
     etcd_store_settings settings)
     : implementation_(std::make_shared<implementation>(
-          std::move(send), std::move(clock), std::move(log),
-          std::move(settings)))
+          std::move(send), std::move(clock), log, std::move(settings)))
 {
 }
 
--- a/coordination/etcd_store_base.hpp
+++ b/coordination/etcd_store_base.hpp
@@ -44,7 +44,7 @@
 {
 public:
     etcd_store(
-        etcd_send send, core::clock clock, core::logger log,
+        etcd_send send, core::clock clock, core::logger const& log,
         etcd_store_settings settings);
     ~etcd_store() override;
 
--- a/coordination/ownership_base.cpp
+++ b/coordination/ownership_base.cpp
@@ -91,17 +91,17 @@
     : public std::enable_shared_from_this<ownership::implementation>
 {
     implementation(
-        store& platform, core::clock clock, core::logger log,
+        store& platform, core::clock clock, core::logger const& log,
         core::instance_id instance, std::string boot_id,
         ownership_settings settings, ownership_hooks hooks)
-        : store_(platform)
-        , clock_(std::move(clock))
-        , log_(log.with_prefix("shard"))
-        , instance_(std::move(instance))
-        , boot_id_(std::move(boot_id))
-        , settings_(settings)
-        , changes_(std::move(hooks.on_change))
-        , live_{instance_.value}
+        : platform(platform)
+        , clock(std::move(clock))
+        , log(log.with_prefix("shard"))
+        , instance(std::move(instance))
+        , boot_id(std::move(boot_id))
+        , settings(settings)
+        , changes(std::move(hooks.on_change))
+        , live{this->instance.value}
     {
     }
 
@@ -112,7 +112,7 @@
         return [self = weak_from_this(), handler = std::move(handler)](auto arg)
         {
             auto const alive = self.lock();
-            if (alive && !alive->closed_)
+            if (alive && !alive->closed)
             {
                 handler(*alive, std::move(arg));
             }
@@ -150,40 +150,40 @@
     auto finish_leaving() -> void;
     auto run_actions() -> void;
 
-    store& store_;
-    core::clock clock_;
-    core::logger log_;
-    core::instance_id instance_;
-    std::string boot_id_;
-    ownership_settings settings_;
-    std::atomic<bool> closed_ = false;
-    ordered_hook<shard_ownership> changes_;
-
-    mutable std::mutex mutex_;
-    std::vector<std::string> live_; ///< Sorted.
-    std::map<core::shard_id, held_shard> held_;
-    std::map<core::shard_id, core::instance_id> owners_;
+    store& platform;
+    core::clock clock;
+    core::logger log;
+    core::instance_id instance;
+    std::string boot_id;
+    ownership_settings settings;
+    std::atomic<bool> closed = false;
+    ordered_hook<shard_ownership> changes;
+
+    mutable std::mutex mutex;
+    std::vector<std::string> live; ///< Sorted.
+    std::map<core::shard_id, held_shard> held;
+    std::map<core::shard_id, core::instance_id> owners;
     /** Owner keys up to this revision are given up and must be deleted. */
-    std::map<core::shard_id, std::int64_t> given_up_;
-    std::map<core::shard_id, core::time_point> absent_since_;
-    std::map<core::shard_id, core::instance_id> handed_to_;
-    std::map<core::instance_id, core::time_point> avoid_until_;
-    std::set<core::shard_id> taking_;
+    std::map<core::shard_id, std::int64_t> given_up;
+    std::map<core::shard_id, core::time_point> absent_since;
+    std::map<core::shard_id, core::instance_id> handed_to;
+    std::map<core::instance_id, core::time_point> avoid_until;
+    std::set<core::shard_id> taking;
     /** Store calls to make once the lock is released. */
-    std::vector<std::function<void()>> actions_;
-    std::optional<store_lease> lease_;
-    core::time_point renewed_at_; ///< Sending of the last good renewal.
-    core::time_point next_renew_;
-    core::time_point next_grant_;
-    core::time_point next_poll_;
-    core::time_point next_rebalance_;
-    bool renewing_ = false;
-    bool granting_ = false;
-    bool polling_ = false;
-    bool reachable_ = true;
-    bool leaving_ = false;
-    bool revoking_ = false;
-    std::function<void()> on_left_;
+    std::vector<std::function<void()>> actions;
+    std::optional<store_lease> current_lease;
+    core::time_point renewed_at; ///< Sending of the last good renewal.
+    core::time_point next_renew;
+    core::time_point next_grant;
+    core::time_point next_poll;
+    core::time_point next_rebalance;
+    bool renewing = false;
+    bool granting = false;
+    bool polling = false;
+    bool reachable = true;
+    bool leaving = false;
+    bool revoking = false;
+    std::function<void()> on_left;
 };
 
 auto ownership::implementation::note_answer(bool has_result, bool is_renewal)
@@ -193,55 +193,55 @@
     auto const answered =
         has_result || (kind != core::error_kind::unavailable &&
                        kind != core::error_kind::unknown_outcome);
-    auto const lapsed = lease_ && clock_() - renewed_at_ >= lease_length();
-    if (answered && !reachable_ && lapsed && !is_renewal)
+    auto const lapsed = current_lease && clock() - renewed_at >= lease_length();
+    if (answered && !reachable && lapsed && !is_renewal)
     {
         // After an outage the renewal tells whether the lease has survived.
-        next_renew_ = clock_();
+        next_renew = clock();
         return;
     }
-    reachable_ = answered;
+    reachable = answered;
 }
 
 auto ownership::implementation::identity(store_lease lease) const -> std::string
 {
-    return fmt::format("{}\n{}\n{}", instance_.value, boot_id_, lease.value);
+    return fmt::format("{}\n{}\n{}", instance.value, boot_id, lease.value);
 }
 
 auto ownership::implementation::lease_length() const -> core::duration
 {
     return std::chrono::duration_cast<core::duration>(
-        settings_.lease * (1.0 - settings_.clock_rate_margin));
+        settings.lease * (1.0 - settings.clock_rate_margin));
 }
 
 auto ownership::implementation::state_now(core::time_point now) const
     -> ownership_state
 {
-    if (!lease_)
+    if (!current_lease)
     {
         return ownership_state::lost;
     }
-    if (now - renewed_at_ < settings_.unconfirmed_after)
+    if (now - renewed_at < settings.unconfirmed_after)
     {
         return ownership_state::owned;
     }
     // A lease that lapsed while the store was reachable, for example because
     // this process was paused, may have gone to another owner. While the store
     // is down, nobody else can take the shards.
-    auto const lapsed = now - renewed_at_ >= lease_length();
-    return lapsed && reachable_ ? ownership_state::lost
-                                : ownership_state::unconfirmed;
+    auto const lapsed = now - renewed_at >= lease_length();
+    return lapsed && reachable ? ownership_state::lost
+                               : ownership_state::unconfirmed;
 }
 
 auto ownership::implementation::rank_of(core::shard_id shard) const
     -> std::size_t
 {
-    auto names = live_;
+    auto names = live;
     auto rank = std::size_t{0};
     while (!names.empty())
     {
         auto const best = core::rendezvous_choice(names, shard.value);
-        if (names.at(best) == instance_.value)
+        if (names.at(best) == instance.value)
         {
             return rank;
         }
@@ -255,16 +255,16 @@
     -> core::instance_id
 {
     return core::instance_id{
-        live_.at(core::rendezvous_choice(live_, shard.value))};
+        live.at(core::rendezvous_choice(live, shard.value))};
 }
 
 auto ownership::implementation::hold(core::shard_id shard, held_shard value)
     -> void
 {
-    held_[shard] = value;
-    changes_.push(
+    held[shard] = value;
+    changes.push(
         {shard, ownership_state::owned, value.owner_epoch, value.revision});
-    log_.info(
+    log.info(
         "Shard taken.",
         {{"shard", shard.value}, {"epoch", value.owner_epoch.value}});
 }
@@ -272,17 +272,17 @@
 auto ownership::implementation::lose(
     core::shard_id shard, std::string_view cause) -> void
 {
-    auto const it = held_.find(shard);
-    if (it == held_.end())
+    auto const it = held.find(shard);
+    if (it == held.end())
     {
         return;
     }
     auto const former = it->second;
-    held_.erase(it);
-    given_up_[shard] = former.revision;
-    changes_.push(
+    held.erase(it);
+    given_up[shard] = former.revision;
+    changes.push(
         {shard, ownership_state::lost, former.owner_epoch, former.revision});
-    log_.info(
+    log.info(
         "Shard given up.", {{"shard", shard.value},
                             {"epoch", former.owner_epoch.value},
                             {"cause", cause}});
@@ -290,93 +290,92 @@
 
 auto ownership::implementation::lose_all(std::string_view cause) -> void
 {
-    while (!held_.empty())
+    while (!held.empty())
     {
-        lose(held_.begin()->first, cause);
+        lose(held.begin()->first, cause);
     }
 }
 
 auto ownership::implementation::announce(core::time_point now) -> void
 {
     auto const state = state_now(now);
-    for (auto& [shard, it] : held_)
+    for (auto& [shard, it] : held)
     {
         if (it.announced != state)
         {
             it.announced = state;
-            changes_.push({shard, state, it.owner_epoch, it.revision});
+            changes.push({shard, state, it.owner_epoch, it.revision});
         }
     }
 }
 
 auto ownership::implementation::grant() -> void
 {
-    auto const sent_at = clock_();
-    store_.grant(
-        settings_.lease,
+    auto const sent_at = clock();
+    platform.grant(
+        settings.lease,
         guarded(
             [sent_at](implementation& self, std::optional<store_lease> result)
             {
-                auto const lock = std::scoped_lock{self.mutex_};
+                auto const lock = std::scoped_lock{self.mutex};
                 self.note_answer(result.has_value());
-                self.granting_ = false;
-                self.next_grant_ =
-                    self.clock_() + self.settings_.retry_interval;
-                if (result && !self.leaving_)
+                self.granting = false;
+                self.next_grant = self.clock() + self.settings.retry_interval;
+                if (result && !self.leaving)
                 {
-                    self.lease_ = result;
-                    self.renewed_at_ = sent_at;
-                    self.next_renew_ = sent_at + self.settings_.renew_interval;
+                    self.current_lease = result;
+                    self.renewed_at = sent_at;
+                    self.next_renew = sent_at + self.settings.renew_interval;
                 }
             }));
 }
 
 auto ownership::implementation::renew(store_lease lease) -> void
 {
-    auto const sent_at = clock_();
-    store_.keep_alive(
+    auto const sent_at = clock();
+    platform.keep_alive(
         lease,
         guarded(
             [lease,
              sent_at](implementation& self, std::optional<store_lease> result)
             {
                 {
-                    auto const lock = std::scoped_lock{self.mutex_};
+                    auto const lock = std::scoped_lock{self.mutex};
                     self.note_answer(result.has_value(), true);
-                    self.renewing_ = false;
-                    if (self.lease_ != lease)
+                    self.renewing = false;
+                    if (self.current_lease != lease)
                     {
                         return;
                     }
-                    self.next_renew_ =
-                        result ? sent_at + self.settings_.renew_interval
-                               : self.clock_() + self.settings_.retry_interval;
+                    self.next_renew =
+                        result ? sent_at + self.settings.renew_interval
+                               : self.clock() + self.settings.retry_interval;
                     if (result)
                     {
-                        self.renewed_at_ = sent_at;
+                        self.renewed_at = sent_at;
                     }
                     else if (
                         core::last_reason().kind == core::error_kind::not_found)
                     {
-                        self.lease_.reset();
+                        self.current_lease.reset();
                         self.lose_all("the store lease has lapsed");
                     }
                 }
-                self.changes_.drain();
+                self.changes.drain();
             }));
 }
 
 auto ownership::implementation::poll() -> void
 {
-    store_.range(
+    platform.range(
         ownership_prefix(), prefix_end(ownership_prefix()), 0,
         guarded(
-            [](implementation& self, std::optional<store_range> found)
+            [](implementation& self, std::optional<store_range> const& found)
             {
                 {
-                    auto const lock = std::scoped_lock{self.mutex_};
+                    auto const lock = std::scoped_lock{self.mutex};
                     self.note_answer(found.has_value());
-                    self.polling_ = false;
+                    self.polling = false;
                     if (found)
                     {
                         self.on_poll(std::move(*found));
@@ -389,7 +388,7 @@
 auto ownership::implementation::on_poll(store_range found) -> void
 {
     auto shards = polled_shards{};
-    for (std::uint32_t i = 0; i < settings_.shard_count; ++i)
+    for (std::uint32_t i = 0; i < settings.shard_count; ++i)
     {
         shards[core::shard_id{i}];
     }
@@ -397,23 +396,23 @@
     {
         add_entry(shards, std::move(it));
     }
-    owners_.clear();
+    owners.clear();
     for (auto const& [shard, it] : shards)
     {
         if (it.owner)
         {
-            owners_[shard] = instance_of(*it.owner);
-            absent_since_.erase(shard);
-            if (owners_[shard] != instance_)
+            owners[shard] = instance_of(*it.owner);
+            absent_since.erase(shard);
+            if (owners[shard] != instance)
             {
-                handed_to_.erase(shard);
+                handed_to.erase(shard);
             }
         }
-        if (shard.value >= settings_.shard_count || taking_.contains(shard))
+        if (shard.value >= settings.shard_count || taking.contains(shard))
         {
             continue;
         }
-        if (held_.contains(shard))
+        if (held.contains(shard))
         {
             check_held(shard, it, found.revision);
         }
@@ -432,7 +431,7 @@
 auto ownership::implementation::check_held(
     core::shard_id shard, polled_shard const& it, std::int64_t revision) -> void
 {
-    auto const& mine = held_.at(shard);
+    auto const& mine = held.at(shard);
     if (revision < mine.revision)
     {
         return; // Read before the take-over.
@@ -451,18 +450,18 @@
     core::shard_id shard, polled_shard const& it) -> void
 {
     auto const& value = it.owner->value;
-    if (text_of_line(value, 0) != instance_.value ||
-        text_of_line(value, 1) != boot_id_)
+    if (text_of_line(value, 0) != instance.value ||
+        text_of_line(value, 1) != boot_id)
     {
         return;
     }
     auto const revision = it.owner->modify_revision;
-    auto const given_up = given_up_.find(shard);
+    auto const former = given_up.find(shard);
     auto const current =
-        !leaving_ && lease_ && value == identity(*lease_) &&
+        !leaving && current_lease && value == identity(*current_lease) &&
         it.epoch_revision == revision &&
-        (given_up == given_up_.end() || given_up->second < revision);
-    if (current && state_now(clock_()) == ownership_state::owned)
+        (former == given_up.end() || former->second < revision);
+    if (current && state_now(clock()) == ownership_state::owned)
     {
         hold(shard, {it.owner_epoch, revision});
     }
@@ -477,14 +476,14 @@
 auto ownership::implementation::check_absent(
     core::shard_id shard, polled_shard const& it) -> void
 {
-    auto const now = clock_();
-    auto const since = absent_since_.try_emplace(shard, now).first->second;
-    if (leaving_ || state_now(now) != ownership_state::owned)
+    auto const now = clock();
+    auto const since = absent_since.try_emplace(shard, now).first->second;
+    if (leaving || state_now(now) != ownership_state::owned)
     {
         return;
     }
     auto const rank = static_cast<core::duration::rep>(rank_of(shard));
-    if (now - since >= settings_.candidate_delay * rank)
+    if (now - since >= settings.candidate_delay * rank)
     {
         take(shard, it);
     }
@@ -492,30 +491,30 @@
 
 auto ownership::implementation::rebalance(polled_shards const& shards) -> void
 {
-    auto const now = clock_();
+    auto const now = clock();
     auto const unowned = std::any_of(
         shards.begin(), shards.end(),
         [](auto const& it) { return !it.second.owner; });
-    if (leaving_ || unowned || now < next_rebalance_ ||
+    if (leaving || unowned || now < next_rebalance ||
         state_now(now) != ownership_state::owned)
     {
         return;
     }
     auto counts = std::map<core::instance_id, std::size_t>{};
-    for (auto const& [shard, owner] : owners_)
+    for (auto const& [shard, owner] : owners)
     {
         ++counts[owner];
     }
-    for (auto const& [shard, mine] : held_)
+    for (auto const& [shard, mine] : held)
     {
         auto const target = proposed(shard);
-        if (target == instance_ || now < avoid_until_[target] ||
-            held_.size() <= counts[target] + 1)
+        if (target == instance || now < avoid_until[target] ||
+            held.size() <= counts[target] + 1)
         {
             continue;
         }
-        next_rebalance_ = now + settings_.rebalance_interval;
-        handed_to_[shard] = target;
+        next_rebalance = now + settings.rebalance_interval;
+        handed_to[shard] = target;
         auto const revision = mine.revision;
         auto const moved = shard;
         lose(moved, "handed over for balance");
@@ -527,17 +526,17 @@
 auto ownership::implementation::take(
     core::shard_id shard, polled_shard const& it) -> void
 {
-    taking_.insert(shard);
-    auto const lease = *lease_;
+    taking.insert(shard);
+    auto const lease = *current_lease;
     auto const next = it.owner_epoch.next();
     auto transaction = store_transaction{
         {{owner_key(shard), 0}, {epoch_key(shard), it.epoch_revision}},
         {{epoch_key(shard), std::to_string(next.value), "", {}},
          {owner_key(shard), identity(lease), "", lease}}};
-    actions_.emplace_back(
+    actions.emplace_back(
         [this, shard, next, lease, transaction = std::move(transaction)]
         {
-            store_.commit(
+            platform.commit(
                 transaction,
                 guarded([shard, next, lease](
                             implementation& self,
@@ -551,42 +550,42 @@
     std::optional<store_commit> result) -> void
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
+        auto const lock = std::scoped_lock{mutex};
         note_answer(result.has_value());
-        taking_.erase(shard);
-        if (result && result->succeeded && lease_ == lease && !leaving_)
+        taking.erase(shard);
+        if (result && result->succeeded && current_lease == lease && !leaving)
         {
-            absent_since_.erase(shard);
+            absent_since.erase(shard);
             hold(shard, {owner_epoch, result->revision});
-            if (auto const it = handed_to_.find(shard); it != handed_to_.end())
+            if (auto const it = handed_to.find(shard); it != handed_to.end())
             {
-                avoid_until_[it->second] = clock_() + settings_.avoid_interval;
+                avoid_until[it->second] = clock() + settings.avoid_interval;
             }
         }
-        handed_to_.erase(shard);
+        handed_to.erase(shard);
         if (!result)
         {
             // The next poll shows whether the take-over took effect.
-            next_poll_ = clock_();
+            next_poll = clock();
         }
     }
-    changes_.drain();
+    changes.drain();
 }
 
 auto ownership::implementation::delete_owner_key(
     core::shard_id shard, std::int64_t revision) -> void
 {
-    actions_.emplace_back(
+    actions.emplace_back(
         [this, shard, revision]
         {
-            store_.commit(
+            platform.commit(
                 {{{owner_key(shard), revision}},
                  {{owner_key(shard), std::nullopt, "", {}}}},
                 guarded(
                     [](implementation& self, std::optional<store_commit> result)
                     {
                         // If it failed, the next poll finds the key again.
-                        auto const lock = std::scoped_lock{self.mutex_};
+                        auto const lock = std::scoped_lock{self.mutex};
                         self.note_answer(result.has_value());
                     }));
         });
@@ -594,110 +593,110 @@
 
 auto ownership::implementation::finish_leaving() -> void
 {
-    auto on_left = std::function<void()>{};
+    auto call = std::function<void()>{};
     {
-        auto const lock = std::scoped_lock{mutex_};
-        revoking_ = false;
-        lease_.reset();
-        std::swap(on_left, on_left_);
+        auto const lock = std::scoped_lock{mutex};
+        revoking = false;
+        current_lease.reset();
+        std::swap(call, on_left);
     }
-    if (on_left)
+    if (call)
     {
-        on_left();
+        call();
     }
 }
 
 auto ownership::implementation::run_actions() -> void
 {
-    changes_.drain();
-    auto actions = std::vector<std::function<void()>>{};
+    changes.drain();
+    auto calls = std::vector<std::function<void()>>{};
     {
-        auto const lock = std::scoped_lock{mutex_};
-        actions.swap(actions_);
+        auto const lock = std::scoped_lock{mutex};
+        calls.swap(actions);
     }
-    for (auto const& it : actions)
+    for (auto const& it : calls)
     {
         it();
     }
 }
 
 ownership::ownership(
-    store& platform, core::clock clock, core::logger log,
+    store& platform, core::clock clock, core::logger const& log,
     core::instance_id instance, std::string boot_id,
     ownership_settings settings, ownership_hooks hooks)
     : implementation_(std::make_shared<implementation>(
-          platform, std::move(clock), std::move(log), std::move(instance),
+          platform, std::move(clock), log, std::move(instance),
           std::move(boot_id), settings, std::move(hooks)))
 {
 }
 
 ownership::~ownership()
 {
-    implementation_->closed_ = true;
+    implementation_->closed = true;
 }
 
 auto ownership::set_live(std::vector<core::instance_id> const& instances)
     -> void
 {
     auto& self = *implementation_;
-    auto names = std::set<std::string>{self.instance_.value};
+    auto names = std::set<std::string>{self.instance.value};
     for (auto const& it : instances)
     {
         names.insert(it.value);
     }
-    auto const lock = std::scoped_lock{self.mutex_};
-    self.live_.assign(names.begin(), names.end());
+    auto const lock = std::scoped_lock{self.mutex};
+    self.live.assign(names.begin(), names.end());
 }
 
 auto ownership::tick() -> void
 {
     auto& self = *implementation_;
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        auto const now = self.clock_();
-        if (self.lease_ && !self.leaving_ &&
+        auto const lock = std::scoped_lock{self.mutex};
+        auto const now = self.clock();
+        if (self.current_lease && !self.leaving &&
             self.state_now(now) == ownership_state::lost)
         {
             self.lose_all("the store lease may have lapsed");
-            self.actions_.emplace_back(
-                [&self, lease = *self.lease_]
-                { self.store_.revoke(lease, [](auto) {}); });
-            self.lease_.reset();
+            self.actions.emplace_back(
+                [&self, lease = *self.current_lease]
+                { self.platform.revoke(lease, [](auto) {}); });
+            self.current_lease.reset();
         }
         self.announce(now);
-        if (!self.lease_ && !self.granting_ && !self.leaving_ &&
-            now >= self.next_grant_)
+        if (!self.current_lease && !self.granting && !self.leaving &&
+            now >= self.next_grant)
         {
-            self.granting_ = true;
-            self.actions_.emplace_back([&self] { self.grant(); });
+            self.granting = true;
+            self.actions.emplace_back([&self] { self.grant(); });
         }
-        if (self.lease_ && !self.renewing_ && !self.leaving_ &&
-            now >= self.next_renew_)
+        if (self.current_lease && !self.renewing && !self.leaving &&
+            now >= self.next_renew)
         {
-            self.renewing_ = true;
-            self.actions_.emplace_back([&self, lease = *self.lease_]
-                                       { self.renew(lease); });
+            self.renewing = true;
+            self.actions.emplace_back([&self, lease = *self.current_lease]
+                                      { self.renew(lease); });
         }
-        if (!self.polling_ && !self.leaving_ && now >= self.next_poll_)
+        if (!self.polling && !self.leaving && now >= self.next_poll)
         {
-            self.polling_ = true;
-            self.next_poll_ = now + self.settings_.poll_interval;
-            self.actions_.emplace_back([&self] { self.poll(); });
+            self.polling = true;
+            self.next_poll = now + self.settings.poll_interval;
+            self.actions.emplace_back([&self] { self.poll(); });
         }
-        if (self.leaving_ && self.lease_ && !self.revoking_ &&
-            now >= self.next_renew_)
+        if (self.leaving && self.current_lease && !self.revoking &&
+            now >= self.next_renew)
         {
-            self.revoking_ = true;
-            self.next_renew_ = now + self.settings_.retry_interval;
-            auto const lapsed = now - self.renewed_at_ >= self.settings_.lease;
-            self.actions_.emplace_back(
-                [&self, lapsed, lease = *self.lease_]
+            self.revoking = true;
+            self.next_renew = now + self.settings.retry_interval;
+            auto const lapsed = now - self.renewed_at >= self.settings.lease;
+            self.actions.emplace_back(
+                [&self, lapsed, lease = *self.current_lease]
                 {
                     if (lapsed)
                     {
                         return self.finish_leaving();
                     }
-                    self.store_.revoke(
+                    self.platform.revoke(
                         lease,
                         self.guarded(
                             [](implementation& it,
@@ -710,8 +709,8 @@
                                 {
                                     return it.finish_leaving();
                                 }
-                                auto const held = std::scoped_lock{it.mutex_};
-                                it.revoking_ = false;
+                                auto const held = std::scoped_lock{it.mutex};
+                                it.revoking = false;
                             }));
                 });
         }
@@ -723,23 +722,23 @@
 {
     auto& self = *implementation_;
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        auto const it = self.held_.find(shard);
-        if (it != self.held_.end() && it->second.owner_epoch < seen)
+        auto const lock = std::scoped_lock{self.mutex};
+        auto const it = self.held.find(shard);
+        if (it != self.held.end() && it->second.owner_epoch < seen)
         {
             self.lose(shard, "a higher epoch was seen");
         }
     }
-    self.changes_.drain();
+    self.changes.drain();
 }
 
 auto ownership::release(core::shard_id shard) -> void
 {
     auto& self = *implementation_;
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        auto const it = self.held_.find(shard);
-        if (it == self.held_.end())
+        auto const lock = std::scoped_lock{self.mutex};
+        auto const it = self.held.find(shard);
+        if (it == self.held.end())
         {
             return;
         }
@@ -755,14 +754,14 @@
     auto& self = *implementation_;
     auto nothing_to_do = false;
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        self.leaving_ = true;
+        auto const lock = std::scoped_lock{self.mutex};
+        self.leaving = true;
         self.lose_all("this instance is leaving");
-        self.next_renew_ = self.clock_();
-        nothing_to_do = !self.lease_;
-        self.on_left_ = std::move(on_done);
+        self.next_renew = self.clock();
+        nothing_to_do = !self.current_lease;
+        self.on_left = std::move(on_done);
     }
-    self.changes_.drain();
+    self.changes.drain();
     if (nothing_to_do)
     {
         self.finish_leaving();
@@ -773,24 +772,24 @@
 auto ownership::find(core::shard_id shard) const -> shard_ownership
 {
     auto const& self = *implementation_;
-    auto const lock = std::scoped_lock{self.mutex_};
-    auto const it = self.held_.find(shard);
-    if (it == self.held_.end())
+    auto const lock = std::scoped_lock{self.mutex};
+    auto const it = self.held.find(shard);
+    if (it == self.held.end())
     {
         return {shard, ownership_state::lost, {}, 0};
     }
     return {
-        shard, self.state_now(self.clock_()), it->second.owner_epoch,
+        shard, self.state_now(self.clock()), it->second.owner_epoch,
         it->second.revision};
 }
 
 auto ownership::held() const -> std::vector<shard_ownership>
 {
     auto const& self = *implementation_;
-    auto const lock = std::scoped_lock{self.mutex_};
+    auto const lock = std::scoped_lock{self.mutex};
     auto result = std::vector<shard_ownership>{};
-    auto const state = self.state_now(self.clock_());
-    for (auto const& [shard, it] : self.held_)
+    auto const state = self.state_now(self.clock());
+    for (auto const& [shard, it] : self.held)
     {
         if (state != ownership_state::lost)
         {
@@ -802,14 +801,14 @@
 
 auto ownership::owners() const -> std::map<core::shard_id, core::instance_id>
 {
-    auto const lock = std::scoped_lock{implementation_->mutex_};
-    return implementation_->owners_;
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->owners;
 }
 
 auto ownership::store_reachable() const -> bool
 {
-    auto const lock = std::scoped_lock{implementation_->mutex_};
-    return implementation_->reachable_;
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->reachable;
 }
 
 } // namespace godwitcleat::coordination
--- a/coordination/ownership_base.hpp
+++ b/coordination/ownership_base.hpp
@@ -73,7 +73,7 @@
 public:
     /** @param boot_id tells this process from earlier ones of the instance. */
     ownership(
-        store& platform, core::clock clock, core::logger log,
+        store& platform, core::clock clock, core::logger const& log,
         core::instance_id instance, std::string boot_id,
         ownership_settings settings = {}, ownership_hooks hooks = {});
     ~ownership();
--- a/coordination/shard_log_base.cpp
+++ b/coordination/shard_log_base.cpp
@@ -70,17 +70,17 @@
     : public std::enable_shared_from_this<shard_log::implementation>
 {
     implementation(
-        store& platform, core::clock clock, core::logger log,
+        store& platform, core::clock clock, core::logger const& log,
         core::shard_id shard, std::int64_t epoch_revision,
         shard_log_codec codec, shard_log_settings settings)
-        : store_(platform)
-        , clock_(std::move(clock))
-        , log_(log.with_prefix("shard"))
-        , shard_(shard)
-        , epoch_revision_(epoch_revision)
-        , codec_(std::move(codec))
-        , settings_(settings)
-        , page_entries_(settings.page_entries)
+        : platform(platform)
+        , clock(std::move(clock))
+        , log(log.with_prefix("shard"))
+        , shard(shard)
+        , epoch_revision(epoch_revision)
+        , codec(std::move(codec))
+        , settings(settings)
+        , page_entries(settings.page_entries)
     {
     }
 
@@ -91,7 +91,7 @@
         return [self = weak_from_this(), handler = std::move(handler)](auto arg)
         {
             auto const alive = self.lock();
-            if (alive && !alive->closed_)
+            if (alive && !alive->closed)
             {
                 handler(*alive, std::move(arg));
             }
@@ -121,37 +121,37 @@
     auto finish(operation_pointer const& it, log_result result) -> void;
     auto size_locked() const -> std::size_t
     {
-        return snapshot_bytes_ + batch_bytes_;
+        return snapshot_bytes + batch_bytes;
     }
 
-    store& store_;
-    core::clock clock_;
-    core::logger log_;
-    core::shard_id shard_;
-    std::int64_t epoch_revision_;
-    shard_log_codec codec_;
-    shard_log_settings settings_;
-    std::atomic<bool> closed_ = false;
-
-    std::mutex mutex_;
-    std::int64_t page_entries_;
-    bool recovered_ = false;
-    core::log_index applied_;
-    std::int64_t snapshot_revision_ = 0;
-    std::size_t snapshot_bytes_ = 0;
-    std::size_t batch_bytes_ = 0;
-    std::uint64_t batches_ = 0;           ///< Since the last written snapshot.
-    std::uint64_t batches_since_try_ = 0; ///< Or since a too large one.
-    operation_pointer current_;
+    store& platform;
+    core::clock clock;
+    core::logger log;
+    core::shard_id shard;
+    std::int64_t epoch_revision;
+    shard_log_codec codec;
+    shard_log_settings settings;
+    std::atomic<bool> closed = false;
+
+    std::mutex mutex;
+    std::int64_t page_entries;
+    bool recovered = false;
+    core::log_index applied;
+    std::int64_t snapshot_revision = 0;
+    std::size_t snapshot_bytes = 0;
+    std::size_t batch_bytes = 0;
+    std::uint64_t batches = 0;           ///< Since the last written snapshot.
+    std::uint64_t batches_since_try = 0; ///< Or since a too large one.
+    operation_pointer current;
 };
 
 auto shard_log::implementation::read_snapshot(recovery_pointer const& it)
     -> void
 {
-    store_.range(
-        snapshot_key(shard_), "", 1,
+    platform.range(
+        snapshot_key(shard), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 if (!found)
                 {
@@ -159,7 +159,7 @@
                 }
                 if (auto const* const entry = single(found))
                 {
-                    auto snapshot = self.codec_.decode_snapshot(entry->value);
+                    auto snapshot = self.codec.decode_snapshot(entry->value);
                     if (!snapshot)
                     {
                         return it->on_done(std::nullopt);
@@ -177,13 +177,13 @@
 {
     auto limit = std::int64_t{0};
     {
-        auto const lock = std::scoped_lock{mutex_};
-        limit = page_entries_;
+        auto const lock = std::scoped_lock{mutex};
+        limit = page_entries;
     }
     // Entries up to `applied` can only stem from a write that took effect
     // after a snapshot had covered it, so they are not read.
-    store_.range(
-        log_key(shard_, it->applied.next()), prefix_end(log_prefix(shard_)),
+    platform.range(
+        log_key(shard, it->applied.next()), prefix_end(log_prefix(shard)),
         limit,
         guarded(
             [it](implementation& self, std::optional<store_range> page)
@@ -191,9 +191,9 @@
                 if (!page)
                 {
                     // The page may exceed the body limit of the HTTP client.
-                    auto const lock = std::scoped_lock{self.mutex_};
-                    self.page_entries_ =
-                        std::max<std::int64_t>(1, self.page_entries_ / 2);
+                    auto const lock = std::scoped_lock{self.mutex};
+                    self.page_entries =
+                        std::max<std::int64_t>(1, self.page_entries / 2);
                 }
                 if (!page || !self.take_page(it, *page))
                 {
@@ -217,7 +217,7 @@
             it->complete = false;
             return true;
         }
-        auto batch = codec_.decode_batch(entry.value);
+        auto batch = codec.decode_batch(entry.value);
         if (!batch)
         {
             return false;
@@ -233,16 +233,16 @@
 // between them, so an unchanged epoch proves that they belong together.
 auto shard_log::implementation::check_epoch(recovery_pointer const& it) -> void
 {
-    store_.range(
-        epoch_key(shard_), "", 1,
+    platform.range(
+        epoch_key(shard), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 if (!found)
                 {
                     return it->on_done(std::nullopt);
                 }
-                if (revision_of(found) != self.epoch_revision_)
+                if (revision_of(found) != self.epoch_revision)
                 {
                     return it->on_done(core::fail(
                         core::error_kind::stale_epoch,
@@ -264,17 +264,17 @@
     -> void
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
-        recovered_ = true;
-        applied_ = it->applied;
-        snapshot_revision_ = it->snapshot_revision;
-        snapshot_bytes_ = it->snapshot_bytes;
-        batch_bytes_ = it->batch_bytes;
-        batches_ = it->result.batches.size();
-        batches_since_try_ = batches_;
+        auto const lock = std::scoped_lock{mutex};
+        recovered = true;
+        applied = it->applied;
+        snapshot_revision = it->snapshot_revision;
+        snapshot_bytes = it->snapshot_bytes;
+        batch_bytes = it->batch_bytes;
+        batches = it->result.batches.size();
+        batches_since_try = batches;
     }
-    log_.info(
-        "Log recovered.", {{"shard", shard_.value},
+    log.info(
+        "Log recovered.", {{"shard", shard.value},
                            {"index", it->applied.value},
                            {"batches", it->result.batches.size()}});
     it->on_done(std::move(it->result));
@@ -284,16 +284,15 @@
     -> std::optional<bool>
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
-        if (!recovered_ || current_)
+        auto const lock = std::scoped_lock{mutex};
+        if (!recovered || current)
         {
             return core::fail(
                 core::error_kind::conflict,
                 "The log is not recovered or a write is in flight; wait.");
         }
-        current_ = it;
-        it->transaction.compares.push_back(
-            {epoch_key(shard_), epoch_revision_});
+        current = it;
+        it->transaction.compares.push_back({epoch_key(shard), epoch_revision});
         it->transaction.compares.push_back({it->key, it->former_revision});
         if (it->config_revision)
         {
@@ -308,11 +307,11 @@
 auto shard_log::implementation::send(operation_pointer const& it) -> void
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
+        auto const lock = std::scoped_lock{mutex};
         it->retry_at.reset();
-        it->sent_at = clock_();
+        it->sent_at = clock();
     }
-    store_.commit(
+    platform.commit(
         it->transaction,
         guarded([it](implementation& self, std::optional<store_commit> result)
                 { self.on_commit(it, result); }));
@@ -344,10 +343,10 @@
 
 auto shard_log::implementation::read_key(operation_pointer const& it) -> void
 {
-    store_.range(
+    platform.range(
         it->key, "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 auto const* const entry = single(found);
                 if (written_by(*it, entry))
@@ -367,16 +366,16 @@
 // so the key that is read afterwards is final.
 auto shard_log::implementation::find_cause(operation_pointer const& it) -> void
 {
-    store_.range(
-        epoch_key(shard_), "", 1,
+    platform.range(
+        epoch_key(shard), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 if (!found)
                 {
                     return self.retry(it);
                 }
-                if (revision_of(found) != self.epoch_revision_)
+                if (revision_of(found) != self.epoch_revision)
                 {
                     return self.settle(it, log_outcome::epoch_changed);
                 }
@@ -391,10 +390,10 @@
 auto shard_log::implementation::find_config_cause(operation_pointer const& it)
     -> void
 {
-    store_.range(
+    platform.range(
         config_head_key(), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> found)
+            [it](implementation& self, std::optional<store_range> const& found)
             {
                 if (!found)
                 {
@@ -410,10 +409,11 @@
 auto shard_log::implementation::settle(
     operation_pointer const& it, std::optional<log_outcome> cause) -> void
 {
-    store_.range(
+    platform.range(
         it->key, "", 1,
         guarded(
-            [it, cause](implementation& self, std::optional<store_range> found)
+            [it, cause](
+                implementation& self, std::optional<store_range> const& found)
             {
                 if (!found)
                 {
@@ -432,9 +432,9 @@
                 }
                 if (revision_of(found) != it->former_revision)
                 {
-                    self.log_.error(
+                    self.log.error(
                         "Another process writes this shard's log.",
-                        {{"shard", self.shard_.value}, {"key", it->key}});
+                        {{"shard", self.shard.value}, {"key", it->key}});
                     return self.finish(
                         it, {log_outcome::epoch_changed, it->sent_at});
                 }
@@ -448,8 +448,8 @@
 
 auto shard_log::implementation::retry(operation_pointer const& it) -> void
 {
-    auto const lock = std::scoped_lock{mutex_};
-    it->retry_at = clock_() + settings_.retry_interval;
+    auto const lock = std::scoped_lock{mutex};
+    it->retry_at = clock() + settings.retry_interval;
 }
 
 auto shard_log::implementation::committed(
@@ -457,21 +457,21 @@
     std::int64_t revision) -> void
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
+        auto const lock = std::scoped_lock{mutex};
         if (it->is_snapshot)
         {
-            snapshot_revision_ = revision;
-            snapshot_bytes_ = it->bytes;
-            batch_bytes_ = 0;
-            batches_ = 0;
-            batches_since_try_ = 0;
+            snapshot_revision = revision;
+            snapshot_bytes = it->bytes;
+            batch_bytes = 0;
+            batches = 0;
+            batches_since_try = 0;
         }
         else
         {
-            applied_ = applied_.next();
-            batch_bytes_ += it->bytes;
-            ++batches_;
-            ++batches_since_try_;
+            applied = applied.next();
+            batch_bytes += it->bytes;
+            ++batches;
+            ++batches_since_try;
         }
     }
     finish(it, {log_outcome::committed, sent_at});
@@ -481,18 +481,18 @@
     operation_pointer const& it, log_result result) -> void
 {
     {
-        auto const lock = std::scoped_lock{mutex_};
-        current_.reset();
+        auto const lock = std::scoped_lock{mutex};
+        current.reset();
     }
     it->on_done(result);
 }
 
 shard_log::shard_log(
-    store& platform, core::clock clock, core::logger log, core::shard_id shard,
-    std::int64_t epoch_revision, shard_log_codec codec,
+    store& platform, core::clock clock, core::logger const& log,
+    core::shard_id shard, std::int64_t epoch_revision, shard_log_codec codec,
     shard_log_settings settings)
     : implementation_(std::make_shared<implementation>(
-          platform, std::move(clock), std::move(log), shard, epoch_revision,
+          platform, std::move(clock), log, shard, epoch_revision,
           std::move(codec), settings))
 {
 }
@@ -501,7 +501,7 @@
 {
     if (implementation_)
     {
-        implementation_->closed_ = true;
+        implementation_->closed = true;
     }
 }
 
@@ -527,19 +527,19 @@
 {
     auto& self = *implementation_;
     auto const it = std::make_shared<operation>();
-    auto value = self.codec_.encode_batch(batch);
-    if (value.size() > self.settings_.value_limit_bytes)
+    auto value = self.codec.encode_batch(batch);
+    if (value.size() > self.settings.value_limit_bytes)
     {
         return core::fail(
             core::error_kind::invalid_input,
             "The batch exceeds the store's value limit; split it.");
     }
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        it->key = log_key(self.shard_, self.applied_.next());
+        auto const lock = std::scoped_lock{self.mutex};
+        it->key = log_key(self.shard, self.applied.next());
     }
     it->is_ours =
-        [&codec = self.codec_, id = batch.unique_id](std::string const& text)
+        [&codec = self.codec, id = batch.unique_id](std::string const& text)
     {
         auto const found = codec.decode_batch(text);
         return found && found->unique_id == id;
@@ -554,12 +554,12 @@
 auto shard_log::snapshot_due() const -> bool
 {
     auto const& self = *implementation_;
-    auto const lock = std::scoped_lock{implementation_->mutex_};
-    auto const full = self.size_locked() >= self.settings_.full_bytes;
-    auto const wait = full || self.batches_ > self.batches_since_try_
-                          ? self.settings_.full_snapshot_batches
-                          : self.settings_.snapshot_batches;
-    return self.batches_since_try_ >= wait;
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    auto const full = self.size_locked() >= self.settings.full_bytes;
+    auto const wait = full || self.batches > self.batches_since_try
+                          ? self.settings.full_snapshot_batches
+                          : self.settings.snapshot_batches;
+    return self.batches_since_try >= wait;
 }
 
 auto shard_log::write_snapshot(state::shard_data const& data, done on_done)
@@ -569,26 +569,26 @@
     auto const it = std::make_shared<operation>();
     auto applied = core::log_index{};
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        applied = self.applied_;
-        it->former_revision = self.snapshot_revision_;
+        auto const lock = std::scoped_lock{self.mutex};
+        applied = self.applied;
+        it->former_revision = self.snapshot_revision;
     }
-    auto value = self.codec_.encode_snapshot({applied, data});
-    if (value.size() > self.settings_.value_limit_bytes)
+    auto value = self.codec.encode_snapshot({applied, data});
+    if (value.size() > self.settings.value_limit_bytes)
     {
         {
-            auto const lock = std::scoped_lock{self.mutex_};
-            self.snapshot_bytes_ = value.size();
-            self.batch_bytes_ = 0;
-            self.batches_since_try_ = 0;
+            auto const lock = std::scoped_lock{self.mutex};
+            self.snapshot_bytes = value.size();
+            self.batch_bytes = 0;
+            self.batches_since_try = 0;
         }
-        self.log_.error(
+        self.log.error(
             "Snapshot exceeds the store's value limit; submits are refused.",
-            {{"shard", self.shard_.value}, {"bytes", value.size()}});
-        on_done({log_outcome::too_large, self.clock_()});
+            {{"shard", self.shard.value}, {"bytes", value.size()}});
+        on_done({log_outcome::too_large, self.clock()});
         return true;
     }
-    it->key = snapshot_key(self.shard_);
+    it->key = snapshot_key(self.shard);
     it->is_ours = [value](std::string const& text)
     {
         return text == value;
@@ -598,28 +598,28 @@
     it->on_done = std::move(on_done);
     it->transaction.writes.push_back({it->key, std::move(value), "", {}});
     it->transaction.writes.push_back(
-        {log_key(self.shard_, core::log_index{}),
+        {log_key(self.shard, core::log_index{}),
          std::nullopt,
-         log_key(self.shard_, applied.next()),
+         log_key(self.shard, applied.next()),
          {}});
     return self.start(it);
 }
 
 auto shard_log::size_bytes() const -> std::size_t
 {
-    auto const lock = std::scoped_lock{implementation_->mutex_};
+    auto const lock = std::scoped_lock{implementation_->mutex};
     return implementation_->size_locked();
 }
 
 auto shard_log::full() const -> bool
 {
-    return size_bytes() >= implementation_->settings_.full_bytes;
+    return size_bytes() >= implementation_->settings.full_bytes;
 }
 
 auto shard_log::busy() const -> bool
 {
-    auto const lock = std::scoped_lock{implementation_->mutex_};
-    return implementation_->current_ != nullptr;
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->current != nullptr;
 }
 
 auto shard_log::tick() -> void
@@ -627,9 +627,9 @@
     auto& self = *implementation_;
     auto due = operation_pointer{};
     {
-        auto const lock = std::scoped_lock{self.mutex_};
-        auto const& it = self.current_;
-        if (it && it->retry_at && *it->retry_at <= self.clock_())
+        auto const lock = std::scoped_lock{self.mutex};
+        auto const& it = self.current;
+        if (it && it->retry_at && *it->retry_at <= self.clock())
         {
             due = it;
             due->retry_at.reset();
--- a/coordination/shard_log_base.hpp
+++ b/coordination/shard_log_base.hpp
@@ -39,9 +39,10 @@
     std::uint32_t snapshot_batches = 256; ///< A snapshot is due after these.
     /** The same while the shard may be full, to notice ended jobs sooner. */
     std::uint32_t full_snapshot_batches = 32;
-    std::size_t value_limit_bytes = 1024 * 1024; ///< Of the store's values.
-    std::size_t full_bytes = 768 * 1024; ///< Submits are refused from here on.
-    std::int64_t page_entries = 64;      ///< Log entries of one read.
+    std::size_t value_limit_bytes = 1024UL * 1024; ///< Of the store's values.
+    std::size_t full_bytes =
+        768UL * 1024;               ///< Submits are refused from here on.
+    std::int64_t page_entries = 64; ///< Log entries of one read.
     core::duration retry_interval = std::chrono::milliseconds{200};
 };
 
@@ -88,7 +89,7 @@
     /** @param epoch_revision modify_revision of the epoch key that this owner
      *  wrote; every write compares it. */
     shard_log(
-        store& platform, core::clock clock, core::logger log,
+        store& platform, core::clock clock, core::logger const& log,
         core::shard_id shard, std::int64_t epoch_revision,
         shard_log_codec codec, shard_log_settings settings = {});
     ~shard_log();
--- a/standins/standin-store/standin_store_main.cpp
+++ b/standins/standin-store/standin_store_main.cpp
@@ -66,7 +66,8 @@
     auto loop = transport::reactor{threads};
     auto server = transport::http_server::listen(
         loop, *where, {},
-        [&store](transport::http_request request, transport::http_reply reply)
+        [&store](
+            transport::http_request const& request, transport::http_reply reply)
         {
             store.handle(
                 request.method, request.target, request.body,
--- a/standins/support/etcd_gateway_base.cpp
+++ b/standins/support/etcd_gateway_base.cpp
@@ -194,7 +194,8 @@
 }
 
 auto etcd_gateway::handle(
-    std::string_view path, std::string_view body, etcd_reply reply) -> void
+    std::string_view path, std::string_view body, etcd_reply const& reply)
+    -> void
 {
     auto call = std::function<void()>{};
     try
--- a/standins/support/etcd_gateway_base.hpp
+++ b/standins/support/etcd_gateway_base.hpp
@@ -25,7 +25,8 @@
     explicit etcd_gateway(coordination::store& target);
 
     /** Handles one POST; @p reply is called exactly once. */
-    auto handle(std::string_view path, std::string_view body, etcd_reply reply)
+    auto handle(
+        std::string_view path, std::string_view body, etcd_reply const& reply)
         -> void;
 
 private:
--- a/standins/support/memory_store_base.cpp
+++ b/standins/support/memory_store_base.cpp
@@ -18,7 +18,7 @@
 {
 
 // Largest value that the platform's store holds.
-constexpr std::size_t value_limit_bytes = 1024 * 1024;
+constexpr std::size_t value_limit_bytes = 1024UL * 1024;
 
 auto round_up(core::duration value) -> core::duration
 {
@@ -110,7 +110,7 @@
                 reason = caller_failure(entry.fate);
             }
             entry.revision = revision_;
-            record(std::move(entry));
+            record(entry);
         }
         auto deliver = [result = std::move(result), reason = std::move(reason),
                         on_done = std::move(on_done)]() mutable
@@ -182,7 +182,7 @@
     return store_fate::answered;
 }
 
-auto memory_store::record(store_history_entry entry) -> void
+auto memory_store::record(store_history_entry const& entry) -> void
 {
     if (entry.fate != store_fate::late)
     {
@@ -460,7 +460,7 @@
     auto const result = apply(entry.transaction);
     entry.succeeded = result && result->succeeded;
     entry.revision = revision_;
-    record(std::move(entry));
+    record(entry);
     return true;
 }
 
--- a/standins/support/memory_store_base.hpp
+++ b/standins/support/memory_store_base.hpp
@@ -155,7 +155,7 @@
 
     auto choose(store_call call) -> store_fate;
     auto queue_if(bool queued, std::function<void()> task) -> bool;
-    auto record(store_history_entry entry) -> void;
+    auto record(store_history_entry const& entry) -> void;
     auto apply(coordination::store_transaction const& transaction)
         -> std::optional<coordination::store_commit>;
     auto test_writes(coordination::store_transaction const& transaction)
--- a/standins/support/standin_store_base.cpp
+++ b/standins/support/standin_store_base.cpp
@@ -80,7 +80,8 @@
     return true;
 }
 
-standin_store::standin_store(core::clock clock, standin_store_settings settings)
+standin_store::standin_store(
+    core::clock clock, standin_store_settings const& settings)
     : clock_(clock)
     , store_(
           std::move(clock),
@@ -138,7 +139,7 @@
     }
     if (delay <= core::duration{})
     {
-        return gateway_.handle(path, body, std::move(reply));
+        return gateway_.handle(path, body, reply);
     }
     gateway_.handle(
         path, body,
--- a/standins/support/standin_store_base.hpp
+++ b/standins/support/standin_store_base.hpp
@@ -50,7 +50,7 @@
 class standin_store
 {
 public:
-    standin_store(core::clock clock, standin_store_settings settings);
+    standin_store(core::clock clock, standin_store_settings const& settings);
 
     /** Handles one request; @p reply is called exactly once. */
     auto handle(
--- a/tests/config_follower_test.cpp
+++ b/tests/config_follower_test.cpp
@@ -135,9 +135,9 @@
 
     auto
     publish(std::uint64_t base, std::string const& worker, std::size_t who = 0)
-        -> std::optional<coordination::publish_result>
+        -> std::optional<coordination::publish_outcome>
     {
-        auto result = std::optional<coordination::publish_result>{};
+        auto result = std::optional<coordination::publish_outcome>{};
         auto finished = false;
         followers[who]->publish(
             core::generation{base}, "author", "drain", document_of(worker),
