--- a/coordination/ownership_base.cpp
+++ b/coordination/ownership_base.cpp
@@ -135,7 +135,7 @@
     auto grant() -> void;
     auto renew(store_lease lease) -> void;
     auto poll() -> void;
-    auto on_poll(store_range found) -> void;
+    auto on_poll(store_range const& found) -> void;
     auto check_held(
         core::shard_id shard, polled_shard const& it, std::int64_t revision)
         -> void;
@@ -378,23 +378,23 @@
                     self.polling = false;
                     if (found)
                     {
-                        self.on_poll(std::move(*found));
+                        self.on_poll(*found);
                     }
                 }
                 self.run_actions();
             }));
 }
 
-auto ownership::implementation::on_poll(store_range found) -> void
+auto ownership::implementation::on_poll(store_range const& found) -> void
 {
     auto shards = polled_shards{};
     for (std::uint32_t i = 0; i < settings.shard_count; ++i)
     {
         shards[core::shard_id{i}];
     }
-    for (auto& it : found.entries)
+    for (auto const& it : found.entries)
     {
-        add_entry(shards, std::move(it));
+        add_entry(shards, it);
     }
     owners.clear();
     for (auto const& [shard, it] : shards)
@@ -534,7 +534,7 @@
         {{epoch_key(shard), std::to_string(next.value), "", {}},
          {owner_key(shard), identity(lease), "", lease}}};
     actions.emplace_back(
-        [this, shard, next, lease, transaction = std::move(transaction)]
+        [this, shard, next, lease, transaction]
         {
             platform.commit(
                 transaction,
