--- a/coordination/control_base.cpp
+++ b/coordination/control_base.cpp
@@ -152,7 +152,7 @@
         text("summary"), std::move(*document)};
 }
 
-auto publish_response(std::optional<publish_result> const& result)
+auto publish_response(std::optional<publish_outcome> const& result)
     -> transport::http_response
 {
     if (!result)
--- a/coordination/control_base.hpp
+++ b/coordination/control_base.hpp
@@ -76,7 +76,7 @@
     std::function<std::vector<state::service_endpoint>()> endpoints;
     std::function<state::config_pointer()> config;
     std::function<void(
-        publish_command, std::function<void(std::optional<publish_result>)>)>
+        publish_command, std::function<void(std::optional<publish_outcome>)>)>
         publish;
     std::function<daemon_status()> status;
     std::function<std::string()> metrics;
