--- a/coordination/gateway_base.cpp
+++ b/coordination/gateway_base.cpp
@@ -482,7 +482,7 @@
         is_valid_request_id(id) ? std::string{id} : core::unique_id()};
     if (!self.parse(request, *it))
     {
-        auto const reason = core::last_reason();
+        auto const& reason = core::last_reason();
         auto const missing = reason.kind == core::error_kind::not_found;
         self.parts.counters.count("gateway_rejects_total");
         self.answer(
--- a/experiments/routing/simulation_base.cpp
+++ b/experiments/routing/simulation_base.cpp
@@ -400,7 +400,7 @@
         case event_kind::reach: reach(it.a); return;
         case event_kind::served: served(it.a); return;
         case event_kind::answer: answer(it.a); return;
-        case event_kind::refused: fail(it.a); return;
+        case event_kind::refused:
         case event_kind::timeout: fail(it.a); return;
         case event_kind::exchange: exchange(it.a); return;
         case event_kind::counts: counts(it.a, it.b); return;
