--- /dev/null
+++ b/programs/godwitcleatctl/config_command_func.cpp
@@ -0,0 +1,315 @@
+/** @file config_command_func.cpp The commands check, publish and config. */
+#include "config_command_func.hpp"
+
+#include "instance_func.hpp"
+#include "output_func.hpp"
+#include "protocol/protocol.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace godwitcleat::ctl
+{
+
+namespace
+{
+
+auto read_source(std::string const& path)
+    -> std::optional<protocol::config_source>
+{
+    auto stream = std::ifstream{path, std::ios::binary};
+    if (!stream)
+    {
+        return core::fail(
+            core::error_kind::not_found,
+            fmt::format("cannot open \"{}\"; check its permissions", path));
+    }
+    return protocol::config_source{
+        path, std::string{std::istreambuf_iterator<char>{stream}, {}}};
+}
+
+// Returns the paths of all *.ini files below the folder, sorted.
+auto find_paths(std::string const& folder)
+    -> std::optional<std::vector<std::string>>
+{
+    auto paths = std::vector<std::string>{};
+    auto ec = std::error_code{};
+    auto it = std::filesystem::recursive_directory_iterator{folder, ec};
+    for (; !ec && it != std::filesystem::recursive_directory_iterator{};
+         it.increment(ec))
+    {
+        if (it->path().extension() == ".ini" && it->is_regular_file(ec))
+        {
+            paths.push_back(it->path().string());
+        }
+    }
+    if (ec)
+    {
+        return core::fail(
+            core::error_kind::invalid_input,
+            fmt::format(
+                "cannot read the folder \"{}\" ({}); check the path", folder,
+                ec.message()));
+    }
+    if (paths.empty())
+    {
+        // An empty folder would remove every service.
+        return core::fail(
+            core::error_kind::invalid_input,
+            fmt::format(
+                "no *.ini file is below \"{}\"; check the path", folder));
+    }
+    std::sort(paths.begin(), paths.end());
+    return paths;
+}
+
+auto read_folder(std::string const& folder, state::config_document const& base)
+    -> std::optional<state::config_document>
+{
+    auto const paths = find_paths(folder);
+    if (!paths)
+    {
+        return std::nullopt;
+    }
+    auto sources = std::vector<protocol::config_source>{};
+    for (auto const& path : *paths)
+    {
+        auto source = read_source(path);
+        if (!source)
+        {
+            return std::nullopt;
+        }
+        sources.push_back(std::move(*source));
+    }
+    return protocol::read_config(sources, base);
+}
+
+auto run_check(command_context& context) -> exit_status
+{
+    auto const document = read_folder(context.arguments.front(), {});
+    if (!document)
+    {
+        return report_input_error();
+    }
+    print_line(fmt::format(
+        "no problems: {} teams, {} services, {} jobs", document->teams.size(),
+        document->services.size(), document->jobs.size()));
+    return exit_status::done;
+}
+
+auto report_conflict(api_answer const& answer, core::generation base)
+    -> exit_status
+{
+    report(answer);
+    print_error(fmt::format("changes since generation {}:", base.value));
+    for (auto const& line : conflicting_changes(answer))
+    {
+        print_error("  " + line);
+    }
+    print_error("nothing was published; merge these changes and publish again");
+    return exit_status::conflict;
+}
+
+// Returns a conflict if the document has left the generation that the
+// operator's files are based on.
+auto check_base(command_context const& context, core::generation in_force)
+    -> exit_status
+{
+    if (context.options.count("base") == 0)
+    {
+        return exit_status::done;
+    }
+    auto const base = context.options["base"].as<std::uint64_t>();
+    if (base == in_force.value)
+    {
+        return exit_status::done;
+    }
+    print_error(fmt::format(
+        "conflict: generation {} is in force, not {}; compare with publish "
+        "--dry-run, then publish without --base",
+        in_force.value, base));
+    return exit_status::conflict;
+}
+
+auto summary_of(
+    command_context const& context, std::vector<std::string> const& changes)
+    -> std::string
+{
+    constexpr auto most_length = std::size_t{200};
+    if (context.options.count("summary") != 0)
+    {
+        return context.options["summary"].as<std::string>();
+    }
+    return fmt::format("{}", fmt::join(changes, "; ")).substr(0, most_length);
+}
+
+auto publish(
+    command_context& context, state::config_document const& document,
+    std::vector<std::string> const& changes) -> exit_status
+{
+    auto const author = author_of(context);
+    if (!author)
+    {
+        return report_input_error();
+    }
+    auto const answer = publish_document(
+        context.client, document, *author, summary_of(context, changes));
+    if (answer.status == exit_status::conflict)
+    {
+        return report_conflict(answer, document.number);
+    }
+    if (answer.status != exit_status::done)
+    {
+        return report(answer);
+    }
+    if (context.json)
+    {
+        print_line(answer.body);
+        return exit_status::done;
+    }
+    print_line(
+        fmt::format("published generation {}", published_generation(answer)));
+    return exit_status::done;
+}
+
+auto run_publish(command_context& context) -> exit_status
+{
+    auto const base = read_document(context.client);
+    if (!base.document)
+    {
+        return report(base.answer);
+    }
+    auto const status = check_base(context, base.document->number);
+    if (status != exit_status::done)
+    {
+        return status;
+    }
+    auto const document =
+        read_folder(context.arguments.front(), *base.document);
+    if (!document)
+    {
+        return report_input_error();
+    }
+    auto const changes = protocol::describe_changes(*base.document, *document);
+    if (!context.json)
+    {
+        for (auto const& line : changes)
+        {
+            print_line(line);
+        }
+    }
+    if (context.options.count("dry-run") != 0 || changes.empty())
+    {
+        auto const number = base.document->number.value;
+        print_line(
+            context.json
+                ? nlohmann::json{{"generation", number}, {"changes", changes}}
+                      .dump()
+                : fmt::format(
+                      "{} changes to generation {}, nothing published",
+                      changes.size(), number));
+        return exit_status::done;
+    }
+    return publish(context, *document, changes);
+}
+
+auto show_document(command_context& context) -> exit_status
+{
+    auto const answer = context.client.get("/v1/config");
+    if (answer.status != exit_status::done)
+    {
+        return report(answer);
+    }
+    constexpr auto indent = 2;
+    print_line(nlohmann::json::parse(answer.body).dump(indent));
+    return exit_status::done;
+}
+
+auto run_config(command_context& context) -> exit_status
+{
+    if (context.options.count("document") != 0)
+    {
+        return show_document(context);
+    }
+    auto const found = find_instances(context.client);
+    if (found.answer.status != exit_status::done)
+    {
+        return report(found.answer);
+    }
+    auto rows = std::vector<table_row>{};
+    auto list = nlohmann::json::array();
+    for (auto const& it : found.instances)
+    {
+        auto const answer = call_instance(context.client, it, "/v1/status");
+        auto const reached = answer.status == exit_status::done;
+        auto const number = reached ? nlohmann::json::parse(answer.body)
+                                          .value("generation", std::uint64_t{0})
+                                    : it.generation;
+        rows.push_back(
+            {it.name, std::to_string(number), reached ? "yes" : "no"});
+        list.push_back(
+            {{"instance", it.name},
+             {"generation", number},
+             {"reached", reached}});
+    }
+    context.json ? print_line(list.dump())
+                 : print_table({"INSTANCE", "GENERATION", "REACHED"}, rows);
+    return exit_status::done;
+}
+
+} // namespace
+
+auto config_commands() -> std::vector<command>
+{
+    auto const check = command{
+        "check",
+        "DIR",
+        "Checks all *.ini files below DIR; needs no daemon.",
+        "  godwitcleatctl check services/\n",
+        1,
+        1,
+        {},
+        run_check};
+    auto const publish = command{
+        "publish",
+        "DIR",
+        "Publishes all *.ini files below DIR as one change. Teams, services "
+        "and jobs that are not in the files are removed; drained entries "
+        "stay.",
+        "  godwitcleatctl publish services/ --dry-run\n"
+        "  godwitcleatctl publish services/ --author ann --base 41\n",
+        1,
+        1,
+        [](cxxopts::OptionAdder add)
+        {
+            add("author", "who makes the change (default: $USER)",
+                cxxopts::value<std::string>(), "NAME");
+            add("summary", "what the change is (default: list of changes)",
+                cxxopts::value<std::string>(), "TEXT");
+            add("base", "publish only if this generation is in force",
+                cxxopts::value<std::uint64_t>(), "GEN");
+            add("dry-run", "show the changes and publish nothing");
+        },
+        run_publish};
+    auto const config = command{
+        "config",
+        "",
+        "Shows the generation in force on each instance.",
+        "  godwitcleatctl config\n"
+        "  godwitcleatctl config --document\n",
+        0,
+        0,
+        [](cxxopts::OptionAdder add)
+        { add("document", "show the configuration document instead"); },
+        run_config};
+    return {check, publish, config};
+}
+
+} // namespace godwitcleat::ctl
--- /dev/null
+++ b/programs/godwitcleatctl/view_command_func.cpp
@@ -0,0 +1,187 @@
+/** @file view_command_func.cpp The commands services, workers, status, metrics.
+ */
+#include "view_command_func.hpp"
+
+#include "api_client_base.hpp"
+#include "output_func.hpp"
+#include "protocol/protocol.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <nlohmann/json.hpp>
+
+namespace godwitcleat::ctl
+{
+
+namespace
+{
+
+auto yes_no(bool value) -> std::string
+{
+    return value ? "yes" : "no";
+}
+
+// Reads a target; prints it as it is with --json, otherwise with `show`.
+auto view(
+    command_context& context, std::string_view target,
+    std::function<exit_status(std::string const& body)> const& show_body)
+    -> exit_status
+{
+    auto const answer = context.client.get(target);
+    if (answer.status != exit_status::done)
+    {
+        return report(answer);
+    }
+    if (!context.json)
+    {
+        return show_body(answer.body);
+    }
+    print_line(answer.body);
+    return exit_status::done;
+}
+
+auto show_services(std::string const& body) -> exit_status
+{
+    auto rows = std::vector<table_row>{};
+    for (auto const& service : nlohmann::json::parse(body))
+    {
+        for (auto const& it : service.at("endpoints"))
+        {
+            rows.push_back(
+                {service.value("service", ""), it.value("backend_server", ""),
+                 it.value("address", ""), it.value("data_centre", ""),
+                 yes_no(it.value("leaving", false))});
+        }
+    }
+    print_table(
+        {"SERVICE", "BACKEND_SERVER", "ADDRESS", "DATA_CENTRE", "LEAVING"},
+        rows);
+    return exit_status::done;
+}
+
+auto show_workers(std::string const& body) -> exit_status
+{
+    auto const workers = protocol::workers_from_json(body);
+    if (!workers)
+    {
+        print_error(core::last_reason().message);
+        return exit_status::refused;
+    }
+    auto rows = std::vector<table_row>{};
+    for (auto const& it : *workers)
+    {
+        rows.push_back(
+            {it.info.worker.value, it.info.rack.value,
+             it.info.data_centre.value, std::to_string(it.shard.value),
+             it.state, std::to_string(it.tasks), show(it.committed),
+             show(it.info.capacity)});
+    }
+    print_table(
+        {"WORKER", "RACK", "DATA_CENTRE", "SHARD", "STATE", "TASKS",
+         "COMMITTED", "CAPACITY"},
+        rows);
+    return exit_status::done;
+}
+
+// Returns the numbers of shards, which are objects or plain numbers.
+auto shard_numbers(nlohmann::json const& owner) -> std::string
+{
+    auto numbers = std::vector<std::uint64_t>{};
+    for (auto const& it : owner.value("shards", nlohmann::json::array()))
+    {
+        numbers.push_back(
+            it.is_object() ? it.value("shard", std::uint64_t{0})
+                           : it.get<std::uint64_t>());
+    }
+    return numbers.empty() ? "-" : fmt::format("{}", fmt::join(numbers, ","));
+}
+
+auto show_status(std::string const& body) -> exit_status
+{
+    auto const root = nlohmann::json::parse(body);
+    print_line(fmt::format(
+        "instance {} in {}: ready={} store_reachable={}",
+        root.value("instance", ""), root.value("data_centre", ""),
+        yes_no(root.value("ready", false)),
+        yes_no(root.value("store_reachable", false))));
+    auto const number = [](nlohmann::json const& it)
+    {
+        return std::to_string(it.value("generation", std::uint64_t{0}));
+    };
+    auto rows = std::vector<table_row>{
+        {root.value("instance", ""), "-", number(root), "no",
+         shard_numbers(root)}};
+    for (auto const& it : root.value("peers", nlohmann::json::array()))
+    {
+        rows.push_back(
+            {it.value("instance", ""), it.value("control_address", ""),
+             number(it), yes_no(it.value("suspect", false)),
+             shard_numbers(it)});
+    }
+    print_table(
+        {"INSTANCE", "CONTROL", "GENERATION", "SUSPECT", "SHARDS"}, rows);
+    return exit_status::done;
+}
+
+auto print_body(std::string const& body) -> exit_status
+{
+    print_line(body);
+    return exit_status::done;
+}
+
+} // namespace
+
+auto view_commands() -> std::vector<command>
+{
+    auto const services = command{
+        "services",
+        "",
+        "Lists the backend servers of all services.",
+        "  godwitcleatctl services\n",
+        0,
+        0,
+        {},
+        [](command_context& context)
+        {
+            return view(context, "/v1/services", show_services);
+        }};
+    auto const workers = command{
+        "workers",
+        "",
+        "Lists all workers with state and committed resources.",
+        "  godwitcleatctl workers --json\n",
+        0,
+        0,
+        {},
+        [](command_context& context)
+        {
+            return view(context, "/v1/workers", show_workers);
+        }};
+    auto const status = command{
+        "status",
+        "",
+        "Shows the daemon, its peers and the owners of shards.",
+        "  godwitcleatctl status --daemon 10.0.0.4:7001\n",
+        0,
+        0,
+        {},
+        [](command_context& context)
+        {
+            return view(context, "/v1/status", show_status);
+        }};
+    auto const metrics = command{
+        "metrics",
+        "",
+        "Shows the daemon's metrics as Prometheus text.",
+        "  godwitcleatctl metrics\n",
+        0,
+        0,
+        {},
+        [](command_context& context)
+        {
+            return view(context, "/v1/metrics", print_body);
+        }};
+    return {services, workers, status, metrics};
+}
+
+} // namespace godwitcleat::ctl
