Read and check the daemon's settings

All problems are reported together with file, line, key and remedy. Besides the ranges of each key, the lease must last at least 4 heartbeats, so that a worker can lose three of them, and the three ports must differ.

--- /dev/null
+++ b/coordination/daemon_settings_base.cpp
@@ -0,0 +1,331 @@
+/** @file daemon_settings_base.cpp Reads and checks the daemon's settings. */
+#include "coordination/daemon_settings_base.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+namespace
+{
+
+// A worker must be able to lose three heartbeats without losing its lease.
+constexpr auto heartbeats_per_lease = 4;
+
+class settings_reader
+{
+public:
+    explicit settings_reader(core::ini_file const& file)
+        : file_(file)
+    {
+    }
+
+    auto read() -> std::optional<daemon_settings>
+    {
+        read_instance();
+        read_outside();
+        read_scheduler();
+        read_gateway();
+        read_limits();
+        check_sections();
+        check_times();
+        check_ports();
+        if (!problems_.empty())
+        {
+            return core::fail(
+                core::error_kind::invalid_input,
+                fmt::format("{}", fmt::join(problems_, "\n")));
+        }
+        return std::move(settings_);
+    }
+
+private:
+    // Reads the section `name`, or an empty one if the file has none.
+    template <class Read>
+    auto in_section(std::string_view name, Read read) -> void
+    {
+        known_.emplace(name);
+        auto section = core::ini_section{std::string{name}, 1, {}};
+        for (auto const& it : file_.sections)
+        {
+            if (it.name == name)
+            {
+                section = it;
+            }
+        }
+        auto reader = core::ini_reader{file_.path, section};
+        read(reader);
+        for (auto& problem : reader.finish())
+        {
+            problems_.push_back(std::move(problem));
+        }
+    }
+
+    static auto read_ms(
+        core::ini_reader& reader, std::string_view key, core::duration& value,
+        std::int64_t least, std::int64_t most) -> void
+    {
+        using ms = std::chrono::milliseconds;
+        auto const fallback = std::chrono::duration_cast<ms>(value).count();
+        value = ms{reader.number(key, fallback, least, most, "milliseconds")};
+    }
+
+    template <class Number>
+    static auto read_number(
+        core::ini_reader& reader, std::string_view key, Number& value,
+        std::int64_t least, std::int64_t most, std::string_view unit) -> void
+    {
+        value = static_cast<Number>(reader.number(
+            key, static_cast<std::int64_t>(value), least, most, unit));
+    }
+
+    // Reports an address that cannot be parsed or has no port.
+    static auto
+    parse(core::ini_reader& reader, std::string_view key, std::string_view text)
+        -> std::optional<transport::endpoint>
+    {
+        auto address = transport::parse_endpoint(text);
+        if (!address)
+        {
+            reader.problem(
+                key, fmt::format("is \"{}\"; use ADDRESS:PORT", text));
+        }
+        else if (address->port == 0)
+        {
+            reader.problem(key, "has port 0; use a port from 1 to 65535");
+        }
+        return address;
+    }
+
+    static auto required_address(core::ini_reader& reader, std::string_view key)
+        -> transport::endpoint
+    {
+        auto const text = reader.required_text(key);
+        return text.empty()
+                   ? transport::endpoint{}
+                   : parse(reader, key, text).value_or(transport::endpoint{});
+    }
+
+    static auto address_or(
+        core::ini_reader& reader, std::string_view key,
+        transport::endpoint const& fallback) -> transport::endpoint
+    {
+        auto const text = reader.text(key, "");
+        return text.empty() ? fallback
+                            : parse(reader, key, text).value_or(fallback);
+    }
+
+    static auto addresses(core::ini_reader& reader)
+        -> std::vector<transport::endpoint>
+    {
+        auto result = std::vector<transport::endpoint>{};
+        for (auto const& text : reader.list("addresses"))
+        {
+            if (auto address = parse(reader, "addresses", text))
+            {
+                result.push_back(std::move(*address));
+            }
+        }
+        return result;
+    }
+
+    auto read_instance() -> void
+    {
+        in_section(
+            "instance",
+            [this](core::ini_reader& reader)
+            {
+                auto& it = settings_;
+                it.name = core::instance_id{reader.required_text("name")};
+                it.data_centre =
+                    core::data_centre_id{reader.required_text("data_centre")};
+                it.gateway = required_address(reader, "gateway");
+                it.control = required_address(reader, "control");
+                it.peer = required_address(reader, "peer");
+                it.advertise_gateway =
+                    address_or(reader, "advertise_gateway", it.gateway);
+                it.advertise_control =
+                    address_or(reader, "advertise_control", it.control);
+                it.advertise_peer =
+                    address_or(reader, "advertise_peer", it.peer);
+            });
+    }
+
+    auto read_outside() -> void
+    {
+        in_section(
+            "store",
+            [this](core::ini_reader& reader)
+            {
+                settings_.store = addresses(reader);
+                if (reader.list("addresses").empty())
+                {
+                    reader.problem(
+                        "addresses", "is missing; add ADDRESS:PORT, ...");
+                }
+                read_ms(
+                    reader, "timeout_ms", settings_.store_timeout, 50, 60'000);
+            });
+        in_section(
+            "platform",
+            [this](core::ini_reader& reader)
+            {
+                auto const text = reader.text("instances", "");
+                if (!text.empty())
+                {
+                    settings_.instances = parse(reader, "instances", text);
+                }
+                read_ms(
+                    reader, "instances_interval_ms",
+                    settings_.instances_interval, 100, 600'000);
+                read_ms(
+                    reader, "instances_lag_ms", settings_.instances_lag, 0,
+                    3'600'000);
+            });
+        in_section(
+            "peers", [this](core::ini_reader& reader)
+            { settings_.peers = addresses(reader); });
+    }
+
+    auto read_scheduler() -> void
+    {
+        in_section(
+            "scheduler",
+            [this](core::ini_reader& reader)
+            {
+                auto& it = settings_;
+                read_number(reader, "shards", it.shards, 1, 1024, "shards");
+                read_ms(reader, "heartbeat_ms", it.heartbeat, 10, 60'000);
+                read_ms(reader, "lease_ms", it.lease, 40, 600'000);
+                read_ms(reader, "tick_ms", it.tick, 1, 10'000);
+                read_ms(
+                    reader, "start_validity_ms", it.start_validity, 10, 60'000);
+            });
+    }
+
+    auto read_gateway() -> void
+    {
+        in_section(
+            "gateway",
+            [this](core::ini_reader& reader)
+            {
+                auto& it = settings_;
+                read_number(
+                    reader, "connections_per_backend",
+                    it.connections_per_backend, 1, 1024, "connections");
+                read_number(
+                    reader, "retry_percent", it.retry_percent, 0, 100,
+                    "retries per 100 requests");
+                read_number(
+                    reader, "most_in_flight", it.most_in_flight, 1, 1'000'000,
+                    "requests");
+            });
+    }
+
+    auto read_limits() -> void
+    {
+        in_section(
+            "log",
+            [this](core::ini_reader& reader)
+            {
+                auto const text = reader.text("level", "info");
+                auto const level = core::parse_log_level(text);
+                if (!level)
+                {
+                    reader.problem(
+                        "level",
+                        fmt::format(
+                            "is \"{}\"; use debug, info, warn or error", text));
+                }
+                settings_.level = level.value_or(core::log_level::info);
+            });
+        in_section(
+            "limits",
+            [this](core::ini_reader& reader)
+            {
+                auto& it = settings_;
+                read_number(reader, "threads", it.threads, 1, 256, "threads");
+                read_number(
+                    reader, "timeline_events", it.timeline_events, 1,
+                    10'000'000, "events");
+                read_ms(reader, "drain_delay_ms", it.drain_delay, 0, 600'000);
+                read_ms(
+                    reader, "drain_timeout_ms", it.drain_timeout, 0, 3'600'000);
+            });
+    }
+
+    auto check_sections() -> void
+    {
+        for (auto const& it : file_.sections)
+        {
+            if (!known_.contains(it.name))
+            {
+                problems_.push_back(fmt::format(
+                    "{}:{}: section [{}] is unknown; remove it or use one of: "
+                    "{}",
+                    file_.path, it.line, it.name, fmt::join(known_, ", ")));
+            }
+        }
+    }
+
+    auto check_times() -> void
+    {
+        if (settings_.lease < heartbeats_per_lease * settings_.heartbeat)
+        {
+            problems_.push_back(fmt::format(
+                "{}: keys \"lease_ms\" and \"heartbeat_ms\" in [scheduler] "
+                "conflict; make the lease at least {} heartbeats long",
+                file_.path, heartbeats_per_lease));
+        }
+    }
+
+    auto check_ports() -> void
+    {
+        auto const all = std::vector<
+            std::pair<std::string_view, transport::endpoint const&>>{
+            {"gateway", settings_.gateway},
+            {"control", settings_.control},
+            {"peer", settings_.peer}};
+        auto used = std::map<std::uint16_t, std::string_view>{};
+        for (auto const& [key, address] : all)
+        {
+            auto const [it, inserted] = used.emplace(address.port, key);
+            if (!inserted && address.port != 0)
+            {
+                problems_.push_back(fmt::format(
+                    "{}: keys \"{}\" and \"{}\" in [instance] both use port "
+                    "{}; give each its own port",
+                    file_.path, it->second, key, address.port));
+            }
+        }
+    }
+
+    core::ini_file const& file_;
+    daemon_settings settings_;
+    std::set<std::string, std::less<>> known_;
+    std::vector<std::string> problems_;
+};
+
+} // namespace
+
+auto parse_daemon_settings(std::string_view text, std::string_view path)
+    -> std::optional<daemon_settings>
+{
+    auto const file = core::parse_ini(text, path);
+    return file ? settings_reader{*file}.read() : std::nullopt;
+}
+
+auto load_daemon_settings(std::string const& path)
+    -> std::optional<daemon_settings>
+{
+    auto const file = core::read_ini(path);
+    return file ? settings_reader{*file}.read() : std::nullopt;
+}
+
+} // namespace godwitcleat::coordination
--- /dev/null
+++ b/coordination/daemon_settings_base.hpp
@@ -0,0 +1,73 @@
+/** @file daemon_settings_base.hpp The daemon's settings file. */
+#ifndef GODWITCLEAT_COORDINATION_DAEMON_SETTINGS_BASE_HPP
+#define GODWITCLEAT_COORDINATION_DAEMON_SETTINGS_BASE_HPP
+
+#include "core/core.hpp"
+#include "transport/transport.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace godwitcleat::coordination
+{
+
+/** Checked settings of one daemon; docs/configuration.md lists the keys. */
+struct daemon_settings
+{
+    core::instance_id name;
+    core::data_centre_id data_centre;
+    transport::endpoint gateway;           ///< Listens here for callers.
+    transport::endpoint control;           ///< Operators and workers.
+    transport::endpoint peer;              ///< Other daemons.
+    transport::endpoint advertise_gateway; ///< As others reach `gateway`.
+    transport::endpoint advertise_control; ///< As others reach `control`.
+    transport::endpoint advertise_peer;    ///< As others reach `peer`.
+
+    std::vector<transport::endpoint> store; ///< At least one.
+    core::duration store_timeout = std::chrono::seconds{2};
+
+    std::optional<transport::endpoint> instances; ///< The platform's list.
+    core::duration instances_interval = std::chrono::seconds{2};
+    core::duration instances_lag = std::chrono::seconds{30};
+
+    std::vector<transport::endpoint> peers; ///< May hold the own address.
+
+    std::uint32_t shards = 16;
+    core::duration heartbeat = std::chrono::milliseconds{500};
+    core::duration lease = std::chrono::seconds{4};
+    core::duration tick = std::chrono::milliseconds{100};
+    core::duration start_validity = std::chrono::seconds{2};
+
+    std::size_t connections_per_backend = 9;
+    std::uint32_t retry_percent = 10; ///< Retries per 100 requests.
+    std::size_t most_in_flight = 4096;
+
+    core::log_level level = core::log_level::info;
+
+    std::size_t threads = 2;
+    std::size_t timeline_events = 20'000;
+    core::duration drain_delay = std::chrono::seconds{2};
+    core::duration drain_timeout = std::chrono::seconds{30};
+};
+
+/**
+ * Reads the settings from INI text.
+ * @param path names the file in messages.
+ * @return std::nullopt with invalid_input; the message has one line for each
+ *         problem, with file, line, key and remedy.
+ */
+auto parse_daemon_settings(std::string_view text, std::string_view path)
+    -> std::optional<daemon_settings>;
+
+/** Reads the file @p path; also fails with not_found. */
+auto load_daemon_settings(std::string const& path)
+    -> std::optional<daemon_settings>;
+
+} // namespace godwitcleat::coordination
+
+#endif
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,9 +1,11 @@
 /** @file settings_test.cpp Operators' files and the daemon's settings. */
+#include "coordination/coordination.hpp"
 #include "protocol/protocol.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,6 +14,7 @@
 namespace core = godwitcleat::core;
 namespace state = godwitcleat::state;
 namespace protocol = godwitcleat::protocol;
+namespace coordination = godwitcleat::coordination;
 
 namespace
 {
@@ -239,3 +242,101 @@
         protocol::describe_changes(*after, *before).back(),
         "data centre north undrained");
 }
+
+namespace
+{
+
+constexpr std::string_view daemon_text = "[instance]\n"
+                                         "name = entry-1\n"
+                                         "data_centre = north\n"
+                                         "gateway = 10.0.0.4:8080\n"
+                                         "control = 10.0.0.4:7001\n"
+                                         "peer = 10.0.0.4:7002\n"
+                                         "[store]\n"
+                                         "addresses = 10.0.0.9:2379\n"
+                                         "[scheduler]\n"
+                                         "heartbeat_ms = 500\n"
+                                         "lease_ms = 4000\n";
+
+// Parses daemon_text with one line replaced; returns the problems.
+auto settings_problem(std::string_view line, std::string_view replacement)
+    -> std::string
+{
+    auto text = std::string{daemon_text};
+    text.replace(text.find(line), line.size(), replacement);
+    core::fail(core::error_kind::none, "");
+    auto const settings = coordination::parse_daemon_settings(text, "d.ini");
+    EXPECT_EQ(settings.has_value(), core::last_reason().message.empty());
+    return core::last_reason().message;
+}
+
+} // namespace
+
+// Guards against settings that are read into the wrong member, and against
+// defaults that differ from docs/configuration.md.
+TEST(daemon_settings, reads_keys_and_defaults)
+{
+    auto const settings =
+        coordination::parse_daemon_settings(daemon_text, "d.ini");
+    ASSERT_TRUE(settings) << core::last_reason().message;
+    EXPECT_EQ(settings->name.value, "entry-1");
+    EXPECT_EQ(settings->data_centre.value, "north");
+    EXPECT_EQ(settings->gateway.port, 8080);
+    EXPECT_EQ(settings->control.port, 7001);
+    EXPECT_EQ(settings->advertise_peer, settings->peer);
+    EXPECT_EQ(settings->store.size(), 1U);
+    EXPECT_EQ(settings->lease, std::chrono::seconds{4});
+    EXPECT_EQ(settings->shards, 16U);
+    EXPECT_FALSE(settings->instances.has_value());
+    EXPECT_TRUE(settings->peers.empty());
+}
+
+// Guards against a daemon that starts with settings that break its promises.
+TEST(daemon_settings, refuses_conflicting_values)
+{
+    EXPECT_NE(
+        settings_problem("lease_ms = 4000", "lease_ms = 1999")
+            .find("at least 4 heartbeats"),
+        std::string::npos);
+    EXPECT_EQ(settings_problem("lease_ms = 4000", "lease_ms = 2000"), "");
+    EXPECT_NE(
+        settings_problem("peer = 10.0.0.4:7002", "peer = 10.0.0.4:7001")
+            .find("both use port 7001"),
+        std::string::npos);
+    EXPECT_EQ(
+        settings_problem(
+            "[scheduler]",
+            "[peers]\naddresses = 10.0.0.4:7002, 10.0.0.5:7002\n[scheduler]"),
+        "");
+}
+
+// Guards against problems that do not tell the operator where to look.
+TEST(daemon_settings, names_file_line_and_key)
+{
+    EXPECT_EQ(
+        settings_problem("name = entry-1", "names = entry-1")
+            .find("d.ini:2: key \"name\" in [instance] is missing"),
+        0U);
+    EXPECT_EQ(
+        settings_problem("peer = 10.0.0.4:7002", "peer = entry:x")
+            .find("d.ini:6: key \"peer\" in [instance] is \"entry:x\""),
+        0U);
+    EXPECT_EQ(
+        settings_problem("heartbeat_ms = 500", "heartbeat = 500")
+            .find("d.ini:10: key \"heartbeat\" in [scheduler] is unknown"),
+        0U);
+    EXPECT_NE(
+        settings_problem("[scheduler]", "[schedule]").find("[schedule]"),
+        std::string::npos);
+    EXPECT_NE(
+        settings_problem("addresses = 10.0.0.9:2379", "timeout_ms = 90")
+            .find("key \"addresses\" in [store] is missing"),
+        std::string::npos);
+}
+
+// Guards against crashes and exceptions on any text.
+RC_GTEST_PROP(daemon_settings, survives_any_text, (std::string const& text))
+{
+    coordination::parse_daemon_settings(text, "d.ini");
+    coordination::parse_daemon_settings("[instance]\nname = " + text, "d.ini");
+}
