--- a/programs/godwitcleatctl/main.cpp
+++ b/programs/godwitcleatctl/main.cpp
@@ -20,7 +20,6 @@
 namespace
 {
 
-namespace core = godwitcleat::core;
 namespace ctl = godwitcleat::ctl;
 namespace transport = godwitcleat::transport;
 
