--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -5,6 +5,7 @@
 #include "coordination/admission_base.hpp"
 #include "coordination/config_follower_base.hpp"
 #include "coordination/control_base.hpp"
+#include "coordination/daemon_settings_base.hpp"
 #include "coordination/etcd_func.hpp"
 #include "coordination/etcd_store_base.hpp"
 #include "coordination/forwarding_base.hpp"
