--- a/core/id_type.hpp
+++ b/core/id_type.hpp
@@ -22,7 +22,7 @@
         : value(std::move(text))
     {
     }
-    auto operator<=>(string_id const&) const = default;
+    auto operator<=>(string_id const&) const = default; // NOLINT
 
     /** Returns true if no identifier is set. */
     [[nodiscard]] auto empty() const -> bool
@@ -42,7 +42,7 @@
         : value(number)
     {
     }
-    auto operator<=>(number_id const&) const = default;
+    auto operator<=>(number_id const&) const = default; // NOLINT
 
     /** Returns the following number. */
     [[nodiscard]] auto next() const -> number_id
--- /dev/null
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -0,0 +1,591 @@
+/** @file daemon_base.cpp All parts of one daemon, put together. */
+#include "programs/godwitcleatd/daemon_base.hpp"
+
+#include "protocol/protocol.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace godwitcleat::daemon
+{
+
+namespace
+{
+
+constexpr auto peer_interval = std::chrono::milliseconds{500};
+constexpr auto drain_poll_interval = std::chrono::milliseconds{50};
+constexpr auto config_fetch_timeout = std::chrono::seconds{1};
+
+// All shards of the system together stay within this rate.
+constexpr std::int64_t most_writes_per_second = 250;
+
+auto host_settings(coordination::daemon_settings const& settings)
+    -> coordination::shard_host_settings
+{
+    auto result = coordination::shard_host_settings{};
+    result.engine.lease = settings.lease;
+    result.engine.heartbeat_interval = settings.heartbeat;
+    result.engine.start_validity = settings.start_validity;
+    result.engine.shard_count = settings.shards;
+    result.batch_interval =
+        core::duration{std::chrono::seconds{settings.shards}} /
+        most_writes_per_second;
+    return result;
+}
+
+auto ownership_settings(coordination::daemon_settings const& settings)
+    -> coordination::ownership_settings
+{
+    auto result = coordination::ownership_settings{};
+    result.shard_count = settings.shards;
+    return result;
+}
+
+auto store_settings(coordination::daemon_settings const& settings)
+    -> coordination::etcd_store_settings
+{
+    auto result = coordination::etcd_store_settings{};
+    result.addresses = settings.store;
+    // A call must end before the lease has to be renewed again.
+    result.timeout = std::min(settings.store_timeout, result.timeout);
+    return result;
+}
+
+auto backend_limits(coordination::daemon_settings const& settings)
+    -> transport::http_client_limits
+{
+    auto result = transport::http_client_limits{};
+    result.connections_per_endpoint = settings.connections_per_backend;
+    return result;
+}
+
+auto router_settings(coordination::daemon_settings const& settings)
+    -> coordination::router_settings
+{
+    auto result = coordination::router_settings{};
+    result.connections =
+        static_cast<std::uint32_t>(settings.connections_per_backend);
+    return result;
+}
+
+auto seed_from(std::string_view text) -> std::uint64_t
+{
+    return core::stable_hash(text);
+}
+
+} // namespace
+
+entry_daemon::entry_daemon(
+    coordination::daemon_settings settings, core::logger log)
+    : settings_(std::move(settings))
+    , log_(std::move(log))
+    , events_(settings_.name, settings_.timeline_events)
+    , random_(seed_from(boot_id_))
+    , instances_(settings_.instances_lag)
+    , loop_(settings_.threads)
+    , platform_client_(loop_, {})
+    , backend_client_(loop_, backend_limits(settings_))
+    , peer_client_(loop_, {})
+    , call_peer_(coordination::make_peer_call(peer_client_))
+    , store_(
+          coordination::send_through(platform_client_), now_,
+          log_.with_prefix("store"), store_settings(settings_))
+    , config_(
+          store_, now_, log_.with_prefix("config"),
+          coordination::msgpack_config_codec())
+    , logs_(store_, config_, now_, log_.with_prefix("shard"))
+    , peers_(settings_.name, {}, peer_hooks(), log_)
+    , host_(host_settings(settings_), host_hooks(), log_)
+    , ownership_(
+          store_, now_, log_.with_prefix("shard"), settings_.name, boot_id_,
+          ownership_settings(settings_),
+          {[this](auto const& change)
+           {
+               ownership_changed(change);
+           }})
+    , forwarding_(host_, peers_, call_peer_, settings_.shards, now_)
+    , router_(
+          now_, random_, coordination::default_policy(),
+          router_settings(settings_))
+    , gateway_(gateway_parts())
+    , peer_server_(
+          peers_, host_, events_, [this] { return config_.current().document; },
+          now_)
+    , control_server_(control_hooks())
+{
+    if (settings_.instances)
+    {
+        fetch_instances_ = coordination::make_fetch_instances(
+            platform_client_, *settings_.instances);
+    }
+}
+
+entry_daemon::~entry_daemon()
+{
+    timers_.clear();
+    loop_.stop();
+}
+
+auto entry_daemon::peer_hooks() -> coordination::peer_hooks
+{
+    return {
+        call_peer_, [this] { return own_update(); },
+        [this](auto const& update)
+        {
+            handle_update(update);
+        }};
+}
+
+auto entry_daemon::host_hooks() -> coordination::shard_host_hooks
+{
+    auto hooks = coordination::shard_host_hooks{};
+    hooks.load = [this](auto shard, auto, auto on_done)
+    {
+        logs_.load(shard, std::move(on_done));
+    };
+    hooks.append =
+        [this](auto shard, auto, auto const& batch, auto number, auto on_done)
+    {
+        metrics_.count("log_appends");
+        logs_.append(shard, batch, number, std::move(on_done));
+    };
+    hooks.snapshot_due = [this](auto shard)
+    {
+        return logs_.snapshot_due(shard);
+    };
+    hooks.write_snapshot = [this](auto shard, auto const& data, auto on_done)
+    {
+        logs_.write_snapshot(shard, data, std::move(on_done));
+    };
+    hooks.full = [this](auto shard)
+    {
+        return logs_.full(shard);
+    };
+    hooks.send = [this](auto request, auto on_done)
+    {
+        forwarding_.send(std::move(request), std::move(on_done));
+    };
+    hooks.former_owner_stopped = [this](auto shard, auto owner_epoch)
+    {
+        return former_owner_stopped(shard, owner_epoch);
+    };
+    hooks.on_lost = [this](auto shard)
+    {
+        logs_.close(shard);
+        ownership_.release(shard);
+    };
+    hooks.config = [this]
+    {
+        return config_.current().document;
+    };
+    hooks.other_summaries = [this]
+    {
+        return peers_.summaries(now_());
+    };
+    hooks.on_event = [this](auto event)
+    {
+        events_.record(std::move(event));
+    };
+    hooks.post = [this](auto task)
+    {
+        loop_.post(std::move(task));
+    };
+    hooks.now = now_;
+    return hooks;
+}
+
+auto entry_daemon::gateway_parts() -> coordination::gateway_parts
+{
+    auto const find_service = [this](core::service_id const& service)
+        -> std::optional<state::service_config>
+    {
+        auto const document = config_.current().document;
+        auto const it = document->services.find(service);
+        if (it == document->services.end())
+        {
+            return std::nullopt;
+        }
+        return it->second;
+    };
+    auto const send =
+        [this](auto const& where, auto request, auto timeout, auto on_done)
+    {
+        backend_client_.send(
+            where, std::move(request), timeout, std::move(on_done));
+    };
+    return {
+        now_,
+        router_,
+        find_service,
+        send,
+        metrics_,
+        events_,
+        log_.with_prefix("gateway")};
+}
+
+auto entry_daemon::control_hooks() -> coordination::control_hooks
+{
+    auto hooks = coordination::control_hooks{};
+    hooks.heartbeat = [this](auto const& report, auto on_done)
+    {
+        auto result =
+            coordination::heartbeat_result{host_.heartbeat(report), {}};
+        if (!result.reply)
+        {
+            auto const shard =
+                state::shard_of(report.info.rack, settings_.shards);
+            if (auto const owner = peers_.owner_of(shard, now_()))
+            {
+                result.owner = owner->control_address;
+            }
+        }
+        on_done(std::move(result));
+    };
+    hooks.submit = [this](auto spec, auto on_done)
+    {
+        forwarding_.submit(std::move(spec), std::move(on_done));
+    };
+    hooks.cancel = [this](auto const& id, auto reason, auto on_done)
+    {
+        forwarding_.cancel(id, std::move(reason), std::move(on_done));
+    };
+    hooks.jobs = [this](auto const& wanted, auto on_done)
+    {
+        forwarding_.jobs(wanted, std::move(on_done));
+    };
+    hooks.workers = [this](auto on_done)
+    {
+        forwarding_.workers(std::move(on_done));
+    };
+    hooks.endpoints = [this]
+    {
+        auto result = std::vector<state::service_endpoint>{};
+        for (auto const& table : router_.tables())
+        {
+            result.insert(
+                result.end(), table.endpoints.begin(), table.endpoints.end());
+        }
+        return result;
+    };
+    hooks.config = [this]
+    {
+        return config_.current().document;
+    };
+    hooks.publish = [this](auto command, auto on_done)
+    {
+        config_.publish(
+            command.base, std::move(command.author), std::move(command.summary),
+            std::move(command.document), std::move(on_done));
+    };
+    hooks.status = [this]
+    {
+        return status();
+    };
+    hooks.metrics = [this]
+    {
+        return metrics_.text();
+    };
+    hooks.timeline = [this](auto after)
+    {
+        return events_.since(after);
+    };
+    return hooks;
+}
+
+auto entry_daemon::start() -> std::optional<bool>
+{
+    peers_.add_addresses(settings_.peers);
+    if (!listen())
+    {
+        return std::nullopt;
+    }
+    start_timers();
+    log_.info(
+        "Daemon is running.", {{"instance", settings_.name.value},
+                               {"boot_id", boot_id_},
+                               {"data_centre", settings_.data_centre.value}});
+    return true;
+}
+
+auto entry_daemon::listen() -> std::optional<bool>
+{
+    auto limits = transport::http_server_limits{};
+    limits.connections = settings_.most_in_flight;
+    gateway_listener_ = transport::http_server::listen(
+        loop_, settings_.gateway, limits,
+        [this](auto request, auto reply)
+        {
+            if (request.target == "/ready")
+            {
+                constexpr int unavailable = 503;
+                auto response = transport::http_response{};
+                response.status = is_ready() ? response.status : unavailable;
+                reply(std::move(response));
+                return;
+            }
+            gateway_.handle(std::move(request), std::move(reply));
+        });
+    if (!gateway_listener_)
+    {
+        return std::nullopt;
+    }
+    control_listener_ = transport::http_server::listen(
+        loop_, settings_.control, {},
+        [this](auto request, auto reply)
+        { control_server_.handle(request, std::move(reply)); });
+    if (!control_listener_)
+    {
+        return std::nullopt;
+    }
+    peer_listener_ = transport::frame_server::listen(
+        loop_, settings_.peer, {},
+        [this](auto payload, auto reply)
+        { peer_server_.handle(payload, std::move(reply)); });
+    if (!peer_listener_)
+    {
+        return std::nullopt;
+    }
+    return true;
+}
+
+auto entry_daemon::start_timers() -> void
+{
+    timers_.push_back(loop_.every(settings_.tick, [this] { tick(); }));
+    timers_.push_back(loop_.every(peer_interval, [this] { tick_peers(); }));
+    if (fetch_instances_)
+    {
+        read_instances();
+        timers_.push_back(loop_.every(
+            settings_.instances_interval, [this] { read_instances(); }));
+    }
+}
+
+auto entry_daemon::tick() -> void
+{
+    config_.tick();
+    ownership_.tick();
+    logs_.tick();
+    host_.tick();
+    for (auto& it : host_.tables())
+    {
+        router_.update_table(std::move(it));
+    }
+}
+
+auto entry_daemon::tick_peers() -> void
+{
+    peers_.tick(now_());
+    auto live = std::vector<core::instance_id>{};
+    for (auto& it : peers_.live_instances(now_()))
+    {
+        live.emplace_back(std::move(it));
+    }
+    ownership_.set_live(live);
+    metrics_.set("peers_live", static_cast<double>(live.size()));
+    metrics_.set("shards_owned", static_cast<double>(host_.owned().size()));
+}
+
+auto entry_daemon::read_instances() -> void
+{
+    fetch_instances_(
+        [this](auto instances)
+        {
+            if (!instances)
+            {
+                log_.with_prefix("peer").warn(
+                    "Instance list was not read.",
+                    {{"reason", core::last_reason().message}});
+                return;
+            }
+            auto addresses = std::vector<transport::endpoint>{};
+            for (auto const& it : *instances)
+            {
+                auto const address = transport::parse_endpoint(it.address);
+                if (it.kind == "entry" && address)
+                {
+                    addresses.push_back(*address);
+                }
+            }
+            peers_.add_addresses(addresses);
+            instances_.update(std::move(*instances), now_());
+        });
+}
+
+auto entry_daemon::own_update() -> protocol::peer_update
+{
+    auto update = protocol::peer_update{};
+    update.instance = settings_.name;
+    update.boot_id = boot_id_;
+    update.data_centre = settings_.data_centre;
+    update.peer_address = transport::to_string(settings_.advertise_peer);
+    update.control_address = transport::to_string(settings_.advertise_control);
+    update.leaving = leaving_;
+    update.store_reachable = ownership_.store_reachable();
+    update.config = config_.current().document->number;
+    update.shards = host_.owned();
+    update.summaries = host_.summaries();
+    update.tables = router_.tables();
+    update.loads = router_.loads();
+    return update;
+}
+
+auto entry_daemon::handle_update(protocol::peer_update const& update) -> void
+{
+    for (auto const& it : update.shards)
+    {
+        host_.release_below(it.shard, it.owner_epoch);
+        ownership_.observe(it.shard, it.owner_epoch);
+    }
+    for (auto const& it : update.tables)
+    {
+        router_.update_table(it);
+    }
+    router_.update_peer(update.instance, update.loads);
+    if (update.config > config_.current().document->number)
+    {
+        fetch_config(update.peer_address);
+    }
+}
+
+auto entry_daemon::fetch_config(std::string const& peer_address) -> void
+{
+    auto const address = transport::parse_endpoint(peer_address);
+    if (!address)
+    {
+        return;
+    }
+    call_peer_(
+        *address, protocol::config_request{}, config_fetch_timeout,
+        [this](auto const& reply)
+        {
+            if (!reply)
+            {
+                return;
+            }
+            if (auto const* it = std::get_if<protocol::config_reply>(&*reply))
+            {
+                config_.offer(it->document);
+            }
+        });
+}
+
+auto entry_daemon::ownership_changed(
+    coordination::shard_ownership const& change) -> void
+{
+    if (change.state == coordination::ownership_state::unconfirmed)
+    {
+        return;
+    }
+    if (change.state == coordination::ownership_state::lost)
+    {
+        host_.release(change.shard);
+        logs_.close(change.shard);
+        return;
+    }
+    auto const owned = host_.owned();
+    auto const known = std::any_of(
+        owned.begin(), owned.end(),
+        [&change](auto const& it) {
+            return it.shard == change.shard &&
+                   it.owner_epoch == change.owner_epoch;
+        });
+    if (known)
+    {
+        return;
+    }
+    {
+        auto const lock = std::scoped_lock{former_mutex_};
+        former_[change.shard] = change.former;
+    }
+    host_.release(change.shard);
+    logs_.open(change.shard, change.epoch_revision);
+    host_.acquire(change.shard, change.owner_epoch);
+}
+
+auto entry_daemon::former_owner_stopped(
+    core::shard_id shard, core::epoch owner_epoch) -> bool
+{
+    auto former = std::vector<coordination::shard_holder>{};
+    {
+        auto const lock = std::scoped_lock{former_mutex_};
+        former = former_[shard];
+    }
+    auto const now = now_();
+    return std::all_of(
+        former.begin(), former.end(),
+        [&](auto const& it)
+        {
+            return it.instance == settings_.name ||
+                   peers_.has_stepped_down(
+                       it.instance, it.boot_id, shard, owner_epoch) ||
+                   instances_.gone_since(it.instance.value, now).has_value();
+        });
+}
+
+auto entry_daemon::is_ready() -> bool
+{
+    auto const view = config_.current();
+    auto const has_config =
+        view.head_revision.has_value() || view.document->number.value > 0;
+    return gateway_.ready() && has_config;
+}
+
+auto entry_daemon::status() -> coordination::daemon_status
+{
+    auto result = coordination::daemon_status{};
+    result.instance = settings_.name;
+    result.boot_id = boot_id_;
+    result.data_centre = settings_.data_centre;
+    result.ready = is_ready();
+    result.config = config_.current().document->number;
+    result.store_reachable = ownership_.store_reachable();
+    result.shards = host_.owned();
+    for (auto const& it : peers_.peers(now_()))
+    {
+        auto peer = coordination::peer_status{};
+        peer.instance = it.update.instance;
+        peer.control_address = it.update.control_address;
+        peer.config = it.update.config;
+        peer.suspect = it.suspect;
+        for (auto const& owned : it.update.shards)
+        {
+            peer.shards.push_back(owned.shard);
+        }
+        result.peers.push_back(std::move(peer));
+    }
+    return result;
+}
+
+auto entry_daemon::drain(std::function<void()> on_done) -> void
+{
+    log_.info("Daemon drains.", {{"in_flight", gateway_.in_flight()}});
+    leaving_ = true;
+    gateway_.drain();
+    drain_end_ = now_() + settings_.drain_delay + settings_.drain_timeout;
+    ownership_.leave([this] { log_.info("Shards are handed over."); });
+    timers_.push_back(loop_.after(
+        settings_.drain_delay,
+        [this, on_done = std::move(on_done)]
+        {
+            gateway_listener_->close_listener();
+            finish_drain(on_done);
+        }));
+}
+
+auto entry_daemon::finish_drain(std::function<void()> on_done) -> void
+{
+    auto const in_flight =
+        gateway_.in_flight() + gateway_listener_->in_flight();
+    if (in_flight == 0 || now_() >= drain_end_)
+    {
+        log_.info("Daemon stops.", {{"in_flight", in_flight}});
+        on_done();
+        return;
+    }
+    timers_.push_back(loop_.after(
+        drain_poll_interval,
+        [this, on_done = std::move(on_done)] { finish_drain(on_done); }));
+}
+
+} // namespace godwitcleat::daemon
--- /dev/null
+++ b/programs/godwitcleatd/main.cpp
@@ -0,0 +1,91 @@
+/** @file main.cpp Command line of the daemon. */
+#include "programs/godwitcleatd/daemon_base.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdio>
+#include <future>
+#include <string>
+
+namespace
+{
+
+using namespace godwitcleat;
+
+constexpr int exit_done = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+auto run(coordination::daemon_settings settings) -> int
+{
+    auto const log = core::logger{core::standard_error_sink(), settings.level};
+    auto daemon = daemon::entry_daemon{std::move(settings), log};
+    auto stopped = std::promise<void>{};
+    daemon.loop().on_signal(
+        {SIGTERM, SIGINT}, [&daemon, &stopped](int /*signal*/)
+        { daemon.drain([&stopped] { stopped.set_value(); }); });
+    if (!daemon.start())
+    {
+        log.error(
+            "Daemon did not start.", {{"reason", core::last_reason().message}});
+        return exit_failed;
+    }
+    stopped.get_future().wait();
+    return exit_done;
+}
+
+auto make_options() -> cxxopts::Options
+{
+    auto options = cxxopts::Options{
+        "godwitcleatd",
+        "Entry daemon: gateway, shard owner, configuration follower, peer.\n"
+        "Exit codes: 0 stopped by SIGTERM or SIGINT after draining, 1 failed "
+        "to start, 2 wrong usage or settings.\n"};
+    options.add_options()(
+        "settings", "Settings file (docs/configuration.md)",
+        cxxopts::value<std::string>())("check", "Check the settings and exit")(
+        "help", "Show this help");
+    return options;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    try
+    {
+        auto options = make_options();
+        auto const arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0)
+        {
+            fmt::print("{}", options.help());
+            return exit_done;
+        }
+        if (arguments.count("settings") == 0)
+        {
+            fmt::print(
+                stderr, "option --settings FILE is missing; see --help\n");
+            return exit_usage;
+        }
+        auto settings = coordination::load_daemon_settings(
+            arguments["settings"].as<std::string>());
+        if (!settings)
+        {
+            fmt::print(stderr, "{}\n", core::last_reason().message);
+            return exit_usage;
+        }
+        if (arguments.count("check") > 0)
+        {
+            fmt::print("settings are valid\n");
+            return exit_done;
+        }
+        return run(std::move(*settings));
+    }
+    catch (cxxopts::exceptions::exception const& error)
+    {
+        fmt::print(stderr, "{}; see --help\n", error.what());
+        return exit_usage;
+    }
+}
