--- a/coordination/ownership_base.cpp
+++ b/coordination/ownership_base.cpp
@@ -346,7 +346,10 @@
     held.erase(it);
     given_up[shard] = former.revision;
     changes.push(
-        {shard, ownership_state::lost, former.owner_epoch, former.revision,
+        {shard,
+         ownership_state::lost,
+         former.owner_epoch,
+         former.revision,
          {}});
     log.info(
         "Shard given up.", {{"shard", shard.value},
@@ -848,8 +851,11 @@
         return {shard, ownership_state::lost, {}, 0, {}};
     }
     return {
-        shard, self.state_now(self.clock()), it->second.owner_epoch,
-        it->second.revision, {}};
+        shard,
+        self.state_now(self.clock()),
+        it->second.owner_epoch,
+        it->second.revision,
+        {}};
 }
 
 auto ownership::held() const -> std::vector<shard_ownership>
--- a/coordination/peers_base.cpp
+++ b/coordination/peers_base.cpp
@@ -68,7 +68,7 @@
 
 peer_set::peer_set(
     core::instance_id self, peer_settings settings, peer_hooks hooks,
-    core::logger log)
+    core::logger const& log)
     : self_(std::move(self))
     , settings_(settings)
     , hooks_(std::move(hooks))
--- a/coordination/peers_base.hpp
+++ b/coordination/peers_base.hpp
@@ -71,7 +71,7 @@
 public:
     peer_set(
         core::instance_id self, peer_settings settings, peer_hooks hooks,
-        core::logger log);
+        core::logger const& log);
 
     /** Adds addresses of peer ports, from settings or the instance list. */
     auto add_addresses(std::span<transport::endpoint const> addresses) -> void;
--- a/coordination/shard_host_base.cpp
+++ b/coordination/shard_host_base.cpp
@@ -39,8 +39,9 @@
 };
 
 shard_host::shard_host(
-    shard_host_settings settings, shard_host_hooks hooks, core::logger log)
-    : settings_(std::move(settings))
+    shard_host_settings settings, shard_host_hooks hooks,
+    core::logger const& log)
+    : settings_(settings)
     , hooks_(std::move(hooks))
     , log_(log.with_prefix("shard"))
 {
--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -95,7 +95,8 @@
     using answer = state::shard_engine::answer;
 
     shard_host(
-        shard_host_settings settings, shard_host_hooks hooks, core::logger log);
+        shard_host_settings settings, shard_host_hooks hooks,
+        core::logger const& log);
     ~shard_host();
     shard_host(shard_host const&) = delete;
     auto operator=(shard_host const&) -> shard_host& = delete;
--- a/coordination/shard_logs_base.cpp
+++ b/coordination/shard_logs_base.cpp
@@ -127,7 +127,7 @@
 
 auto shard_logs::append(
     core::shard_id shard, state::record_batch const& batch,
-    std::optional<core::generation> number, done on_done) -> void
+    std::optional<core::generation> number, done const& on_done) -> void
 {
     auto const log = find(shard);
     if (!log)
@@ -160,7 +160,8 @@
 }
 
 auto shard_logs::write_snapshot(
-    core::shard_id shard, state::shard_data const& data, done on_done) -> void
+    core::shard_id shard, state::shard_data const& data, done const& on_done)
+    -> void
 {
     auto const log = find(shard);
     if (!log)
--- a/coordination/shard_logs_base.hpp
+++ b/coordination/shard_logs_base.hpp
@@ -41,12 +41,12 @@
     /** Appends @p batch; with a generation, only while it is in force. */
     auto append(
         core::shard_id shard, state::record_batch const& batch,
-        std::optional<core::generation> number, done on_done) -> void;
+        std::optional<core::generation> number, done const& on_done) -> void;
 
     /** Writes a snapshot and deletes the log entries that it covers. */
     auto write_snapshot(
-        core::shard_id shard, state::shard_data const& data, done on_done)
-        -> void;
+        core::shard_id shard, state::shard_data const& data,
+        done const& on_done) -> void;
 
     [[nodiscard]] auto snapshot_due(core::shard_id shard) const -> bool;
     [[nodiscard]] auto full(core::shard_id shard) const -> bool;
