--- a/coordination/config_follower_base.cpp
+++ b/coordination/config_follower_base.cpp
@@ -115,7 +115,7 @@
     {
         auto const lock = std::scoped_lock{mutex};
         auto const present = view.document->number;
-        if (document.number < present)
+        if (document.number < present && !settings.apply_lower_generations)
         {
             return false;
         }
--- a/coordination/config_follower_base.hpp
+++ b/coordination/config_follower_base.hpp
@@ -42,6 +42,8 @@
     core::duration settle_time = std::chrono::seconds{10};
     std::uint64_t kept_changes = 200;
     std::size_t value_limit_bytes = 1024UL * 1024; ///< Of the store's values.
+    /** Fault for tests that prove the history checks; off in use. */
+    bool apply_lower_generations = false;
 };
 
 /** Hooks of a follower. Each may be empty. */
--- a/tests/config_follower_test.cpp
+++ b/tests/config_follower_test.cpp
@@ -94,7 +94,9 @@
     std::set<std::string> workers;    ///< Of the documents that it applied.
     std::vector<std::unique_ptr<coordination::config_follower>> followers;
 
-    explicit config_fixture(std::size_t count = 1)
+    explicit config_fixture(
+        std::size_t count = 1,
+        coordination::config_follower_settings const& settings = {})
     {
         for (std::size_t i = 0; i < count; ++i)
         {
@@ -117,7 +119,7 @@
             }
             followers.push_back(std::make_unique<coordination::config_follower>(
                 store, time.reader(), core::null_logger(), test_codec(),
-                coordination::config_follower_settings{}, hooks));
+                settings, hooks));
         }
     }
 
@@ -307,6 +309,17 @@
     EXPECT_EQ(core::last_reason().kind, core::error_kind::invalid_input);
 }
 
+// Guards against a history check that accepts a reverted generation.
+TEST(config_follower, check_rejects_a_reverted_generation)
+{
+    auto settings = coordination::config_follower_settings{};
+    settings.apply_lower_generations = true;
+    auto it = config_fixture{1, settings};
+    it.followers[0]->offer(document_of("a", 2));
+    it.followers[0]->offer(document_of("b", 1));
+    EXPECT_FALSE(std::is_sorted(it.seen.begin(), it.seen.end()));
+}
+
 // Guards against a generation that reverts, against two accepted publishes of
 // one generation, and against a refused publish that comes into force, under
 // any mix of faults.
