--- /dev/null
+++ b/tests/support/shard_cluster_workers.cpp
@@ -0,0 +1,192 @@
+/** @file shard_cluster_workers.cpp Workers of the engine test cluster. */
+#include "tests/support/shard_cluster_internal.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitcleat::tests
+{
+
+using namespace std::chrono_literals;
+
+auto shard_cluster::add_workers() -> void
+{
+    auto constexpr per_rack = 2U;
+    for (std::size_t i = 0; i < workers_.size(); ++i)
+    {
+        auto& entry = workers_[i];
+        auto const rack = i / per_rack;
+        entry.info.worker = core::worker_id{fmt::format("worker-{}", i)};
+        entry.info.rack = core::rack_id{fmt::format("rack-{}", rack)};
+        entry.info.data_centre =
+            core::data_centre_id{fmt::format("dc-{}", rack % 2)};
+        entry.info.capacity = {4000, 16000, 1};
+        result_.history.capacities[entry.info.worker] = entry.info.capacity;
+        auto const drift =
+            std::uniform_real_distribution<double>{-1.0, 1.0}(engine_);
+        entry.clock_rate = 1.0 + drift * most_clock_drift;
+        boot_worker(i);
+        heartbeat_loop(i);
+        worker_tick_loop(i);
+    }
+}
+
+auto shard_cluster::worker_time(worker_entry const& entry) const
+    -> core::time_point
+{
+    auto const elapsed =
+        std::chrono::duration<double, std::nano>(now_.time_since_epoch()) *
+        entry.clock_rate;
+    return core::time_point{
+        std::chrono::duration_cast<core::duration>(elapsed)};
+}
+
+auto shard_cluster::true_time(worker_entry const& entry, core::time_point at)
+    -> core::time_point
+{
+    auto const elapsed =
+        std::chrono::duration<double, std::nano>(at.time_since_epoch()) /
+        entry.clock_rate;
+    return core::time_point{
+        std::chrono::duration_cast<core::duration>(elapsed)};
+}
+
+auto shard_cluster::boot_worker(std::size_t i) -> void
+{
+    auto& entry = workers_[i];
+    ++entry.boot;
+    auto settings = standins::worker_settings{};
+    settings.info = entry.info;
+    settings.boot = entry.boot;
+    entry.worker = std::make_unique<standins::standin_worker>(
+        settings,
+        [this, i](standins::worker_event const& event) { observe(i, event); });
+}
+
+auto shard_cluster::kill_worker(std::size_t i) -> void
+{
+    auto& entry = workers_[i];
+    for (auto [key, event] : std::exchange(entry.running, {}))
+    {
+        event.at = now_;
+        event.kind = task_event_kind::ended;
+        event.text = "worker killed";
+        result_.history.events.push_back(event);
+    }
+    boot_worker(i);
+}
+
+auto shard_cluster::worker_tick_loop(std::size_t i) -> void
+{
+    workers_[i].worker->advance(worker_time(workers_[i]));
+    after(tick_interval, [this, i] { worker_tick_loop(i); });
+}
+
+auto shard_cluster::heartbeat_loop(std::size_t i) -> void
+{
+    auto& entry = workers_[i];
+    auto const report = entry.worker->make_report(worker_time(entry));
+    auto const shard = state::shard_of(entry.info.rack, options_.shards);
+    auto const to = choose_owner(shard);
+    auto const lost = now_ < entry.cut_until || chance(0.03) || !to;
+    if (!lost)
+    {
+        auto const delay =
+            chance(0.05) ? random_ms(100, 3000) : random_ms(1, 5);
+        after(
+            delay,
+            [this, i, to, report]
+            {
+                when_awake(
+                    to, [this, i, to, report]
+                    { deliver_heartbeat(i, to, report); });
+            });
+        if (chance(0.02))
+        {
+            after(
+                random_ms(1, 2000),
+                [this, i, to, report]
+                {
+                    when_awake(
+                        to, [this, i, to, report]
+                        { deliver_heartbeat(i, to, report); });
+                });
+        }
+    }
+    after(random_ms(450, 550), [this, i] { heartbeat_loop(i); });
+}
+
+// Workers mostly know the latest owner, but may still know a former one.
+auto shard_cluster::choose_owner(core::shard_id shard) -> owner_pointer
+{
+    auto const& latest = shards_[shard.value].latest;
+    if (latest && !latest->former.empty() && chance(0.2))
+    {
+        auto const& former = latest->former.back();
+        if (former->alive)
+        {
+            return former;
+        }
+    }
+    return latest && latest->alive ? latest : nullptr;
+}
+
+auto shard_cluster::deliver_heartbeat(
+    std::size_t i, owner_pointer const& to, state::worker_report const& report)
+    -> void
+{
+    auto const reply = to->engine->heartbeat(report, now_);
+    auto const boot = workers_[i].boot;
+    if (now_ < workers_[i].cut_until || chance(0.03))
+    {
+        return;
+    }
+    auto const delay = chance(0.05) ? random_ms(100, 5000) : random_ms(1, 5);
+    after(
+        delay,
+        [this, i, boot, report, reply]
+        {
+            auto& entry = workers_[i];
+            if (entry.boot == boot && now_ >= entry.cut_until)
+            {
+                entry.worker->take_reply(
+                    report.sequence, reply, worker_time(entry));
+            }
+        });
+}
+
+auto shard_cluster::observe(std::size_t i, standins::worker_event const& event)
+    -> void
+{
+    auto& entry = workers_[i];
+    if (event.kind == standins::worker_event_kind::checkpointed)
+    {
+        entry.checkpointed.insert(event.key);
+        return;
+    }
+    auto seen = task_event{};
+    seen.at = true_time(entry, event.at);
+    seen.key = event.key;
+    seen.worker = entry.info.worker;
+    seen.data_centre = entry.info.data_centre;
+    seen.progress = event.progress;
+    seen.text = std::string{standins::to_string(event.kind)};
+    if (event.kind == standins::worker_event_kind::started)
+    {
+        entry.running[event.key] = seen;
+        ++result_.starts;
+        result_.resumes += event.progress > 0 ? 1 : 0;
+    }
+    else
+    {
+        seen.kind = task_event_kind::ended;
+        seen.finished = event.kind == standins::worker_event_kind::finished;
+        seen.checkpointed = entry.checkpointed.contains(event.key);
+        entry.running.erase(event.key);
+    }
+    result_.history.events.push_back(seen);
+}
+
+} // namespace godwitcleat::tests
