Share closing and listening between servers and clients

Changed: closing_pointer closes what it holds; listen_for opens a server's port and passes connections on.

--- a/transport/frame_base.hpp
+++ b/transport/frame_base.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_TRANSPORT_FRAME_BASE_HPP
 
 #include "core/core.hpp"
+#include "transport/closing_pointer_base.hpp"
 #include "transport/endpoint_type.hpp"
 #include "transport/reactor_base.hpp"
 
@@ -54,7 +55,7 @@
 private:
     struct implementation;
     explicit frame_server(std::shared_ptr<implementation> implementation);
-    std::shared_ptr<implementation> implementation_;
+    closing_pointer<implementation> implementation_;
 };
 
 /** Sends frames over one connection for each endpoint, reopened as needed. */
@@ -78,7 +79,7 @@
 
 private:
     struct implementation;
-    std::shared_ptr<implementation> implementation_;
+    closing_pointer<implementation> implementation_;
 };
 
 } // namespace godwitcleat::transport
--- a/transport/frame_client_base.cpp
+++ b/transport/frame_client_base.cpp
@@ -333,28 +333,12 @@
 {
 }
 
-frame_client::~frame_client()
-{
-    if (implementation_)
-    {
-        implementation_->close();
-    }
-}
+frame_client::~frame_client() = default;
 
 frame_client::frame_client(frame_client&&) noexcept = default;
 
-auto frame_client::operator=(frame_client&& other) noexcept -> frame_client&
-{
-    if (this != &other)
-    {
-        if (implementation_)
-        {
-            implementation_->close();
-        }
-        implementation_ = std::move(other.implementation_);
-    }
-    return *this;
-}
+auto frame_client::operator=(frame_client&&) noexcept
+    -> frame_client& = default;
 
 auto frame_client::call(
     endpoint const& where, std::string payload, core::duration timeout,
--- a/transport/frame_server_base.cpp
+++ b/transport/frame_server_base.cpp
@@ -210,46 +210,20 @@
     reactor& loop, endpoint const& where, frame_limits limits,
     frame_handler handler) -> std::optional<frame_server>
 {
-    auto port = listener::open(*loop.internal().context, where);
-    if (!port)
+    auto state = std::make_shared<implementation>(limits, std::move(handler));
+    if (!listen_for(state, *loop.internal().context, where))
     {
         return std::nullopt;
     }
-    auto state = std::make_shared<implementation>(limits, std::move(handler));
-    state->port = port;
-    port->start(
-        [weak = std::weak_ptr{state}](tcp::socket socket)
-        {
-            if (auto const self = weak.lock())
-            {
-                self->add(std::move(socket));
-            }
-        });
     return frame_server{std::move(state)};
 }
 
-frame_server::~frame_server()
-{
-    if (implementation_)
-    {
-        implementation_->close();
-    }
-}
+frame_server::~frame_server() = default;
 
 frame_server::frame_server(frame_server&&) noexcept = default;
 
-auto frame_server::operator=(frame_server&& other) noexcept -> frame_server&
-{
-    if (this != &other)
-    {
-        if (implementation_)
-        {
-            implementation_->close();
-        }
-        implementation_ = std::move(other.implementation_);
-    }
-    return *this;
-}
+auto frame_server::operator=(frame_server&&) noexcept
+    -> frame_server& = default;
 
 auto frame_server::local() const -> endpoint
 {
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_TRANSPORT_HTTP_BASE_HPP
 
 #include "core/core.hpp"
+#include "transport/closing_pointer_base.hpp"
 #include "transport/endpoint_type.hpp"
 #include "transport/http_type.hpp"
 #include "transport/reactor_base.hpp"
@@ -73,7 +74,7 @@
 private:
     struct implementation;
     explicit http_server(std::shared_ptr<implementation> implementation);
-    std::shared_ptr<implementation> implementation_;
+    closing_pointer<implementation> implementation_;
 };
 
 /** What is known about a request that got no response. */
@@ -131,7 +132,7 @@
 
 private:
     struct implementation;
-    std::shared_ptr<implementation> implementation_;
+    closing_pointer<implementation> implementation_;
 };
 
 } // namespace godwitcleat::transport
--- a/transport/http_client_base.cpp
+++ b/transport/http_client_base.cpp
@@ -589,28 +589,11 @@
 {
 }
 
-http_client::~http_client()
-{
-    if (implementation_)
-    {
-        implementation_->close();
-    }
-}
+http_client::~http_client() = default;
 
 http_client::http_client(http_client&&) noexcept = default;
 
-auto http_client::operator=(http_client&& other) noexcept -> http_client&
-{
-    if (this != &other)
-    {
-        if (implementation_)
-        {
-            implementation_->close();
-        }
-        implementation_ = std::move(other.implementation_);
-    }
-    return *this;
-}
+auto http_client::operator=(http_client&&) noexcept -> http_client& = default;
 
 auto http_client::send(
     endpoint const& where, http_request request, core::duration timeout,
--- a/transport/http_server_base.cpp
+++ b/transport/http_server_base.cpp
@@ -468,46 +468,19 @@
     reactor& loop, endpoint const& where, http_server_limits limits,
     http_handler handler) -> std::optional<http_server>
 {
-    auto port = listener::open(*loop.internal().context, where);
-    if (!port)
+    auto state = std::make_shared<implementation>(limits, std::move(handler));
+    if (!listen_for(state, *loop.internal().context, where))
     {
         return std::nullopt;
     }
-    auto state = std::make_shared<implementation>(limits, std::move(handler));
-    state->port = port;
-    port->start(
-        [weak = std::weak_ptr{state}](tcp::socket socket)
-        {
-            if (auto const self = weak.lock())
-            {
-                self->add(std::move(socket));
-            }
-        });
     return http_server{std::move(state)};
 }
 
-http_server::~http_server()
-{
-    if (implementation_)
-    {
-        implementation_->close();
-    }
-}
+http_server::~http_server() = default;
 
 http_server::http_server(http_server&&) noexcept = default;
 
-auto http_server::operator=(http_server&& other) noexcept -> http_server&
-{
-    if (this != &other)
-    {
-        if (implementation_)
-        {
-            implementation_->close();
-        }
-        implementation_ = std::move(other.implementation_);
-    }
-    return *this;
-}
+auto http_server::operator=(http_server&&) noexcept -> http_server& = default;
 
 auto http_server::local() const -> endpoint
 {
--- a/transport/listener_internal.hpp
+++ b/transport/listener_internal.hpp
@@ -54,6 +54,32 @@
     endpoint local_;
 };
 
+/**
+ * Opens the port of @p state, a server's implementation, and passes each
+ * connection to its add() while it exists.
+ * @return false with unavailable if the port cannot be opened.
+ */
+template <class State>
+auto listen_for(
+    std::shared_ptr<State> const& state, boost::asio::io_context& context,
+    endpoint const& where) -> bool
+{
+    state->port = listener::open(context, where);
+    if (!state->port)
+    {
+        return false;
+    }
+    state->port->start(
+        [weak = std::weak_ptr{state}](boost::asio::ip::tcp::socket socket)
+        {
+            if (auto const self = weak.lock())
+            {
+                self->add(std::move(socket));
+            }
+        });
+    return true;
+}
+
 } // namespace godwitcleat::transport
 
 #endif
