Rank teams once for each placement

Each placement attempt computed the rank of every team with waiting jobs, though a placement changes only its own team's. The ranked queues are now kept in an ordered map. Submit orders are unique in a shard, so the order is unchanged; order_is_priority_then_share_then_submit checks it.

--- a/state/engine_schedule.cpp
+++ b/state/engine_schedule.cpp
@@ -138,32 +138,39 @@
     {
         teams[it->spec.team].push_back(it);
     }
-    auto const rank = [this](auto const& it)
+    auto const rank = [this](core::team_id const& team, job const& first)
     {
-        auto const quota = quota_of(it.first);
-        auto const use = uses_.find(it.first);
+        auto const quota = quota_of(team);
+        auto const use = uses_.find(team);
         auto const share = !quota ? share_without_quota
                            : use == uses_.end()
                                ? 0.0
                                : largest_share(use->second, *quota);
-        return std::pair{share, it.second.front()->submit_order};
+        return std::pair{share, first.submit_order};
     };
-    while (!teams.empty() && starts_left_ > 0)
-    {
-        auto const team = std::min_element(
-            teams.begin(), teams.end(),
-            [&rank](auto const& left, auto const& right)
-            { return rank(left) < rank(right); });
-        auto const& next = *team->second.front();
-        team->second.pop_front();
+    // A placement changes the rank of its own team only. Submit orders are
+    // unique in a shard, so that no two teams have the same rank.
+    using team_queue = std::deque<job const*>;
+    auto ranked = std::map<std::pair<double, std::uint64_t>, team_queue>{};
+    for (auto& [team, jobs] : teams)
+    {
+        auto const place = rank(team, *jobs.front());
+        ranked.emplace(place, std::move(jobs));
+    }
+    while (!ranked.empty() && starts_left_ > 0)
+    {
+        auto jobs = std::move(ranked.extract(ranked.begin()).mapped());
+        auto const& next = *jobs.front();
+        jobs.pop_front();
         if (place_job(next))
         {
             uses_[next.spec.team] += next.spec.need;
             --starts_left_;
         }
-        if (team->second.empty())
+        if (!jobs.empty())
         {
-            teams.erase(team);
+            auto const place = rank(next.spec.team, *jobs.front());
+            ranked.emplace(place, std::move(jobs));
         }
     }
 }
