--- a/state/engine_schedule.cpp
+++ b/state/engine_schedule.cpp
@@ -124,10 +124,14 @@
 
 auto shard_engine::implementation::may_schedule(job const& known) const -> bool
 {
+    // Most jobs are running, so the phase is tested before any look-up.
+    if (known.phase != job_phase::queued || known.binding ||
+        known.cancel_requested || is_busy(known.spec.id))
+    {
+        return false;
+    }
     auto const entry = home_.find(known.spec.id);
-    return known.phase == job_phase::queued && !known.binding &&
-           !known.cancel_requested && !is_busy(known.spec.id) &&
-           (entry == home_.end() || !entry->second.offer);
+    return entry == home_.end() || !entry->second.offer;
 }
 
 auto shard_engine::implementation::schedule_class(
@@ -513,10 +517,14 @@
     -> std::map<core::team_id, core::resources>
 {
     auto result = std::map<core::team_id, core::resources>{};
-    for (auto const& [id, known] : state_.data().jobs)
+    auto const has_offer = [this](core::job_id const& id)
     {
         auto const entry = home_.find(id);
-        if (known.binding || (entry != home_.end() && entry->second.offer))
+        return entry != home_.end() && entry->second.offer;
+    };
+    for (auto const& [id, known] : state_.data().jobs)
+    {
+        if (known.binding || has_offer(id))
         {
             result[known.spec.team] += known.spec.need;
         }
