--- a/bench/slopes/measure_store_func.cpp
+++ b/bench/slopes/measure_store_func.cpp
@@ -71,8 +71,9 @@
     {
         config_.tick();
         ownership_.tick();
-        for (auto& [shard, log] : logs_)
+        for (auto& it : logs_)
         {
+            auto& log = it.second;
             log.writer->tick();
             if (!log.recovered)
             {
