Build placement candidates once for each tick

Each placement attempt rebuilt the list of all usable workers with the classes of their tasks. Neither changes while one tick schedules; only the free room does, so the list is kept for the tick and the free room is set for each job. Offers of other shards still build their own list. A new test checks that placements of one tick see one another's room.

--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -226,17 +226,17 @@
         -> bool;
     auto offer_elsewhere(job const& known, bool without_room) -> bool;
     auto choose_worker(
-        job_spec const& spec, std::set<core::worker_id> const& avoided) const
+        job_spec const& spec, std::set<core::worker_id> const& avoided,
+        std::vector<placement_candidate>& usable) const
         -> std::optional<core::worker_id>;
-    auto candidates(
-        core::job_id const& id, std::set<core::worker_id> const& avoided) const
-        -> std::vector<placement_candidate>;
+    auto usable_workers() const -> std::vector<placement_candidate>;
     auto describe_tasks(
         std::set<attempt_key> const& keys, placement_candidate& value) const
         -> void;
     auto is_usable(worker_entry const& worker) const -> bool;
-    auto free_room(worker_entry const& worker, core::job_id const& id) const
-        -> core::resources;
+    auto free_room(
+        core::worker_id const& name, core::resources const& capacity,
+        core::job_id const& id) const -> core::resources;
     auto evict_for(job_spec const& spec) -> bool;
     auto victims(core::worker_id const& worker) const
         -> std::vector<hosted_task const*>;
@@ -282,6 +282,9 @@
     std::map<core::team_id, core::resources> uses_; ///< During schedule().
     std::vector<core::resources> without_room_; ///< Needs, during schedule().
     std::uint32_t starts_left_ = 0;
+    /// Candidates of this schedule(). Tasks and leases do not change during
+    /// it; the free room does and is set for each job.
+    std::optional<std::vector<placement_candidate>> usable_;
 
     std::map<core::worker_id, worker_entry> workers_;
     std::map<core::worker_id, std::set<attempt_key>> tasks_of_;
--- a/state/engine_offers.cpp
+++ b/state/engine_offers.cpp
@@ -77,7 +77,8 @@
     {
         return refusal("the configuration is not known yet");
     }
-    auto const worker = choose_worker(request.spec, {});
+    auto usable = usable_workers();
+    auto const worker = choose_worker(request.spec, {}, usable);
     if (!worker)
     {
         if (request.spec.priority == priority_class::urgent &&
--- a/state/engine_schedule.cpp
+++ b/state/engine_schedule.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace godwitcleat::state
 {
@@ -120,6 +121,7 @@
             { return left->submit_order < right->submit_order; });
         schedule_class(queue);
     }
+    usable_.reset();
 }
 
 auto shard_engine::implementation::may_schedule(job const& known) const -> bool
@@ -228,7 +230,11 @@
 auto shard_engine::implementation::place_here(
     job const& known, std::set<core::worker_id> const& avoided) -> bool
 {
-    auto const worker = choose_worker(known.spec, avoided);
+    if (!usable_)
+    {
+        usable_ = usable_workers();
+    }
+    auto const worker = choose_worker(known.spec, avoided, *usable_);
     if (!worker)
     {
         return false;
@@ -303,11 +309,25 @@
     return true;
 }
 
+// Returns a worker for @p spec. The free room of @p usable is set for this job.
 auto shard_engine::implementation::choose_worker(
-    job_spec const& spec, std::set<core::worker_id> const& avoided) const
+    job_spec const& spec, std::set<core::worker_id> const& avoided,
+    std::vector<placement_candidate>& usable) const
     -> std::optional<core::worker_id>
 {
-    auto const all = candidates(spec.id, avoided);
+    for (auto& it : usable)
+    {
+        it.free = free_room(it.worker, it.capacity, spec.id);
+    }
+    auto allowed = std::vector<placement_candidate>{};
+    if (!avoided.empty())
+    {
+        std::copy_if(
+            usable.begin(), usable.end(), std::back_inserter(allowed),
+            [&avoided](auto const& it)
+            { return !avoided.contains(it.worker); });
+    }
+    auto const& all = avoided.empty() ? usable : allowed;
     auto const choice = hooks_.place(spec, all);
     if (!choice || *choice >= all.size() ||
         !spec.need.fits_in(all[*choice].free))
@@ -317,14 +337,14 @@
     return all[*choice].worker;
 }
 
-auto shard_engine::implementation::candidates(
-    core::job_id const& id, std::set<core::worker_id> const& avoided) const
+// Returns all usable workers; choose_worker() sets their free room.
+auto shard_engine::implementation::usable_workers() const
     -> std::vector<placement_candidate>
 {
     auto result = std::vector<placement_candidate>{};
     for (auto const& [name, worker] : workers_)
     {
-        if (!is_usable(worker) || avoided.contains(name))
+        if (!is_usable(worker))
         {
             continue;
         }
@@ -333,7 +353,6 @@
         value.rack = worker.info.rack;
         value.data_centre = worker.info.data_centre;
         value.capacity = worker.info.capacity;
-        value.free = free_room(worker, id);
         auto const hosted = tasks_of_.find(name);
         if (hosted != tasks_of_.end())
         {
@@ -369,14 +388,14 @@
 // Returns the room on a worker for job @p id: room that evictions free for
 // another job is not counted.
 auto shard_engine::implementation::free_room(
-    worker_entry const& worker, core::job_id const& id) const -> core::resources
+    core::worker_id const& name, core::resources const& capacity,
+    core::job_id const& id) const -> core::resources
 {
-    auto room = worker.info.capacity;
+    auto room = capacity;
     if (faults_.ignore_commitments)
     {
         return room;
     }
-    auto const& name = worker.info.worker;
     room -= state_.committed(name);
     auto const reserved = reserved_.find(name);
     if (reserved != reserved_.end())
@@ -443,7 +462,7 @@
         {
             continue;
         }
-        auto room = free_room(worker, spec.id);
+        auto room = free_room(name, worker.info.capacity, spec.id);
         auto chosen = std::vector<hosted_task const*>{};
         for (auto const* it : victims(name))
         {
--- a/state/engine_views.cpp
+++ b/state/engine_views.cpp
@@ -148,7 +148,7 @@
         raise_to(largest.accelerators, capacity.accelerators);
         if (is_usable(worker) && now >= worker.excluded_until)
         {
-            free.push_back(free_room(worker, {}));
+            free.push_back(free_room(id, capacity, {}));
         }
     }
     choose_by(
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -1049,6 +1049,21 @@
         "at 5");
 }
 
+// Guards against placements of one tick that do not see one another's room.
+TEST(engine, one_tick_never_overfills_a_worker)
+{
+    auto all = cluster{1};
+    auto& first = all.add_worker("w1");
+    auto& second = all.add_worker("w2");
+    for (auto n = 0; n < 5; ++n)
+    {
+        all.submit(batch_spec(fmt::format("a{}", n), 2000));
+    }
+    all.steps(3);
+    EXPECT_EQ(first.tasks.size(), 2U);
+    EXPECT_EQ(second.tasks.size(), 2U);
+}
+
 // Guards against a worker that fails everything and exhausts the attempts.
 TEST(engine, failing_worker_is_excluded)
 {
