--- a/bench/slopes/measure_time_func.cpp
+++ b/bench/slopes/measure_time_func.cpp
@@ -69,6 +69,18 @@
         [&shard] { shard.tick(); }, [&shard] { shard.drop_starts(); });
 }
 
+// Computes what the owner of a shard tells its peers after each tick.
+auto views_time(shard_size const& size) -> double
+{
+    auto shard = loaded_engine{size};
+    return lowest_time(
+        [&shard]
+        {
+            auto const endpoints = shard.engine().endpoints();
+            auto const summary = shard.engine().summary(shard.now());
+        });
+}
+
 // Applies and encodes one batch of starts, as the owner does at each commit.
 auto commit_time(std::size_t starts) -> double
 {
@@ -167,6 +179,11 @@
             [](std::size_t n) {
                 return tick_time({88, 1'320, n, true});
             }),
+        sample(
+            "engine views, 88 workers", "running task", {0, 440, 1'320, 4'000},
+            [](std::size_t n) {
+                return views_time({88, n, 0, false});
+            }),
         sample("group commit", "start", {1, 6, 64, 256}, commit_time),
         sample("replay", "batch of 6 starts", {16, 64, 256}, replay_time)};
 }
