--- a/bench/slopes/measure_func.hpp
+++ b/bench/slopes/measure_func.hpp
@@ -18,7 +18,8 @@
 /** Processor time of ticks, commits and replays; the lowest of several. */
 auto measure_time() -> std::vector<series>;
 
-/** Store calls per second by kind: idle, start peak, restart of all. */
+/** Store calls per second by kind: idle, start peak, restart of all; and the
+ *  time without an owner after an instance was killed. */
 auto measure_store() -> std::vector<series>;
 
 } // namespace godwitcleat::bench
--- a/bench/slopes/measure_store_func.cpp
+++ b/bench/slopes/measure_store_func.cpp
@@ -177,6 +177,21 @@
         members_[index]->leave();
     }
 
+    /** Ends an instance without notice; the others know it at once. */
+    auto kill(std::size_t index) -> void
+    {
+        members_[index].reset();
+        auto live = names_;
+        live.erase(live.begin() + static_cast<std::ptrdiff_t>(index));
+        for (auto const& it : members_)
+        {
+            if (it)
+            {
+                it->set_live(live);
+            }
+        }
+    }
+
     auto run(core::duration length, state::record_batch const* batch = nullptr)
         -> void
     {
@@ -185,7 +200,10 @@
             time_.advance(step_length);
             for (auto const& it : members_)
             {
-                it->tick(batch);
+                if (it)
+                {
+                    it->tick(batch);
+                }
             }
         }
     }
@@ -211,7 +229,7 @@
         auto result = std::size_t{0};
         for (auto const& it : members_)
         {
-            result += it->shards();
+            result += it ? it->shards() : 0;
         }
         return result;
     }
@@ -278,6 +296,24 @@
     return result;
 }
 
+// Returns the seconds until all shards have an owner again after an instance
+// ended without notice, @p delay after the cluster had settled.
+auto take_over_time(core::duration delay) -> double
+{
+    constexpr std::size_t instances = 7;
+    constexpr auto longest = seconds{60};
+    auto all = cluster{instances, default_shards};
+    all.run(settle_time + delay);
+    all.kill(0);
+    auto passed = core::duration{};
+    while (all.served() < default_shards && passed < longest)
+    {
+        all.run(step_length);
+        passed += step_length;
+    }
+    return std::chrono::duration<double>{passed}.count();
+}
+
 auto add_series(
     std::vector<series>& all, phase what, std::string const& name,
     std::string const& per,
@@ -321,6 +357,14 @@
             result, what, std::string{name} + ", 7 instances:", "shard",
             {{7, 8}, {7, default_shards}, {7, 64}});
     }
+    auto take_over = series{"owner again after a kill", "ms of delay", "s", {}};
+    for (auto delay = milliseconds{0}; delay < seconds{2};
+         delay += milliseconds{400})
+    {
+        take_over.points.push_back(
+            {static_cast<double>(delay.count()), take_over_time(delay)});
+    }
+    result.push_back(std::move(take_over));
     return result;
 }
 
--- a/bench/slopes/table_base.hpp
+++ b/bench/slopes/table_base.hpp
@@ -21,7 +21,7 @@
 {
     std::string what; ///< Figure, such as `heartbeat`.
     std::string per;  ///< What is varied, such as `task`.
-    std::string unit; ///< `bytes`, `us` or `calls/s`.
+    std::string unit; ///< `bytes`, `us`, `s` or `calls/s`.
     std::vector<point> points;
 };
 
