--- a/tests/shard_history_test.cpp
+++ b/tests/shard_history_test.cpp
@@ -119,6 +119,25 @@
     EXPECT_GT(resumes, 10U);
 }
 
+// Guards against a lease that is shorter than a take-over: each killed owner
+// would stop all tasks of its shards.
+TEST(shard_history, killed_owner_stops_no_task)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed)
+    {
+        auto options = tests::cluster_options{};
+        options.seed = seed;
+        options.faults = {
+            {8000, fault_kind::crash_owner, 0, 0},
+            {12000, fault_kind::crash_owner, 1, 0},
+            {16000, fault_kind::crash_owner, 2, 0}};
+        auto const result = tests::run_cluster(options);
+        EXPECT_EQ(result.lapses, 0U) << "seed " << seed;
+        EXPECT_FALSE(tests::find_violation(result));
+        EXPECT_TRUE(result.unfinished.empty());
+    }
+}
+
 // Each planted fault must be found, or the checks above prove nothing.
 TEST(shard_history, finds_a_lease_that_is_not_waited_for)
 {
--- a/tests/support/shard_cluster_base.hpp
+++ b/tests/support/shard_cluster_base.hpp
@@ -49,6 +49,7 @@
     std::uint32_t jobs = 10;
     std::vector<fault> faults;
     state::engine_faults engine_faults; ///< Planted faults.
+    core::duration worker_lease = state::engine_settings{}.lease;
 };
 
 /** What a run showed. */
@@ -59,6 +60,7 @@
     std::vector<std::string> unfinished; ///< Jobs that never became final.
     std::uint64_t starts = 0;
     std::uint64_t resumes = 0; ///< Starts from a checkpoint.
+    std::uint64_t lapses = 0;  ///< Tasks stopped because a lease lapsed.
 };
 
 /** Runs a schedule, heals everything and waits for the jobs. */
--- a/tests/support/shard_cluster_owners.cpp
+++ b/tests/support/shard_cluster_owners.cpp
@@ -46,6 +46,7 @@
     }
     auto settings = state::engine_settings{};
     settings.shard_count = options_.shards;
+    settings.lease = options_.worker_lease;
     auto hooks = state::engine_hooks{};
     hooks.unique_id = [this]
     {
--- a/tests/support/shard_cluster_workers.cpp
+++ b/tests/support/shard_cluster_workers.cpp
@@ -183,6 +183,8 @@
     {
         seen.kind = task_event_kind::ended;
         seen.finished = event.kind == standins::worker_event_kind::finished;
+        result_.lapses +=
+            event.kind == standins::worker_event_kind::lapsed ? 1 : 0;
         seen.checkpointed = entry.checkpointed.contains(event.key);
         entry.running.erase(event.key);
     }
