Place and relieve tasks by learned interference

Cause: the engine packed workers by room only, and ignored the slowdown and usage in task reports.

Reports are compared with the tasks that ran when they were measured. The engine places by it by default, throttles the batch neighbour that is expected to disturb a slowed service most, and evicts it if the trial does not help. A throttle is repeated in each reply, because replies may be lost, and a new owner ends throttling that a former owner may have ordered.

Tasks without a class are expected to disturb nothing, so they are placed by room as before.

--- a/state/engine_base.cpp
+++ b/state/engine_base.cpp
@@ -32,7 +32,11 @@
 {
     if (!hooks_.place)
     {
-        hooks_.place = best_fit();
+        hooks_.place = interference_aware(interference_.estimate());
+    }
+    if (!hooks_.relieve)
+    {
+        hooks_.relieve = choose_relief;
     }
     if (!hooks_.unique_id)
     {
@@ -46,6 +50,12 @@
     for (auto const& [key, task] : state_.data().tasks)
     {
         tasks_[key].recovered = true;
+        // A former owner may have throttled it; only tasks with a class are
+        // throttled.
+        if (!task.spec.task_class.empty())
+        {
+            tasks_[key].throttle_percent = 100;
+        }
         tasks_of_[task.worker].insert(key);
     }
     for (auto const& [id, job] : state_.data().jobs)
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -4,6 +4,7 @@
 #define GODWITCLEAT_STATE_ENGINE_BASE_HPP
 
 #include "state/config_type.hpp"
+#include "state/interference_base.hpp"
 #include "state/placement_func.hpp"
 #include "state/shard_base.hpp"
 #include "state/shard_message_type.hpp"
@@ -44,6 +45,10 @@
     std::uint32_t excluding_failures = 3; ///< In a row on one worker.
     std::uint32_t starts_per_tick = 64;
     std::uint32_t shard_count = 16;
+    relief_limits relief;
+    core::duration relief_patience =
+        std::chrono::seconds{3}; ///< A slowdown above the limit lasts so long.
+    std::int64_t throttle_percent = 30; ///< Of a throttled task.
 };
 
 /** Free room and use of one shard, as other shards see it. */
@@ -115,7 +120,9 @@
 /** Hooks of an engine. Each may be empty. */
 struct engine_hooks
 {
-    placement_policy place; ///< Default: best_fit().
+    /// Default: interference_aware() with what the engine has learned.
+    placement_policy place;
+    relief_policy relieve; ///< Default: choose_relief().
     std::function<void(core::timeline_event)> on_event;
     std::function<std::string()> unique_id; ///< Default: core::unique_id.
 };
--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -52,6 +52,17 @@
     std::string checkpoint;                 ///< Latest one reported.
     std::int64_t checkpoint_progress = 0;   ///< When it was first reported.
     core::time_point next_over;             ///< Next sending of over_request.
+    std::optional<core::time_point>
+        disturbed_since; ///< Slowed above the limit since this measurement.
+    std::optional<std::int64_t> throttle_percent; ///< Sent with each reply.
+    core::time_point throttled_at;
+};
+
+/** The tasks that ran on a worker from one time on. */
+struct past_tasks
+{
+    core::time_point since;
+    std::map<attempt_key, std::string> tasks; ///< With their task classes.
 };
 
 /** A worker that this owner has heard from. */
@@ -68,6 +79,8 @@
     std::uint32_t failures_in_row = 0;
     core::duration exclusion{0}; ///< Length of the latest exclusion.
     core::time_point excluded_until;
+    std::deque<past_tasks> past;  ///< Oldest first.
+    core::time_point relieved_at; ///< Latest throttling or eviction.
 };
 
 /** The offer of a queued job that another shard may still claim. */
@@ -193,6 +206,17 @@
     auto is_drained_worker(core::worker_id const& id) const -> bool;
     auto is_stop_due(hosted_task const& task) const -> bool;
 
+    // engine_interference.cpp: learning from and acting on interference.
+    auto learn(worker_entry& worker) -> void;
+    auto describe_disturbed(worker_entry const& worker)
+        -> std::vector<disturbed_task>;
+    auto is_disturbed(worker_entry const& worker) -> bool;
+    auto relieve(worker_entry& worker, heartbeat_reply& reply) -> void;
+    auto
+    act(worker_entry& worker, attempt_key const& key, worker_command_kind kind)
+        -> void;
+    auto release_throttled(worker_entry& worker) -> void;
+
     // engine_offers.cpp: the protocol with other shards.
     auto handle(shard_request const& request, answer on_answer) -> void;
     auto on_offer(offer_request const& request) -> offer_reply;
@@ -293,6 +317,7 @@
     /// them are refused.
     std::map<attempt_key, core::time_point> forgotten_;
     std::vector<shard_request> outbox_;
+    interference_model interference_;
 };
 
 /** Returns `attempt=N` for time lines. */
--- a/state/engine_schedule.cpp
+++ b/state/engine_schedule.cpp
@@ -342,8 +342,11 @@
         if (!task.outcome)
         {
             value.task_classes.push_back(task.spec.task_class);
-            value.latency_critical +=
-                task.spec.kind == job_kind::service ? 1 : 0;
+            if (task.spec.kind == job_kind::service)
+            {
+                ++value.latency_critical;
+                value.critical_classes.push_back(task.spec.task_class);
+            }
         }
     }
 }
--- a/state/engine_workers.cpp
+++ b/state/engine_workers.cpp
@@ -89,6 +89,7 @@
     }
     reply.owner_epoch = epoch_;
     auto& worker = accept_report(report);
+    learn(worker);
     for (auto const& it : report.tasks)
     {
         follow_report(worker, it, reply);
@@ -104,6 +105,7 @@
             }
         }
     }
+    relieve(worker, reply);
     if (faults_.start_before_commit)
     {
         send_uncommitted_starts(worker, reply);
--- a/state/placement_func.cpp
+++ b/state/placement_func.cpp
@@ -51,7 +51,13 @@
     for (auto const& it : candidate.task_classes)
     {
         sum += own_weight * (estimate(spec.task_class, it) - 1.0);
-        sum += others_weight * (estimate(it, spec.task_class) - 1.0);
+        sum += (candidate.critical_classes.empty() ? others_weight : 1.0) *
+               (estimate(it, spec.task_class) - 1.0);
+    }
+    for (auto const& it : candidate.critical_classes)
+    {
+        sum += (latency_critical_weight - 1.0) *
+               (estimate(it, spec.task_class) - 1.0);
     }
     return sum;
 }
--- a/state/placement_func.hpp
+++ b/state/placement_func.hpp
@@ -24,6 +24,8 @@
     core::resources free;                  ///< Capacity less commitments.
     std::vector<std::string> task_classes; ///< Of the tasks on it.
     std::uint32_t latency_critical = 0;    ///< Service tasks on it.
+    /// Of the service tasks on it; empty: only their number is known.
+    std::vector<std::string> critical_classes;
 };
 
 /** Expected slowdown that @p other causes to @p task; 1.0 is none. */
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -5,6 +5,7 @@
 
 #include "state/config_type.hpp"
 #include "state/engine_base.hpp"
+#include "state/interference_base.hpp"
 #include "state/job_type.hpp"
 #include "state/placement_func.hpp"
 #include "state/record_type.hpp"
--- /dev/null
+++ b/tests/interference_test.cpp
@@ -0,0 +1,150 @@
+/** @file interference_test.cpp Tests of learned interference and relief. */
+#include "state/state.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace core = godwitcleat::core;
+using namespace godwitcleat::state;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto start = core::time_point{1h};
+
+// Reports `web` beside `scan` or `tally` in turns, 10 s apart.
+auto teach(
+    interference_model& model, core::time_point from, double scan, double tally,
+    int reports) -> core::time_point
+{
+    for (auto n = 0; n < reports; ++n)
+    {
+        auto const is_scan = n % 2 == 0;
+        auto const other =
+            std::array{measured_neighbour{is_scan ? "scan" : "tally", 0.25}};
+        model.observe(
+            "web", other, 1.0 + 0.25 * (is_scan ? scan : tally), from);
+        from += 10s;
+    }
+    return from;
+}
+
+auto task_of(std::string const& task_class, double load) -> disturbed_task
+{
+    auto value = disturbed_task{};
+    value.key.job = core::job_id{task_class};
+    value.task_class = task_class;
+    value.load = load;
+    value.interruptible = true;
+    return value;
+}
+
+auto service_of(std::string const& task_class, double slowdown)
+    -> disturbed_task
+{
+    auto value = task_of(task_class, 0.1);
+    value.latency_critical = true;
+    value.slowdown = slowdown;
+    return value;
+}
+
+} // namespace
+
+// Guards against blaming the wrong class and against keeping old figures.
+TEST(interference_model, tells_pairs_apart_and_follows_changes)
+{
+    auto model = interference_model{};
+    auto const later = teach(model, start, 4.0, 0.0, 60);
+    EXPECT_NEAR(model.excess("web", "scan", 0.25), 1.0, 0.2);
+    EXPECT_NEAR(model.excess("web", "tally", 0.25), 0.0, 0.1);
+    teach(model, later, 0.0, 4.0, 120);
+    EXPECT_NEAR(model.excess("web", "scan", 0.25), 0.0, 0.2);
+    EXPECT_NEAR(model.excess("web", "tally", 0.25), 1.0, 0.2);
+}
+
+// Guards against a report that moves the estimate without limit.
+TEST(interference_model, limits_outliers)
+{
+    auto model = interference_model{};
+    auto const later = teach(model, start, 1.0, 0.0, 100);
+    auto const before = model.excess("web", "scan", 0.25);
+    auto const other = std::array{measured_neighbour{"scan", 0.25}};
+    model.observe("web", other, 1000.0, later);
+    model.observe(
+        "web", other, std::numeric_limits<double>::quiet_NaN(), later);
+    EXPECT_LT(model.excess("web", "scan", 0.25), before + 0.3);
+}
+
+// Guards against memory that grows with the names that operators invent.
+TEST(interference_model, drops_the_oldest_pair)
+{
+    auto settings = interference_settings{};
+    settings.most_pairs = 8;
+    auto model = interference_model{settings};
+    for (auto n = 0; n < 100; ++n)
+    {
+        auto const name = fmt::format("class-{}", n);
+        auto const other = std::array{measured_neighbour{name, 0.25}};
+        model.observe("web", other, 3.0, start + n * 1s);
+        EXPECT_LE(model.pairs(), 8U);
+    }
+    EXPECT_GT(
+        model.excess("web", "class-99", 1.0),
+        model.excess("web", "class-0", 1.0));
+}
+
+// Guards against a default that spreads tasks whose class is not declared.
+TEST(interference_model, expects_nothing_of_tasks_without_class)
+{
+    auto model = interference_model{};
+    EXPECT_EQ(model.estimate()("web", ""), 1.0);
+    EXPECT_EQ(model.estimate()("", "scan"), 1.0);
+    EXPECT_GT(model.estimate()("web", "scan"), 1.0);
+}
+
+// Guards against acting on the largest task in place of the worst one, and
+// against an eviction before throttling was tried.
+TEST(choose_relief, throttles_the_worst_then_evicts_it)
+{
+    auto const estimate = [](auto, auto other, double load)
+    {
+        return other == "scan" ? 8.0 * load : 0.1 * load;
+    };
+    auto tasks = std::vector{
+        service_of("web", 2.0), task_of("tally", 0.6), task_of("scan", 0.1)};
+    auto const limits = relief_limits{};
+    auto choice = choose_relief(tasks, estimate, limits);
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->task, 2U);
+    EXPECT_EQ(choice->kind, worker_command_kind::throttle);
+    tasks[2].throttled_for = limits.throttle_trial - 1s;
+    EXPECT_FALSE(choose_relief(tasks, estimate, limits));
+    tasks[2].throttled_for = limits.throttle_trial;
+    choice = choose_relief(tasks, estimate, limits);
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->task, 2U);
+    EXPECT_EQ(choice->kind, worker_command_kind::checkpoint);
+}
+
+// Guards against stopping work that may not be interrupted, and against acting
+// for a service below the limit.
+TEST(choose_relief, leaves_other_tasks_alone)
+{
+    auto const estimate = [](auto, auto, double load)
+    {
+        return 8.0 * load;
+    };
+    auto const limits = relief_limits{};
+    auto tasks = std::vector{service_of("web", 2.0), task_of("scan", 0.5)};
+    tasks[1].interruptible = false;
+    EXPECT_FALSE(choose_relief(tasks, estimate, limits));
+    tasks[1].interruptible = true;
+    tasks[0].slowdown = limits.slowdown;
+    EXPECT_FALSE(choose_relief(tasks, estimate, limits));
+}
