Make worker leases longer than a take-over

Ruled out: a shorter store lease (more renewals, and a slow store would move shards); renewals by another instance (two owners of one lease).

--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -39,7 +39,7 @@
 
     std::uint32_t shards = 16;
     core::duration heartbeat = std::chrono::milliseconds{500};
-    core::duration lease = std::chrono::seconds{4};
+    core::duration lease = std::chrono::seconds{12};
     core::duration tick = std::chrono::milliseconds{100};
     core::duration start_validity = std::chrono::seconds{2};
 
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -25,7 +25,7 @@
 /** Times and limits of an engine; see docs/design.md 5.4 and 5.5. */
 struct engine_settings
 {
-    core::duration lease = std::chrono::seconds{4};
+    core::duration lease = std::chrono::seconds{12};
     double clock_rate_margin = 0.02; ///< Share added for clock rate drift.
     core::duration heartbeat_interval = std::chrono::milliseconds{500};
     core::duration start_validity = std::chrono::seconds{2};
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -175,6 +175,14 @@
     return spec;
 }
 
+// The times in the cases below are stated for this lease.
+auto settings_with_short_lease() -> engine_settings
+{
+    auto result = engine_settings{};
+    result.lease = 4s;
+    return result;
+}
+
 // Engines of all shards, their log and their workers; worker N belongs to
 // shard N modulo the number of shards.
 class cluster
@@ -432,7 +440,7 @@
         return std::find(events.begin(), events.end(), kind) != events.end();
     }
 
-    engine_settings settings;
+    engine_settings settings = settings_with_short_lease();
     std::shared_ptr<config_document> config =
         std::make_shared<config_document>();
     core::time_point now{100s};
