--- a/standins/standin-worker/main.cpp
+++ b/standins/standin-worker/main.cpp
@@ -132,6 +132,9 @@
     auto stopped = std::promise<int>{};
     loop.on_signal(
         {SIGTERM, SIGINT}, [&](int number) { stopped.set_value(number); });
+    auto const& info = settings->worker.info;
+    record.write(standins::to_json(standins::worker_process_event{
+        false, info.worker.value, info.capacity, core::system_clock()()}));
     process.start();
     log.info("started", {{"id", settings->worker.info.worker.value}});
     log.info("stopping", {{"signal", stopped.get_future().get()}});
--- a/standins/support/history_base.cpp
+++ b/standins/support/history_base.cpp
@@ -58,6 +58,55 @@
          {"at_us", microseconds_of(event.at)}});
 }
 
+auto to_json(worker_process_event const& event) -> std::string
+{
+    return line_of(
+        {{"type", "worker"},
+         {"event", event.killed ? "killed" : "started"},
+         {"worker", event.worker},
+         {"cpu_milli", event.capacity.cpu_milli},
+         {"memory_mb", event.capacity.memory_mb},
+         {"accelerators", event.capacity.accelerators},
+         {"at_us", microseconds_of(event.at)}});
+}
+
+auto to_json(call_event const& event) -> std::string
+{
+    auto line = nlohmann::json{
+        {"type", "call"},
+        {"request_id", event.request_id},
+        {"method", event.method},
+        {"gateway", event.gateway},
+        {"at_us", microseconds_of(event.at)}};
+    switch (event.event)
+    {
+    case call_event::kind::invoked: line["event"] = "invoked"; break;
+    case call_event::kind::answered:
+        line["event"] = "answered";
+        line["status"] = event.status;
+        line["outcome"] = event.outcome;
+        line["own"] = event.own;
+        line["latency_us"] = event.latency.count();
+        break;
+    case call_event::kind::failed:
+        line["event"] = "failed";
+        line["reason"] = event.reason;
+        line["message"] = event.message;
+        line["latency_us"] = event.latency.count();
+        break;
+    }
+    return line_of(line);
+}
+
+auto to_json(gateway_stop_event const& event) -> std::string
+{
+    return line_of(
+        {{"type", "gateway"},
+         {"event", event.completed ? "stopped" : "stopping"},
+         {"gateway", event.gateway},
+         {"at_us", microseconds_of(event.at)}});
+}
+
 auto history::open(std::string const& path) -> std::optional<history>
 {
     auto result = history{};
--- a/standins/support/history_base.hpp
+++ b/standins/support/history_base.hpp
@@ -5,6 +5,7 @@
 #include "core/core.hpp"
 #include "standins/support/worker_base.hpp"
 
+#include <chrono>
 #include <cstdio>
 #include <memory>
 #include <mutex>
@@ -27,12 +28,55 @@
     core::time_point at;
 };
 
+/** Start or end of a worker process. */
+struct worker_process_event
+{
+    bool killed = false; ///< False: the process starts.
+    std::string worker;
+    core::resources capacity; ///< Set if the process starts.
+    core::time_point at;
+};
+
+/** A caller sends a request or learns its outcome. */
+struct call_event
+{
+    enum class kind
+    {
+        invoked,
+        answered,
+        failed ///< No answer came.
+    };
+
+    kind event = kind::invoked;
+    std::string request_id;
+    std::string method;
+    std::string gateway;                 ///< ADDRESS:PORT.
+    int status = 0;                      ///< If answered.
+    std::string outcome;                 ///< Header X-Outcome, if answered.
+    bool own = false;                    ///< Holds the request's id and body.
+    std::string reason;                  ///< Kind of the error, if failed.
+    std::string message;                 ///< Error message, if failed.
+    std::chrono::microseconds latency{}; ///< If answered or failed.
+    core::time_point at;
+};
+
+/** An operator begins or completes a planned stop of a gateway. */
+struct gateway_stop_event
+{
+    bool completed = false;
+    std::string gateway; ///< ADDRESS:PORT.
+    core::time_point at;
+};
+
 /**
  * Returns the line of an event, without the line end. `at_us` is monotonic
  * time in microseconds, which processes of one instance can compare.
  */
 auto to_json(worker_event const& event) -> std::string;
 auto to_json(request_event const& event) -> std::string;
+auto to_json(worker_process_event const& event) -> std::string;
+auto to_json(call_event const& event) -> std::string;
+auto to_json(gateway_stop_event const& event) -> std::string;
 
 /**
  * Appends lines to a file and flushes each, so that the lines survive the end
--- a/tests/support/task_history_base.cpp
+++ b/standins/support/task_history_base.cpp
@@ -1,5 +1,5 @@
 /** @file task_history_base.cpp Checker of what workers really ran. */
-#include "tests/support/task_history_base.hpp"
+#include "standins/support/task_history_base.hpp"
 
 #include <fmt/format.h>
 
@@ -8,7 +8,7 @@
 #include <tuple>
 #include <utility>
 
-namespace godwitcleat::tests
+namespace godwitcleat::standins
 {
 
 namespace
@@ -163,4 +163,4 @@
     return std::nullopt;
 }
 
-} // namespace godwitcleat::tests
+} // namespace godwitcleat::standins
--- a/tests/support/task_history_base.hpp
+++ b/standins/support/task_history_base.hpp
@@ -1,6 +1,6 @@
 /** @file task_history_base.hpp Checker of what workers really ran. */
-#ifndef GODWITCLEAT_TESTS_SUPPORT_TASK_HISTORY_BASE_HPP
-#define GODWITCLEAT_TESTS_SUPPORT_TASK_HISTORY_BASE_HPP
+#ifndef GODWITCLEAT_STANDINS_SUPPORT_TASK_HISTORY_BASE_HPP
+#define GODWITCLEAT_STANDINS_SUPPORT_TASK_HISTORY_BASE_HPP
 
 #include "core/core.hpp"
 #include "state/state.hpp"
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace godwitcleat::tests
+namespace godwitcleat::standins
 {
 
 /** What was observed, by a worker or an operator. */
@@ -77,6 +77,6 @@
 auto find_start_after_drain(task_history const& history, core::duration bound)
     -> std::optional<history_violation>;
 
-} // namespace godwitcleat::tests
+} // namespace godwitcleat::standins
 
 #endif
--- a/tests/support/shard_cluster_base.hpp
+++ b/tests/support/shard_cluster_base.hpp
@@ -2,8 +2,8 @@
 #ifndef GODWITCLEAT_TESTS_SUPPORT_SHARD_CLUSTER_BASE_HPP
 #define GODWITCLEAT_TESTS_SUPPORT_SHARD_CLUSTER_BASE_HPP
 
+#include "standins/support/task_history_base.hpp"
 #include "state/state.hpp"
-#include "tests/support/task_history_base.hpp"
 
 #include <cstdint>
 #include <map>
@@ -13,6 +13,15 @@
 namespace godwitcleat::tests
 {
 
+using standins::find_bad_resume;
+using standins::find_overcommitment;
+using standins::find_overlap;
+using standins::find_start_after_drain;
+using standins::history_violation;
+using standins::task_event;
+using standins::task_event_kind;
+using standins::task_history;
+
 /** Something that goes wrong, or that operators do. */
 enum class fault_kind
 {
--- a/tests/task_history_test.cpp
+++ b/tests/task_history_test.cpp
@@ -1,5 +1,5 @@
 /** @file task_history_test.cpp The checker rejects hand-made bad histories. */
-#include "tests/support/task_history_base.hpp"
+#include "standins/support/task_history_base.hpp"
 
 #include <gtest/gtest.h>
 
@@ -7,8 +7,8 @@
 
 using namespace godwitcleat;
 using namespace std::chrono_literals;
-using tests::task_event;
-using tests::task_event_kind;
+using standins::task_event;
+using standins::task_event_kind;
 
 namespace
 {
@@ -28,9 +28,9 @@
     return result;
 }
 
-auto history(std::vector<task_event> events) -> tests::task_history
+auto history(std::vector<task_event> events) -> standins::task_history
 {
-    auto result = tests::task_history{};
+    auto result = standins::task_history{};
     result.capacities[core::worker_id{"a"}] = {1000, 100, 0};
     result.capacities[core::worker_id{"b"}] = {1000, 100, 0};
     result.needs[core::job_id{"job"}] = {600, 10, 0};
@@ -47,12 +47,12 @@
     auto const bad = history(
         {event(1s, task_event_kind::started, 1, "a"),
          event(2s, task_event_kind::started, 2, "b")});
-    ASSERT_TRUE(tests::find_overlap(bad));
+    ASSERT_TRUE(standins::find_overlap(bad));
     auto const good = history(
         {event(1s, task_event_kind::started, 1, "a"),
          event(2s, task_event_kind::ended, 1, "a"),
          event(3s, task_event_kind::started, 2, "b")});
-    EXPECT_FALSE(tests::find_overlap(good));
+    EXPECT_FALSE(standins::find_overlap(good));
 }
 
 // Guards against a checker that compares one task at a time with capacity.
@@ -62,11 +62,11 @@
     second.key.job = core::job_id{"other"};
     auto const bad =
         history({event(1s, task_event_kind::started, 1, "a"), second});
-    EXPECT_TRUE(tests::find_overcommitment(bad));
+    EXPECT_TRUE(standins::find_overcommitment(bad));
     auto const good = history(
         {event(1s, task_event_kind::started, 1, "a"),
          event(2s, task_event_kind::ended, 1, "a"), second});
-    EXPECT_FALSE(tests::find_overcommitment(good));
+    EXPECT_FALSE(standins::find_overcommitment(good));
 }
 
 // Guards against a checker that accepts an invented checkpoint, a second
@@ -78,15 +78,17 @@
     auto stopped = event(2s, task_event_kind::ended, 1, "a");
     stopped.progress = 50;
     auto const first = event(1s, task_event_kind::started, 1, "a");
-    EXPECT_TRUE(tests::find_bad_resume(history({first, stopped, resumed}), {}));
+    EXPECT_TRUE(
+        standins::find_bad_resume(history({first, stopped, resumed}), {}));
     stopped.checkpointed = true;
     auto const good = history({first, stopped, resumed});
-    EXPECT_FALSE(tests::find_bad_resume(good, {}));
-    EXPECT_TRUE(tests::find_bad_resume(
+    EXPECT_FALSE(standins::find_bad_resume(good, {}));
+    EXPECT_TRUE(standins::find_bad_resume(
         good, {{core::job_id{"job"}, core::time_point{2500ms}}}));
     auto again = first;
     again.at = core::time_point{4s};
-    EXPECT_TRUE(tests::find_bad_resume(history({first, stopped, again}), {}));
+    EXPECT_TRUE(
+        standins::find_bad_resume(history({first, stopped, again}), {}));
 }
 
 // Guards against a checker that misses starts in a drained data centre.
@@ -96,10 +98,10 @@
     auto const undrained = event(5s, task_event_kind::undrain_accepted, 0, "");
     auto const early = event(5s, task_event_kind::started, 1, "a");
     auto const late = event(6s, task_event_kind::started, 1, "a");
-    EXPECT_FALSE(
-        tests::find_start_after_drain(history({drained, early}), drain_bound));
-    EXPECT_TRUE(
-        tests::find_start_after_drain(history({drained, late}), drain_bound));
-    EXPECT_FALSE(tests::find_start_after_drain(
+    EXPECT_FALSE(standins::find_start_after_drain(
+        history({drained, early}), drain_bound));
+    EXPECT_TRUE(standins::find_start_after_drain(
+        history({drained, late}), drain_bound));
+    EXPECT_FALSE(standins::find_start_after_drain(
         history({drained, undrained, late}), drain_bound));
 }
