Keep runners known while a new owner takes the inventory

In the processes test, 9 requests got 503 not-run within 0.2 s of a planned hand-over of two shards. Cause: the new owner published an endpoint table with the higher epoch before any worker had sent it a heartbeat. This empty table replaced the former owner's complete one at every gateway.

The new owner now publishes no table until it has heard from each worker that runs service tasks, for at most 2 s. A stale endpoint is harmless: its connection is refused and the request tried elsewhere.

--- a/coordination/shard_host_base.cpp
+++ b/coordination/shard_host_base.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+// A silent worker must not hide changes of the others, such as a drain, for
+// longer. Several heartbeats (500 ms) fit in.
+constexpr auto longest_table_wait = std::chrono::seconds{2};
+
 auto fail_not_owner(core::shard_id shard) -> void
 {
     core::fail(
@@ -34,7 +38,8 @@
     bool released = false;
     bool former_owner_stopped = false;
     core::time_point last_batch;
-    bool writing = false; ///< A batch or a snapshot is being written.
+    core::time_point loaded_at; ///< When the engine was made.
+    bool writing = false;       ///< A batch or a snapshot is being written.
     protocol::endpoint_table table;
 };
 
@@ -116,6 +121,7 @@
     entry->engine.emplace(
         entry->owner_epoch, std::move(state), settings_.engine,
         std::move(hooks), hooks_.now(), settings_.faults);
+    entry->loaded_at = hooks_.now();
     log_.info(
         "Shard is served.",
         {{"shard", entry->shard.value}, {"epoch", entry->owner_epoch.value}});
@@ -234,6 +240,15 @@
 
 auto shard_host::refresh_table(shard_entry& entry) -> void
 {
+    // A table of this epoch replaces the former owner's at every gateway. An
+    // incomplete one would take runners away that serve requests.
+    auto const waits = entry.table.version == 0 &&
+                       !entry.engine->knows_all_endpoints() &&
+                       hooks_.now() - entry.loaded_at < longest_table_wait;
+    if (waits)
+    {
+        return;
+    }
     auto endpoints = entry.engine->endpoints();
     if (entry.table.version == 0 || endpoints != entry.table.endpoints)
     {
@@ -449,6 +464,27 @@
     return result;
 }
 
+auto shard_host::find_job(core::job_id const& id) const
+    -> std::optional<std::vector<state::job>>
+{
+    auto const home = state::shard_of(id, settings_.engine.shard_count);
+    auto const entry = find(home);
+    if (!entry)
+    {
+        fail_not_owner(home);
+        return std::nullopt;
+    }
+    auto const lock = std::scoped_lock{entry->mutex};
+    if (!entry->engine)
+    {
+        fail_not_owner(home);
+        return std::nullopt;
+    }
+    auto result = entry->engine->jobs();
+    std::erase_if(result, [&id](auto const& it) { return it.spec.id != id; });
+    return result;
+}
+
 auto shard_host::workers() const -> std::vector<state::worker_view>
 {
     auto result = std::vector<state::worker_view>{};
--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -130,6 +130,13 @@
     [[nodiscard]] auto owned() const -> std::vector<protocol::owned_shard>;
     [[nodiscard]] auto jobs(std::optional<core::job_id> const& wanted) const
         -> std::vector<state::job>;
+
+    /**
+     * Returns job @p id of its home shard, or nothing if the shard has no such
+     * job; std::nullopt with not_owner if this instance does not serve it.
+     */
+    [[nodiscard]] auto find_job(core::job_id const& id) const
+        -> std::optional<std::vector<state::job>>;
     [[nodiscard]] auto workers() const -> std::vector<state::worker_view>;
     [[nodiscard]] auto summaries() const -> std::vector<state::shard_summary>;
     [[nodiscard]] auto tables() const -> std::vector<protocol::endpoint_table>;
--- a/state/engine_base.cpp
+++ b/state/engine_base.cpp
@@ -165,6 +165,11 @@
     return implementation_->endpoints();
 }
 
+auto shard_engine::knows_all_endpoints() const -> bool
+{
+    return implementation_->knows_all_endpoints();
+}
+
 auto shard_engine::summary(core::time_point now) const -> shard_summary
 {
     return implementation_->summary(now);
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -188,6 +188,12 @@
     [[nodiscard]] auto workers(core::time_point now) const
         -> std::vector<worker_view>;
     [[nodiscard]] auto endpoints() const -> std::vector<service_endpoint>;
+
+    /**
+     * Returns true if each worker with service tasks has sent a heartbeat to
+     * this engine. Before that, endpoints() lacks runners that may be serving.
+     */
+    [[nodiscard]] auto knows_all_endpoints() const -> bool;
     [[nodiscard]] auto summary(core::time_point now) const -> shard_summary;
 
 private:
--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -250,6 +250,7 @@
     auto jobs() const -> std::vector<job>;
     auto workers(core::time_point now) const -> std::vector<worker_view>;
     auto endpoints() const -> std::vector<service_endpoint>;
+    auto knows_all_endpoints() const -> bool;
     auto summary(core::time_point now) const -> shard_summary;
     auto event(
         std::string kind, core::job_id job, core::worker_id worker,
--- a/state/engine_views.cpp
+++ b/state/engine_views.cpp
@@ -132,6 +132,23 @@
     return result;
 }
 
+auto shard_engine::implementation::knows_all_endpoints() const -> bool
+{
+    auto const may_serve = [this](attempt_key const& key)
+    {
+        auto const* task = state_.find_task(key);
+        return task != nullptr && !task->outcome &&
+               task->spec.kind == job_kind::service;
+    };
+    return std::all_of(
+        tasks_of_.begin(), tasks_of_.end(),
+        [&](auto const& it)
+        {
+            return workers_.contains(it.first) ||
+                   std::none_of(it.second.begin(), it.second.end(), may_serve);
+        });
+}
+
 auto shard_engine::implementation::summary(core::time_point now) const
     -> shard_summary
 {
