Answer not found only from the owner of the job's home shard

Cause: the daemon asked only the peers that it knew, and at that time it knew none or too few of them.

A query for one job now goes to its home shard's owner.

--- a/coordination/control_base.cpp
+++ b/coordination/control_base.cpp
@@ -365,8 +365,13 @@
             wanted = core::job_id{std::move(id)};
         }
         hooks_.jobs(
-            wanted, [reply = std::move(reply)](auto const& jobs)
-            { reply(json_response(status_ok, protocol::to_json(jobs))); });
+            wanted,
+            [reply = std::move(reply)](auto const& jobs)
+            {
+                reply(
+                    jobs ? json_response(status_ok, protocol::to_json(*jobs))
+                         : failure_response(core::last_reason()));
+            });
     };
     routes_["GET /v1/services"] = [this](auto const&, auto reply)
     {
--- a/coordination/control_base.hpp
+++ b/coordination/control_base.hpp
@@ -69,8 +69,8 @@
     std::function<void(core::job_id, std::string reason, done)> cancel;
     std::function<void(
         std::optional<core::job_id>,
-        std::function<void(std::vector<state::job>)>)>
-        jobs;
+        std::function<void(std::optional<std::vector<state::job>>)>)>
+        jobs; ///< std::nullopt with core::last_reason().
     std::function<void(std::function<void(std::vector<state::worker_view>)>)>
         workers;
     std::function<std::vector<state::service_endpoint>()> endpoints;
--- a/coordination/forwarding_base.cpp
+++ b/coordination/forwarding_base.cpp
@@ -156,16 +156,42 @@
 
 auto forwarding::jobs(
     std::optional<core::job_id> const& wanted,
-    std::function<void(std::vector<state::job>)> on_done) -> void
+    std::function<void(std::optional<std::vector<state::job>>)> on_done) -> void
 {
+    if (wanted)
+    {
+        find_job(*wanted, std::move(on_done));
+        return;
+    }
     auto const pick = [](protocol::peer_reply const& reply)
     {
         auto const* jobs = std::get_if<protocol::jobs_reply>(&reply);
         return jobs == nullptr ? std::vector<state::job>{} : jobs->jobs;
     };
     collect(
-        host_.jobs(wanted), protocol::jobs_request{wanted}, pick,
-        std::move(on_done));
+        host_.jobs(std::nullopt), protocol::jobs_request{}, pick,
+        std::function<void(std::vector<state::job>)>{std::move(on_done)});
+}
+
+// Only the home shard's owner can tell that a job does not exist.
+auto forwarding::find_job(
+    core::job_id const& id,
+    std::function<void(std::optional<std::vector<state::job>>)> on_done) -> void
+{
+    auto own = host_.find_job(id);
+    if (own)
+    {
+        on_done(std::move(own));
+        return;
+    }
+    call_owner(
+        state::shard_of(id, shard_count_), protocol::jobs_request{id},
+        [on_done = std::move(on_done)](auto const& reply)
+        {
+            auto const* jobs =
+                reply ? std::get_if<protocol::jobs_reply>(&*reply) : nullptr;
+            on_done(jobs ? std::optional{jobs->jobs} : std::nullopt);
+        });
 }
 
 auto forwarding::workers(
--- a/coordination/forwarding_base.hpp
+++ b/coordination/forwarding_base.hpp
@@ -35,10 +35,15 @@
     auto cancel(core::job_id const& id, std::string reason, done on_done)
         -> void;
 
-    /** Collects jobs of all shards; those of silent owners are missing. */
+    /**
+     * Collects jobs of all shards; those of silent owners are missing. For one
+     * job, only its home shard's owner is asked; @p on_done gets std::nullopt
+     * with core::last_reason() if that owner is not known or does not answer.
+     */
     auto jobs(
         std::optional<core::job_id> const& wanted,
-        std::function<void(std::vector<state::job>)> on_done) -> void;
+        std::function<void(std::optional<std::vector<state::job>>)> on_done)
+        -> void;
 
     /** Collects workers of all shards; those of silent owners are missing. */
     auto workers(std::function<void(std::vector<state::worker_view>)> on_done)
@@ -50,6 +55,10 @@
         std::function<void(std::optional<state::shard_reply>)> on_done) -> void;
 
 private:
+    auto find_job(
+        core::job_id const& id,
+        std::function<void(std::optional<std::vector<state::job>>)> on_done)
+        -> void;
     auto call_owner(
         core::shard_id shard, protocol::peer_request request,
         std::function<void(std::optional<protocol::peer_reply>)> on_done)
--- a/coordination/peer_server_base.cpp
+++ b/coordination/peer_server_base.cpp
@@ -110,7 +110,18 @@
 auto peer_server::answer(
     protocol::jobs_request const& request, reply const& send) -> void
 {
-    send(protocol::jobs_reply{host_.jobs(request.job)});
+    if (!request.job)
+    {
+        send(protocol::jobs_reply{host_.jobs(std::nullopt)});
+        return;
+    }
+    auto found = host_.find_job(*request.job);
+    if (!found)
+    {
+        send(last_error());
+        return;
+    }
+    send(protocol::jobs_reply{std::move(*found)});
 }
 
 auto peer_server::answer(
