--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts and stops a small cluster of separate processes on loopback: a stand-in
 # store and instance list, six stand-in workers in two data centres, and three
-# daemons. Usage: cluster.sh start BUILD_DIR | stop | restart-daemon N BUILD_DIR
+# daemons. Usage: cluster.sh start BUILD_DIR | stop | restart-daemon N BUILD_DIR |
+# restart-worker N BUILD_DIR | gone N
 # Environment: RUN_DIR (default run), PORT_BASE (default 7000).
 set -eu
 cd "$(dirname "$0")/.."
@@ -118,9 +119,11 @@
 start) build=${2:?"cluster.sh start BUILD_DIR"} && start ;;
 stop) stop ;;
 restart-daemon) build=${3:?"cluster.sh restart-daemon N BUILD_DIR"} && start_daemon "$2" ;;
+restart-worker) build=${3:?"cluster.sh restart-worker N BUILD_DIR"} && start_worker "$2" ;;
 gone) list_instance "entry-$2" "$(peer_port "$2")" gone ;;
 *)
-    echo "usage: cluster.sh start BUILD_DIR | stop | restart-daemon N BUILD_DIR | gone N" >&2
+    echo "usage: cluster.sh start BUILD_DIR | stop | restart-daemon N BUILD_DIR |" \
+        "restart-worker N BUILD_DIR | gone N" >&2
     exit 2
     ;;
 esac
