--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -1331,6 +1331,34 @@
     EXPECT_FALSE(worker.runs(job_a));
 }
 
+// Guards against a new owner whose empty endpoint table takes runners away
+// that serve requests, as it would before the first heartbeat arrives.
+TEST(engine, new_owner_knows_endpoints_after_heartbeats)
+{
+    auto all = cluster{1};
+    auto& worker = all.add_worker("w");
+    auto const name = core::service_id{"desk"};
+    all.change_config(
+        [&name](auto& it)
+        {
+            auto& service = it.services[name];
+            service.service = name;
+            service.runners = 1;
+            service.need = {1000, 256, 0};
+        });
+    all.steps(4);
+    ASSERT_EQ(all.engines[0]->endpoints().size(), 1U);
+    EXPECT_TRUE(all.engines[0]->knows_all_endpoints());
+    worker.connected = false;
+    auto const former = all.replace(0);
+    EXPECT_FALSE(all.engines[0]->knows_all_endpoints());
+    EXPECT_TRUE(all.engines[0]->endpoints().empty());
+    worker.connected = true;
+    all.steps(2);
+    EXPECT_TRUE(all.engines[0]->knows_all_endpoints());
+    EXPECT_EQ(all.engines[0]->endpoints().size(), 1U);
+}
+
 // Guards against a worker that is counted as lapsed because the new owner heard
 // it once, although only the former owner's replies reach it.
 TEST(engine, lease_counts_after_the_worker_reports_the_epoch)
