Become ready only with endpoint tables

Peers left out tables that the former process had acknowledged.

Ruled out: waiting for the first peer update only; it may leave out tables until the peer has noticed the restart.

Changed: peers forget what a restarted process knew; a daemon is ready when it has a table, or after 3 s.

The readiness change has no test of its own.

--- a/coordination/peers_base.cpp
+++ b/coordination/peers_base.cpp
@@ -195,6 +195,8 @@
             peer.update.boot_id != update.boot_id)
         {
             log_.info("Peer has restarted.", {{"peer", update.instance.value}});
+            // The new process knows none of the tables.
+            known_there_.erase(peer.address);
         }
         peer.update = update;
         peer.update.tables.clear();
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -14,6 +14,10 @@
 {
 
 constexpr auto peer_interval = std::chrono::milliseconds{500};
+
+// A restarted daemon gets the endpoint tables from its peers within two peer
+// updates. Without peers it must become ready nevertheless.
+constexpr auto longest_wait_for_tables = std::chrono::seconds{3};
 constexpr auto drain_poll_interval = std::chrono::milliseconds{50};
 constexpr auto config_fetch_timeout = std::chrono::seconds{1};
 
@@ -296,6 +300,7 @@
 auto entry_daemon::start() -> std::optional<bool>
 {
     peers_.add_addresses(settings_.peers);
+    started_ = now_();
     if (!listen())
     {
         return std::nullopt;
@@ -528,7 +533,9 @@
     auto const view = config_.current();
     auto const has_config =
         view.head_revision.has_value() || view.document->number.value > 0;
-    return gateway_.ready() && has_config;
+    auto const has_tables = !router_.tables().empty();
+    auto const has_waited = now_() - started_ >= longest_wait_for_tables;
+    return gateway_.ready() && has_config && (has_tables || has_waited);
 }
 
 auto entry_daemon::status() -> coordination::daemon_status
--- a/programs/godwitcleatd/daemon_base.hpp
+++ b/programs/godwitcleatd/daemon_base.hpp
@@ -95,6 +95,7 @@
     std::optional<transport::http_server> control_listener_;
     std::optional<transport::frame_server> peer_listener_;
     std::vector<transport::timer_handle> timers_;
+    core::time_point started_;
     core::time_point drain_end_;
 };
 
