--- a/standins/history-check/main.cpp
+++ b/standins/history-check/main.cpp
@@ -1,6 +1,7 @@
 /** @file main.cpp Checks the histories that stand-ins and callers wrote. */
 #include "standins/support/history_base.hpp"
 #include "standins/support/history_check_base.hpp"
+#include "standins/support/main_func.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -15,7 +16,6 @@
 {
 
 constexpr int exit_violation = 1;
-constexpr int exit_usage = 2;
 
 auto make_options() -> cxxopts::Options
 {
@@ -71,7 +71,7 @@
     if (!opened)
     {
         fmt::print(stderr, "{}\n", core::last_reason().message);
-        return exit_usage;
+        return standins::exit_usage;
     }
     opened->write(line);
     return EXIT_SUCCESS;
@@ -114,7 +114,7 @@
     if (!verdict)
     {
         fmt::print(stderr, "{}\n", core::last_reason().message);
-        return exit_usage;
+        return standins::exit_usage;
     }
     auto const& counts = verdict->counts;
     fmt::print(
@@ -134,34 +134,19 @@
     return exit_violation;
 }
 
+auto run(cxxopts::ParseResult const& parsed) -> int
+{
+    auto const mark = mark_of(parsed);
+    return mark.empty()
+               ? check(parsed)
+               : append(
+                     parsed["files"].as<std::vector<std::string>>().front(),
+                     mark);
+}
+
 } // namespace
 
 auto main(int count, char** arguments) -> int
 {
-    auto options = make_options();
-    try
-    {
-        auto const parsed = options.parse(count, arguments);
-        if (parsed.count("help") > 0)
-        {
-            fmt::print("{}\n", options.help());
-            return EXIT_SUCCESS;
-        }
-        if (parsed.count("files") == 0)
-        {
-            fmt::print(stderr, "no history file is named; see --help\n");
-            return exit_usage;
-        }
-        auto const mark = mark_of(parsed);
-        return mark.empty()
-                   ? check(parsed)
-                   : append(
-                         parsed["files"].as<std::vector<std::string>>().front(),
-                         mark);
-    }
-    catch (cxxopts::exceptions::exception const& failure)
-    {
-        fmt::print(stderr, "{}; see --help\n", failure.what());
-        return exit_usage;
-    }
+    return standins::run_main(count, arguments, make_options(), {"files"}, run);
 }
--- a/standins/standin-caller/main.cpp
+++ b/standins/standin-caller/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp Sends requests through gateways and records the outcomes. */
 #include "standins/support/history_base.hpp"
+#include "standins/support/main_func.hpp"
 #include "transport/transport.hpp"
 
 #include <cxxopts.hpp>
@@ -239,40 +240,23 @@
     return EXIT_SUCCESS;
 }
 
+auto run_parsed(cxxopts::ParseResult const& parsed) -> int
+{
+    auto const settings = read_settings(parsed);
+    auto record = standins::history::open(parsed["history"].as<std::string>());
+    if (!settings || !record)
+    {
+        fmt::print(stderr, "{}\n", core::last_reason().message);
+        return standins::exit_usage;
+    }
+    return run(*settings, std::move(*record));
+}
+
 } // namespace
 
 auto main(int count, char** arguments) -> int
 {
-    auto options = make_options();
-    try
-    {
-        auto const parsed = options.parse(count, arguments);
-        if (parsed.count("help") > 0)
-        {
-            fmt::print("{}\n", options.help());
-            return EXIT_SUCCESS;
-        }
-        for (auto const* it : {"gateway", "service", "history"})
-        {
-            if (parsed.count(it) == 0)
-            {
-                fmt::print(stderr, "option --{} is missing; set it\n", it);
-                return EXIT_FAILURE;
-            }
-        }
-        auto const settings = read_settings(parsed);
-        auto record =
-            standins::history::open(parsed["history"].as<std::string>());
-        if (!settings || !record)
-        {
-            fmt::print(stderr, "{}\n", core::last_reason().message);
-            return EXIT_FAILURE;
-        }
-        return run(*settings, std::move(*record));
-    }
-    catch (cxxopts::exceptions::exception const& failure)
-    {
-        fmt::print(stderr, "{}; see --help\n", failure.what());
-        return EXIT_FAILURE;
-    }
+    return standins::run_main(
+        count, arguments, make_options(), {"gateway", "service", "history"},
+        run_parsed);
 }
--- a/standins/standin-instances/main.cpp
+++ b/standins/standin-instances/main.cpp
@@ -1,6 +1,7 @@
 /** @file main.cpp Stand-in of the platform's list of instances. */
 #include "protocol/protocol.hpp"
 #include "standins/support/instances_base.hpp"
+#include "standins/support/main_func.hpp"
 #include "transport/transport.hpp"
 
 #include <cxxopts.hpp>
@@ -133,20 +134,5 @@
 
 auto main(int count, char** arguments) -> int
 {
-    auto options = make_options();
-    try
-    {
-        auto const parsed = options.parse(count, arguments);
-        if (parsed.count("help") > 0)
-        {
-            fmt::print("{}\n", options.help());
-            return EXIT_SUCCESS;
-        }
-        return run(parsed);
-    }
-    catch (cxxopts::exceptions::exception const& failure)
-    {
-        fmt::print(stderr, "{}; see --help\n", failure.what());
-        return EXIT_FAILURE;
-    }
+    return standins::run_main(count, arguments, make_options(), {}, run);
 }
--- a/standins/standin-store/standin_store_main.cpp
+++ b/standins/standin-store/main.cpp
@@ -1,4 +1,5 @@
-/** @file standin_store_main.cpp Runs the store stand-in as a process. */
+/** @file main.cpp Runs the store stand-in as a process. */
+#include "standins/support/main_func.hpp"
 #include "standins/support/standin_store_base.hpp"
 
 #include <cxxopts.hpp>
@@ -17,7 +18,7 @@
 constexpr auto tick_interval = std::chrono::milliseconds{2};
 constexpr std::size_t threads = 2;
 
-auto parse(int argc, char** argv) -> std::optional<cxxopts::ParseResult>
+auto make_options() -> cxxopts::Options
 {
     auto options = cxxopts::Options{
         "standin-store", "Serves the etcd v3 JSON gateway from memory."};
@@ -30,26 +31,21 @@
         cxxopts::value<std::uint32_t>()->default_value("0"));
     add("reads-per-s", "rate limit of reads, 0: none",
         cxxopts::value<std::uint32_t>()->default_value("0"));
-    try
-    {
-        return options.parse(argc, argv);
-    }
-    catch (std::exception const& problem)
-    {
-        return core::fail(
-            core::error_kind::invalid_input,
-            std::string{problem.what()} + "\n" + options.help());
-    }
+    add("help", "print this text");
+    return options;
 }
 
-auto run(cxxopts::ParseResult const& options, core::logger const& log) -> int
+auto run(cxxopts::ParseResult const& options) -> int
 {
+    auto const log =
+        core::logger{core::standard_error_sink(), core::log_level::info}
+            .with_prefix("store");
     auto const where =
         transport::parse_endpoint(options["listen"].as<std::string>());
     if (!where)
     {
         log.error(core::last_reason().message);
-        return 2;
+        return standins::exit_usage;
     }
     auto settings = standins::standin_store_settings{};
     settings.history_path = options["history"].as<std::string>();
@@ -61,7 +57,7 @@
         log.error(
             "The history file cannot be written; check --history.",
             {{"path", settings.history_path}});
-        return 2;
+        return standins::exit_usage;
     }
     auto loop = transport::reactor{threads};
     auto server = transport::http_server::listen(
@@ -83,7 +79,7 @@
     if (!server)
     {
         log.error(core::last_reason().message);
-        return 1;
+        return EXIT_FAILURE;
     }
     auto stopped = std::promise<void>{};
     loop.on_signal({SIGTERM, SIGINT}, [&stopped](int) { stopped.set_value(); });
@@ -92,21 +88,12 @@
     stopped.get_future().wait();
     server->close();
     loop.stop();
-    return 0;
+    return EXIT_SUCCESS;
 }
 
 } // namespace
 
-auto main(int argc, char** argv) -> int
+auto main(int count, char** arguments) -> int
 {
-    auto const log =
-        core::logger{core::standard_error_sink(), core::log_level::info}
-            .with_prefix("store");
-    auto const options = parse(argc, argv);
-    if (!options)
-    {
-        log.error(core::last_reason().message);
-        return 2;
-    }
-    return run(*options, log);
+    return standins::run_main(count, arguments, make_options(), {}, run);
 }
--- a/standins/standin-worker/main.cpp
+++ b/standins/standin-worker/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Stand-in of a worker: options and signals. */
+#include "standins/support/main_func.hpp"
 #include "standins/support/process_base.hpp"
 
 #include <cxxopts.hpp>
@@ -146,28 +147,7 @@
 
 auto main(int count, char** arguments) -> int
 {
-    auto options = make_options();
-    try
-    {
-        auto const parsed = options.parse(count, arguments);
-        if (parsed.count("help") > 0)
-        {
-            fmt::print("{}\n", options.help());
-            return EXIT_SUCCESS;
-        }
-        for (auto const* it : {"id", "rack", "data-centre", "daemon"})
-        {
-            if (parsed.count(it) == 0)
-            {
-                fmt::print(stderr, "option --{} is missing; set it\n", it);
-                return EXIT_FAILURE;
-            }
-        }
-        return run(parsed);
-    }
-    catch (cxxopts::exceptions::exception const& failure)
-    {
-        fmt::print(stderr, "{}; see --help\n", failure.what());
-        return EXIT_FAILURE;
-    }
+    return standins::run_main(
+        count, arguments, make_options(),
+        {"id", "rack", "data-centre", "daemon"}, run);
 }
