Repeat submits and cancels until the shard's owner answers

Cause: while a shard moved to another instance, submits were refused with not_owner or unknown_outcome although repeating them is safe.

Ruled out: repeating in the command-line tool; every other caller of the control port would need the same loop.

--- a/coordination/forwarding_base.cpp
+++ b/coordination/forwarding_base.cpp
@@ -17,6 +17,26 @@
 constexpr auto change_timeout = std::chrono::seconds{5};
 constexpr auto query_timeout = std::chrono::seconds{1};
 
+// A take-over of a shard lasts about 6 s; the command-line tool waits for 10 s.
+constexpr auto change_deadline = std::chrono::seconds{8};
+constexpr auto change_retry_interval = std::chrono::milliseconds{200};
+
+// Returns true if another try may succeed. Changes are idempotent, so one with
+// an unknown outcome may be repeated too.
+auto is_worth_repeating(core::error_kind kind) -> bool
+{
+    switch (kind)
+    {
+    case core::error_kind::not_owner:
+    case core::error_kind::stale_epoch:
+    case core::error_kind::unavailable:
+    case core::error_kind::timeout:
+    case core::error_kind::unknown_outcome:
+    case core::error_kind::shutting_down: return true;
+    default: return false;
+    }
+}
+
 // Maps the alternatives of a variant onto those of a wider one.
 template <class Wide, class Narrow>
 auto widened(Narrow value) -> Wide
@@ -83,30 +103,83 @@
 }
 
 auto forwarding::submit(state::job_spec spec, done on_done) -> void
+{
+    run_change(
+        [this, spec = std::move(spec)](done on_tried)
+        { submit_once(spec, std::move(on_tried)); },
+        now_() + change_deadline, std::move(on_done));
+}
+
+auto forwarding::cancel(
+    core::job_id const& id, std::string reason, done on_done) -> void
+{
+    run_change(
+        [this, id, reason = std::move(reason)](done on_tried)
+        { cancel_once(id, reason, std::move(on_tried)); },
+        now_() + change_deadline, std::move(on_done));
+}
+
+auto forwarding::run_change(
+    change const& run, core::time_point deadline, done on_done) -> void
+{
+    run(
+        [this, run, deadline, on_done = std::move(on_done)](bool succeeded)
+        {
+            auto const due = now_() + change_retry_interval;
+            if (succeeded || due >= deadline ||
+                !is_worth_repeating(core::last_reason().kind))
+            {
+                on_done(succeeded);
+                return;
+            }
+            auto const lock = std::scoped_lock{mutex_};
+            waiting_.push_back({due, deadline, run, on_done});
+        });
+}
+
+auto forwarding::tick() -> void
+{
+    auto due = std::vector<waiting_change>{};
+    {
+        auto const now = now_();
+        auto const lock = std::scoped_lock{mutex_};
+        auto const first = std::stable_partition(
+            waiting_.begin(), waiting_.end(),
+            [now](auto const& it) { return it.due > now; });
+        std::move(first, waiting_.end(), std::back_inserter(due));
+        waiting_.erase(first, waiting_.end());
+    }
+    for (auto& it : due)
+    {
+        run_change(it.run, it.deadline, std::move(it.on_done));
+    }
+}
+
+auto forwarding::submit_once(state::job_spec const& spec, done on_done) -> void
 {
     auto const shard = state::shard_of(spec.id, shard_count_);
     if (host_.serves(shard))
     {
-        host_.submit(std::move(spec), std::move(on_done));
+        host_.submit(spec, std::move(on_done));
         return;
     }
     call_owner(
-        shard, protocol::submit_request{std::move(spec)},
+        shard, protocol::submit_request{spec},
         [on_done = std::move(on_done)](auto const& reply)
         { on_done(is_done(reply)); });
 }
 
-auto forwarding::cancel(
-    core::job_id const& id, std::string reason, done on_done) -> void
+auto forwarding::cancel_once(
+    core::job_id const& id, std::string const& reason, done on_done) -> void
 {
     auto const shard = state::shard_of(id, shard_count_);
     if (host_.serves(shard))
     {
-        host_.cancel(id, std::move(reason), std::move(on_done));
+        host_.cancel(id, reason, std::move(on_done));
         return;
     }
     call_owner(
-        shard, protocol::cancel_request{id, std::move(reason)},
+        shard, protocol::cancel_request{id, reason},
         [on_done = std::move(on_done)](auto const& reply)
         { on_done(is_done(reply)); });
 }
--- a/coordination/forwarding_base.hpp
+++ b/coordination/forwarding_base.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,13 +29,20 @@
         shard_host& host, peer_set& peers, peer_call call,
         std::uint32_t shard_count, core::clock now);
 
-    /** Submits a job to its home shard, wherever that is owned. */
+    /**
+     * Submits a job to its home shard, wherever that is owned. Repeated for a
+     * few seconds while the shard has no owner that answers, which is safe
+     * because submits and cancels are idempotent.
+     */
     auto submit(state::job_spec spec, done on_done) -> void;
 
-    /** Cancels a job in its home shard, wherever that is owned. */
+    /** Cancels a job in its home shard; repeated as submit() is. */
     auto cancel(core::job_id const& id, std::string reason, done on_done)
         -> void;
 
+    /** Repeats changes that are due; call it each tick. */
+    auto tick() -> void;
+
     /**
      * Collects jobs of all shards; those of silent owners are missing. For one
      * job, only its home shard's owner is asked; @p on_done gets std::nullopt
@@ -55,6 +63,24 @@
         std::function<void(std::optional<state::shard_reply>)> on_done) -> void;
 
 private:
+    /** One try of a change; it calls the handler exactly once. */
+    using change = std::function<void(done)>;
+
+    /** A change that waits for its next try. */
+    struct waiting_change
+    {
+        core::time_point due;
+        core::time_point deadline;
+        change run;
+        done on_done;
+    };
+
+    auto run_change(change const& run, core::time_point deadline, done on_done)
+        -> void;
+    auto submit_once(state::job_spec const& spec, done on_done) -> void;
+    auto
+    cancel_once(core::job_id const& id, std::string const& reason, done on_done)
+        -> void;
     auto find_job(
         core::job_id const& id,
         std::function<void(std::optional<std::vector<state::job>>)> on_done)
@@ -74,6 +100,8 @@
     peer_call call_;
     std::uint32_t shard_count_;
     core::clock now_;
+    std::mutex mutex_;
+    std::vector<waiting_change> waiting_;
 };
 
 } // namespace godwitcleat::coordination
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -372,6 +372,7 @@
     ownership_.tick();
     logs_.tick();
     host_.tick();
+    forwarding_.tick();
     for (auto& it : host_.tables())
     {
         router_.update_table(std::move(it));
