Share the guard of late store handlers

Cause: three classes held the same template that drops a store handler after the object was destroyed.

Changed: guarded_base holds it once. No behaviour changed.

--- a/coordination/config_follower_base.cpp
+++ b/coordination/config_follower_base.cpp
@@ -1,6 +1,7 @@
 /** @file config_follower_base.cpp Holds and publishes the configuration. */
 #include "coordination/config_follower_base.hpp"
 
+#include "coordination/guarded_internal.hpp"
 #include "coordination/key_func.hpp"
 #include "coordination/ordered_hook_internal.hpp"
 
@@ -40,7 +41,7 @@
 } // namespace
 
 struct config_follower::implementation
-    : public std::enable_shared_from_this<config_follower::implementation>
+    : public guarded_base<config_follower::implementation>
 {
     implementation(
         store& platform, core::clock clock, core::logger const& log,
@@ -58,20 +59,6 @@
     {
     }
 
-    /** Wraps a handler that must not run after destruction. */
-    template <class Handler>
-    auto guarded(Handler handler)
-    {
-        return [self = weak_from_this(), handler = std::move(handler)](auto arg)
-        {
-            auto const alive = self.lock();
-            if (alive && !alive->closed)
-            {
-                handler(*alive, std::move(arg));
-            }
-        };
-    }
-
     auto read_head() -> void;
     /** Takes over what the head key holds; returns its generation. */
     auto take_head(store_range const& found) -> std::optional<core::generation>;
@@ -98,7 +85,6 @@
     config_codec codec;
     config_follower_settings settings;
     std::function<std::int64_t()> wall_us;
-    std::atomic<bool> closed = false;
     ordered_hook<state::config_pointer> generations;
 
     std::mutex mutex;
--- a/coordination/ownership_internal.hpp
+++ b/coordination/ownership_internal.hpp
@@ -3,6 +3,7 @@
 #ifndef GODWITCLEAT_COORDINATION_OWNERSHIP_INTERNAL_HPP
 #define GODWITCLEAT_COORDINATION_OWNERSHIP_INTERNAL_HPP
 
+#include "coordination/guarded_internal.hpp"
 #include "coordination/ordered_hook_internal.hpp"
 #include "coordination/ownership_base.hpp"
 #include "coordination/store_type.hpp"
@@ -67,7 +68,7 @@
 auto add_entry(polled_shards& shards, store_entry entry) -> void;
 
 struct ownership::implementation
-    : public std::enable_shared_from_this<ownership::implementation>
+    : public guarded_base<ownership::implementation>
 {
     implementation(
         store& platform, core::clock clock, core::logger const& log,
@@ -84,20 +85,6 @@
     {
     }
 
-    /** Wraps a handler that must not run after destruction. */
-    template <class Handler>
-    auto guarded(Handler handler)
-    {
-        return [self = weak_from_this(), handler = std::move(handler)](auto arg)
-        {
-            auto const alive = self.lock();
-            if (alive && !alive->closed)
-            {
-                handler(*alive, std::move(arg));
-            }
-        };
-    }
-
     /** Notes whether the store answered; call with the handler's result. */
     auto note_answer(bool has_result, bool is_renewal = false) -> void;
     auto identity(store_lease lease) const -> std::string;
@@ -138,7 +125,6 @@
     core::instance_id instance;
     std::string boot_id;
     ownership_settings settings;
-    std::atomic<bool> closed = false;
     ordered_hook<shard_ownership> changes;
 
     mutable std::mutex mutex;
--- a/coordination/shard_log_base.cpp
+++ b/coordination/shard_log_base.cpp
@@ -1,6 +1,7 @@
 /** @file shard_log_base.cpp Recovery and writing of one shard's log. */
 #include "coordination/shard_log_base.hpp"
 
+#include "coordination/guarded_internal.hpp"
 #include "coordination/key_func.hpp"
 
 #include <algorithm>
@@ -67,7 +68,7 @@
 } // namespace
 
 struct shard_log::implementation
-    : public std::enable_shared_from_this<shard_log::implementation>
+    : public guarded_base<shard_log::implementation>
 {
     implementation(
         store& platform, core::clock clock, core::logger const& log,
@@ -84,20 +85,6 @@
     {
     }
 
-    /** Wraps a handler that must not run after the log was destroyed. */
-    template <class Handler>
-    auto guarded(Handler handler)
-    {
-        return [self = weak_from_this(), handler = std::move(handler)](auto arg)
-        {
-            auto const alive = self.lock();
-            if (alive && !alive->closed)
-            {
-                handler(*alive, std::move(arg));
-            }
-        };
-    }
-
     auto read_snapshot(recovery_pointer const& it) -> void;
     auto read_page(recovery_pointer const& it) -> void;
     auto take_page(recovery_pointer const& it, store_range const& page) -> bool;
@@ -131,7 +118,6 @@
     std::int64_t epoch_revision;
     shard_log_codec codec;
     shard_log_settings settings;
-    std::atomic<bool> closed = false;
 
     std::mutex mutex;
     std::int64_t page_entries;
