--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -65,6 +65,19 @@
     std::map<attempt_key, std::string> tasks; ///< With their task classes.
 };
 
+/** Returns true if no start of the task can have been sent. */
+inline auto is_unsent(task_entry const& entry) -> bool
+{
+    return !entry.reported && !entry.start_sent &&
+           (!entry.recovered || entry.cleared);
+}
+
+/** Returns the key of @p task. */
+inline auto key_of(hosted_task const& task) -> attempt_key
+{
+    return {task.spec.id, task.attempt};
+}
+
 /** A worker that this owner has heard from. */
 struct worker_entry
 {
