Transfer only changed entries in the repeated store reads

Cause: each instance reads the head of the configuration and the 32 ownership keys once a second as a whole. With a document of 600 entries that alone exceeds the limit of 22 KB/s of an instance (docs/CAPACITY.md, section 5).

Change: reads may ask for entries above a revision (min_mod_revision of the published protocol). range_cache completes the answers; a count that differs from the number of known keys shows a deletion, and the whole range is read again within the same poll.

Ruled out: watches (each waiting one counts as a call) and reading keys only (two calls for each change).

--- a/coordination/config_follower_base.cpp
+++ b/coordination/config_follower_base.cpp
@@ -156,8 +156,13 @@
 
 auto config_follower::implementation::read_head() -> void
 {
+    auto known = std::int64_t{0};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        known = view.head_revision.value_or(0);
+    }
     platform.range(
-        config_head_key(), "", 1,
+        {config_head_key(), "", 1, known},
         guarded(
             [](implementation& self, std::optional<store_range> const& found)
             {
@@ -165,7 +170,9 @@
                     auto const lock = std::scoped_lock{self.mutex};
                     self.reading = false;
                 }
-                if (found)
+                auto const is_unchanged =
+                    found && found->entries.empty() && found->count > 0;
+                if (found && !is_unchanged)
                 {
                     self.take_head(*found);
                 }
--- a/coordination/etcd_func.cpp
+++ b/coordination/etcd_func.cpp
@@ -139,18 +139,20 @@
 
 } // namespace
 
-auto etcd_range_body(
-    std::string_view key, std::string_view range_end, std::int64_t limit)
-    -> std::string
+auto etcd_range_body(store_query const& query) -> std::string
 {
-    auto body = json{{"key", base64_encode(key)}};
-    if (!range_end.empty())
+    auto body = json{{"key", base64_encode(query.key)}};
+    if (!query.range_end.empty())
     {
-        body["range_end"] = base64_encode(range_end);
+        body["range_end"] = base64_encode(query.range_end);
     }
-    if (limit > 0)
+    if (query.limit > 0)
     {
-        body["limit"] = std::to_string(limit);
+        body["limit"] = std::to_string(query.limit);
+    }
+    if (query.changed_after > 0)
+    {
+        body["min_mod_revision"] = std::to_string(query.changed_after + 1);
     }
     return body.dump();
 }
@@ -195,8 +197,14 @@
     {
         return std::nullopt;
     }
+    auto const count = integer(*answer, "count");
+    if (!count)
+    {
+        return std::nullopt;
+    }
     auto result = store_range{};
     result.revision = *revision;
+    result.count = *count;
     result.more = flag(*answer, "more");
     for (auto const& it : member(*answer, "kvs"))
     {
--- a/coordination/etcd_func.hpp
+++ b/coordination/etcd_func.hpp
@@ -18,9 +18,7 @@
  * base64, 64-bit integers are strings, and members with default values (0,
  * false, empty) are left out of answers.
  */
-auto etcd_range_body(
-    std::string_view key, std::string_view range_end, std::int64_t limit)
-    -> std::string;
+auto etcd_range_body(store_query const& query) -> std::string;
 auto etcd_commit_body(store_transaction const& transaction) -> std::string;
 auto etcd_grant_body(std::int64_t seconds) -> std::string;
 auto etcd_lease_body(store_lease lease) -> std::string;
--- a/coordination/etcd_store_base.cpp
+++ b/coordination/etcd_store_base.cpp
@@ -215,13 +215,11 @@
 
 etcd_store::~etcd_store() = default;
 
-auto etcd_store::range(
-    std::string key, std::string range_end, std::int64_t limit,
-    handler<store_range> on_done) -> void
+auto etcd_store::range(store_query query, handler<store_range> on_done) -> void
 {
     implementation_->start<store_range>(
-        "/v3/kv/range", etcd_range_body(key, range_end, limit), false,
-        &etcd_range_answer, std::move(on_done));
+        "/v3/kv/range", etcd_range_body(query), false, &etcd_range_answer,
+        std::move(on_done));
 }
 
 auto etcd_store::commit(
--- a/coordination/etcd_store_base.hpp
+++ b/coordination/etcd_store_base.hpp
@@ -48,9 +48,9 @@
         etcd_store_settings settings);
     ~etcd_store() override;
 
-    auto range(
-        std::string key, std::string range_end, std::int64_t limit,
-        handler<store_range> on_done) -> void override;
+    using store::range;
+    auto range(store_query query, handler<store_range> on_done)
+        -> void override;
     auto commit(store_transaction transaction, handler<store_commit> on_done)
         -> void override;
     auto grant(core::duration time_to_live, handler<store_lease> on_done)
--- a/coordination/ownership_internal.hpp
+++ b/coordination/ownership_internal.hpp
@@ -4,8 +4,10 @@
 #define GODWITCLEAT_COORDINATION_OWNERSHIP_INTERNAL_HPP
 
 #include "coordination/guarded_internal.hpp"
+#include "coordination/key_func.hpp"
 #include "coordination/ordered_hook_internal.hpp"
 #include "coordination/ownership_base.hpp"
+#include "coordination/range_cache_base.hpp"
 #include "coordination/store_type.hpp"
 
 #include <atomic>
@@ -81,6 +83,7 @@
         , boot_id(std::move(boot_id))
         , settings(settings)
         , changes(std::move(hooks.on_change))
+        , keys(ownership_prefix(), prefix_end(ownership_prefix()))
         , live{this->instance.value}
     {
     }
@@ -128,6 +131,7 @@
     ordered_hook<shard_ownership> changes;
 
     mutable std::mutex mutex;
+    range_cache keys;
     std::vector<std::string> live; ///< Sorted.
     std::map<core::shard_id, held_shard> held;
     std::map<core::shard_id, core::instance_id> owners;
--- a/coordination/ownership_poll.cpp
+++ b/coordination/ownership_poll.cpp
@@ -11,20 +11,34 @@
 
 auto ownership::implementation::poll() -> void
 {
+    auto query = store_query{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        query = keys.query();
+    }
     platform.range(
-        ownership_prefix(), prefix_end(ownership_prefix()), 0,
+        std::move(query),
         guarded(
             [](implementation& self, std::optional<store_range> const& found)
             {
+                auto is_whole = true;
                 {
                     auto const lock = std::scoped_lock{self.mutex};
                     self.note_answer(found.has_value());
-                    self.polling = false;
-                    if (found)
+                    is_whole = !found || self.keys.update(*found);
+                    self.polling = !is_whole;
+                    if (found && is_whole)
                     {
-                        self.on_poll(*found);
+                        self.on_poll(self.keys.content());
                     }
                 }
+                if (!is_whole)
+                {
+                    // A key was deleted; read all of them at once, because the
+                    // shard may have no owner.
+                    self.poll();
+                    return;
+                }
                 self.run_actions();
             }));
 }
--- a/coordination/store_type.hpp
+++ b/coordination/store_type.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace godwitcleat::coordination
@@ -55,12 +56,22 @@
     std::int64_t revision = 0; ///< Store revision after it.
 };
 
+/** Which keys to read. */
+struct store_query
+{
+    std::string key;
+    std::string range_end;          ///< Empty: @p key alone.
+    std::int64_t limit = 0;         ///< Most entries; 0: all.
+    std::int64_t changed_after = 0; ///< Only entries of later revisions.
+};
+
 /** Keys of a range, sorted. */
 struct store_range
 {
     std::vector<store_entry> entries;
     std::int64_t revision = 0;
-    bool more = false; ///< The limit cut the range.
+    std::int64_t count = 0; ///< Keys of the whole range, unchanged ones too.
+    bool more = false;      ///< The limit cut the range.
 };
 
 /**
@@ -80,10 +91,19 @@
     auto operator=(store const&) -> store& = delete;
     virtual ~store() = default;
 
+    /** Reads keys. */
+    virtual auto range(store_query query, handler<store_range> on_done)
+        -> void = 0;
+
     /** Reads the keys from @p key to before @p range_end, or @p key alone. */
-    virtual auto range(
+    auto range(
         std::string key, std::string range_end, std::int64_t limit,
-        handler<store_range> on_done) -> void = 0;
+        handler<store_range> on_done) -> void
+    {
+        range(
+            {std::move(key), std::move(range_end), limit, 0},
+            std::move(on_done));
+    }
 
     /** Carries out @p transaction. */
     virtual auto
