Send peers only what has changed

Cause: each daemon sent its whole state to each peer each 500 ms: 4,071 bytes with 7 instances and 64 teams, 87 KB with requests in flight to 3,100 backend servers, and each reply listed the versions of all endpoint tables.

Change: states are numbered. A peer that acknowledged a state gets the difference to it; without an acknowledgement, or if the peer does not hold the base, the whole state follows. The reply lists table versions only when they have changed. An earlier state of the same process is now ignored, so that a late one no longer brings back shards that a peer has given up.

Without the check of the number, ignores_an_earlier_state fails. Accepting changes of any lower base was tried as a mutation too; no schedule tells it apart, because a sender builds only on acknowledged states.

Not changed: names of backend servers make up most of a load entry.

--- a/bench/slopes/measure_size_func.cpp
+++ b/bench/slopes/measure_size_func.cpp
@@ -126,6 +126,15 @@
         .size();
 }
 
+// The base has no load, so that each loaded backend server is a change.
+auto changes_bytes(std::size_t backends) -> std::size_t
+{
+    constexpr std::size_t instances = 7;
+    auto const changes = coordination::changes_between(
+        sample_update(instances, 0), sample_update(instances, backends));
+    return protocol::encode(protocol::peer_request{changes}).size();
+}
+
 auto table_bytes(std::size_t endpoints) -> std::size_t
 {
     auto update = sample_update(1, 0);
@@ -190,6 +199,9 @@
         sample(
             "peer_update, 7 instances", "loaded backend", {0, 65, 1'000, 3'100},
             [](std::size_t n) { return update_bytes(7, n); }),
+        sample(
+            "peer_changes, 7 instances", "changed load", {0, 65, 1'000, 3'100},
+            changes_bytes),
         sample(
             "peer_update, changed table", "endpoint", {0, 65, 1'000, 3'100},
             table_bytes)};
--- a/coordination/peer_server_base.cpp
+++ b/coordination/peer_server_base.cpp
@@ -89,6 +89,12 @@
     send(peers_.received(request, now_()));
 }
 
+auto peer_server::answer(
+    protocol::peer_changes const& request, reply const& send) -> void
+{
+    send(peers_.received(request, now_()));
+}
+
 auto peer_server::answer(
     protocol::config_request const& /*request*/, reply const& send) -> void
 {
--- a/coordination/peer_server_base.hpp
+++ b/coordination/peer_server_base.hpp
@@ -30,6 +30,8 @@
         -> void;
 
 private:
+    auto answer(protocol::peer_changes const& request, reply const& send)
+        -> void;
     auto answer(protocol::peer_update const& request, reply const& send)
         -> void;
     auto answer(protocol::config_request const& request, reply const& send)
--- a/coordination/peers_base.cpp
+++ b/coordination/peers_base.cpp
@@ -1,6 +1,8 @@
 /** @file peers_base.cpp The other daemons: membership, state, requests. */
 #include "coordination/peers_base.hpp"
 
+#include "coordination/peer_changes_func.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -89,6 +91,7 @@
     auto targets = std::vector<transport::endpoint>{};
     {
         auto const lock = std::scoped_lock{mutex_};
+        update.number = ++number_;
         update.seen = seen_epochs(update);
         for (auto const& it : addresses_)
         {
@@ -110,57 +113,90 @@
             }
         }
     }
+    auto const tables = std::exchange(update.tables, {});
+    auto const state =
+        std::make_shared<protocol::peer_update const>(std::move(update));
     for (auto const& it : targets)
     {
-        send_update(it, update);
+        send_update(it, state, tables);
+    }
+}
+
+auto peer_set::make_request(
+    peer_link const& link, protocol::peer_update const& update,
+    std::span<protocol::endpoint_table const> tables) const
+    -> protocol::peer_request
+{
+    auto missing = std::vector<protocol::endpoint_table>{};
+    for (auto const& it : tables)
+    {
+        auto const known = link.known.find(it.shard);
+        if (known == link.known.end() || is_newer(it, known->second))
+        {
+            missing.push_back(it);
+        }
+    }
+    if (link.state == nullptr)
+    {
+        auto whole = update;
+        whole.tables = std::move(missing);
+        return whole;
     }
+    auto changes = changes_between(*link.state, update);
+    changes.tables = std::move(missing);
+    changes.known_version = link.known_version;
+    return changes;
 }
 
 auto peer_set::send_update(
-    transport::endpoint const& address, protocol::peer_update update) -> void
+    transport::endpoint const& address, update_pointer const& update,
+    std::span<protocol::endpoint_table const> tables) -> void
 {
+    auto link = peer_link{};
     {
         auto const lock = std::scoped_lock{mutex_};
-        auto const& known = known_there_[address];
-        std::erase_if(
-            update.tables,
-            [&known](auto const& table)
-            {
-                auto const it = known.find(table.shard);
-                return it != known.end() && !is_newer(table, it->second);
-            });
+        link = links_[address];
     }
     hooks_.call(
-        address, std::move(update), settings_.call_timeout,
-        [this, address](std::optional<protocol::peer_reply> const& reply)
+        address, make_request(link, *update, tables), settings_.call_timeout,
+        [this, address,
+         update](std::optional<protocol::peer_reply> const& reply)
         {
-            auto const* answer =
+            auto const* const answer =
                 reply ? std::get_if<protocol::peer_update_reply>(&*reply)
                       : nullptr;
-            if (answer != nullptr)
-            {
-                handle_reply(address, *answer);
-            }
-            auto const lock = std::scoped_lock{mutex_};
-            in_flight_.erase(address);
+            handle_reply(address, update, answer);
         });
 }
 
 auto peer_set::handle_reply(
-    transport::endpoint const& address,
-    protocol::peer_update_reply const& reply) -> void
+    transport::endpoint const& address, update_pointer const& sent,
+    protocol::peer_update_reply const* reply) -> void
 {
     auto const lock = std::scoped_lock{mutex_};
-    if (reply.instance == self_)
+    in_flight_.erase(address);
+    if (reply != nullptr && reply->instance == self_)
     {
         addresses_.erase(address);
         return;
     }
-    auto& known = known_there_[address];
-    known.clear();
-    for (auto const& it : reply.known)
+    auto& link = links_[address];
+    if (reply == nullptr || reply->number != sent->number)
+    {
+        // Without a reply it is not known which state the peer holds.
+        link = {};
+        return;
+    }
+    link.state = sent;
+    if (!reply->known)
     {
-        known[it.shard] = {it.owner_epoch, it.version};
+        return;
+    }
+    link.known_version = reply->known_version;
+    link.known.clear();
+    for (auto const& it : *reply->known)
+    {
+        link.known[it.shard] = {it.owner_epoch, it.version};
     }
 }
 
@@ -175,42 +211,100 @@
     }
     {
         auto const lock = std::scoped_lock{mutex_};
-        std::erase_if(
-            update.tables,
-            [this](auto const& table)
-            {
-                auto const it = known_here_.find(table.shard);
-                return it != known_here_.end() && !is_newer(table, it->second);
-            });
-        for (auto const& it : update.tables)
-        {
-            known_here_[it.shard] = {it.owner_epoch, it.version};
-        }
-        for (auto const& [shard, version] : known_here_)
+        auto const& kept = peers_[update.instance].update;
+        if (kept.boot_id == update.boot_id && kept.number > update.number)
         {
-            reply.known.push_back({shard, version.first, version.second, {}});
+            // It was delayed on the way.
+            reply.number = kept.number;
+            return reply;
         }
-        auto& peer = peers_[update.instance];
-        if (!peer.update.boot_id.empty() &&
-            peer.update.boot_id != update.boot_id)
+        apply(update, now);
+        reply.number = update.number;
+        reply.known_version = known_version_;
+        reply.known = known_tables();
+    }
+    hooks_.on_update(update);
+    return reply;
+}
+
+auto peer_set::received(protocol::peer_changes changes, core::time_point now)
+    -> protocol::peer_update_reply
+{
+    auto reply = protocol::peer_update_reply{};
+    reply.instance = self_;
+    auto update = protocol::peer_update{};
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        auto const it = peers_.find(changes.instance);
+        if (it == peers_.end() ||
+            it->second.update.boot_id != changes.boot_id ||
+            it->second.update.number != changes.base)
         {
-            log_.info("Peer has restarted.", {{"peer", update.instance.value}});
-            // The new process knows none of the tables.
-            known_there_.erase(peer.address);
+            return reply;
         }
-        peer.update = update;
-        peer.update.tables.clear();
-        peer.last_seen = now;
-        if (auto const where = transport::parse_endpoint(update.peer_address))
+        auto const sender_has = changes.known_version;
+        update = with_changes(it->second.update, std::move(changes));
+        apply(update, now);
+        reply.number = update.number;
+        reply.known_version = known_version_;
+        if (sender_has != known_version_)
         {
-            peer.address = *where;
-            addresses_.insert(*where);
+            reply.known = known_tables();
         }
     }
     hooks_.on_update(update);
     return reply;
 }
 
+auto peer_set::apply(protocol::peer_update& update, core::time_point now)
+    -> void
+{
+    take_tables(update.tables);
+    auto& peer = peers_[update.instance];
+    if (!peer.update.boot_id.empty() && peer.update.boot_id != update.boot_id)
+    {
+        log_.info("Peer has restarted.", {{"peer", update.instance.value}});
+        // The new process holds no state and none of the tables.
+        links_.erase(peer.address);
+    }
+    auto const tables = std::exchange(update.tables, {});
+    peer.update = update;
+    update.tables = tables;
+    peer.last_seen = now;
+    if (auto const where = transport::parse_endpoint(update.peer_address))
+    {
+        peer.address = *where;
+        addresses_.insert(*where);
+    }
+}
+
+auto peer_set::take_tables(std::vector<protocol::endpoint_table>& tables)
+    -> void
+{
+    std::erase_if(
+        tables,
+        [this](auto const& table)
+        {
+            auto const it = known_here_.find(table.shard);
+            return it != known_here_.end() && !is_newer(table, it->second);
+        });
+    for (auto const& it : tables)
+    {
+        known_here_[it.shard] = {it.owner_epoch, it.version};
+        ++known_version_;
+    }
+}
+
+auto peer_set::known_tables() const -> std::vector<protocol::endpoint_table>
+{
+    auto result = std::vector<protocol::endpoint_table>{};
+    for (auto const& [shard, version] : known_here_)
+    {
+        result.push_back({shard, version.first, version.second, {}});
+    }
+    return result;
+}
+
 auto peer_set::is_suspect(peer_info const& peer, core::time_point now) const
     -> bool
 {
--- a/coordination/peers_base.hpp
+++ b/coordination/peers_base.hpp
@@ -8,8 +8,10 @@
 #include "transport/transport.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -79,10 +81,14 @@
     /** Sends the own state to every peer; call it each 500 ms. */
     auto tick(core::time_point now) -> void;
 
-    /** Handles the state of a peer. */
+    /** Handles the state of a peer; an older one changes nothing. */
     auto received(protocol::peer_update update, core::time_point now)
         -> protocol::peer_update_reply;
 
+    /** Handles changes to a state of a peer, or asks for the whole state. */
+    auto received(protocol::peer_changes changes, core::time_point now)
+        -> protocol::peer_update_reply;
+
     /** Returns all peers that were ever heard from. */
     [[nodiscard]] auto peers(core::time_point now) const
         -> std::vector<peer_info>;
@@ -115,12 +121,30 @@
     using table_versions =
         std::map<core::shard_id, std::pair<core::epoch, std::uint64_t>>;
 
+    using update_pointer = std::shared_ptr<protocol::peer_update const>;
+
+    /** What the peer at one address is known to hold. */
+    struct peer_link
+    {
+        update_pointer state; ///< Own state; null: none.
+        table_versions known;
+        std::uint64_t known_version = 0;
+    };
+
     auto send_update(
-        transport::endpoint const& address, protocol::peer_update update)
-        -> void;
+        transport::endpoint const& address, update_pointer const& update,
+        std::span<protocol::endpoint_table const> tables) -> void;
+    auto make_request(
+        peer_link const& link, protocol::peer_update const& update,
+        std::span<protocol::endpoint_table const> tables) const
+        -> protocol::peer_request;
     auto handle_reply(
-        transport::endpoint const& address,
-        protocol::peer_update_reply const& reply) -> void;
+        transport::endpoint const& address, update_pointer const& sent,
+        protocol::peer_update_reply const* reply) -> void;
+    auto apply(protocol::peer_update& update, core::time_point now) -> void;
+    auto take_tables(std::vector<protocol::endpoint_table>& tables) -> void;
+    [[nodiscard]] auto known_tables() const
+        -> std::vector<protocol::endpoint_table>;
     [[nodiscard]] auto seen_epochs(protocol::peer_update const& own) const
         -> std::vector<protocol::owned_shard>;
     [[nodiscard]] auto
@@ -134,8 +158,10 @@
     std::set<transport::endpoint> addresses_;
     std::set<transport::endpoint> in_flight_; ///< Updates not answered yet.
     std::map<core::instance_id, peer_info> peers_;
-    std::map<transport::endpoint, table_versions> known_there_;
+    std::uint64_t number_ = 0; ///< Of the latest own state.
+    std::map<transport::endpoint, peer_link> links_;
     table_versions known_here_;
+    std::uint64_t known_version_ = 1; ///< Of known_here_.
 };
 
 } // namespace godwitcleat::coordination
--- a/protocol/members_internal.hpp
+++ b/protocol/members_internal.hpp
@@ -404,6 +404,7 @@
 {
     visit("instance", value.instance);
     visit("boot_id", value.boot_id);
+    visit("number", value.number);
     visit("data_centre", value.data_centre);
     visit("peer_address", value.peer_address);
     visit("control_address", value.control_address);
@@ -417,11 +418,28 @@
     visit("seen", value.seen);
 }
 
-auto visit_members(is<peer_update_reply> auto& value, auto&& visit) -> void
+auto visit_members(is<peer_changes> auto& value, auto&& visit) -> void
 {
     visit("instance", value.instance);
     visit("boot_id", value.boot_id);
+    visit("base", value.base);
+    visit("number", value.number);
+    visit("known_version", value.known_version);
+    visit("leaving", value.leaving);
+    visit("store_reachable", value.store_reachable);
     visit("config", value.config);
+    visit("shards", value.shards);
+    visit("summaries", value.summaries);
+    visit("tables", value.tables);
+    visit("loads", value.loads);
+    visit("seen", value.seen);
+}
+
+auto visit_members(is<peer_update_reply> auto& value, auto&& visit) -> void
+{
+    visit("instance", value.instance);
+    visit("number", value.number);
+    visit("known_version", value.known_version);
     visit("known", value.known);
 }
 
--- a/protocol/peer_type.hpp
+++ b/protocol/peer_type.hpp
@@ -20,6 +20,8 @@
 {
     core::shard_id shard;
     core::epoch owner_epoch;
+
+    auto operator==(owned_shard const&) const -> bool = default;
 };
 
 /** Endpoints of the runners that one shard hosts. */
@@ -38,11 +40,12 @@
     std::uint32_t in_flight = 0;
 };
 
-/** State of one daemon, sent to each peer every 500 ms. */
+/** State of one daemon, sent to a peer that does not hold an earlier one. */
 struct peer_update
 {
     core::instance_id instance;
-    std::string boot_id; ///< Changes with each start of the process.
+    std::string boot_id;      ///< Changes with each start of the process.
+    std::uint64_t number = 0; ///< Counts the states of this process, from 1.
     core::data_centre_id data_centre;
     std::string peer_address;    ///< ADDRESS:PORT of the peer port.
     std::string control_address; ///< ADDRESS:PORT of the control port.
@@ -56,13 +59,32 @@
     std::vector<owned_shard> seen; ///< Highest epochs seen, of any owner.
 };
 
-/** Receiver's view, so that the sender can leave out what is known. */
-struct peer_update_reply
+/** How a daemon's state differs from an earlier one; sent every 500 ms. */
+struct peer_changes
 {
     core::instance_id instance;
     std::string boot_id;
+    std::uint64_t base = 0;          ///< Number of the earlier state.
+    std::uint64_t number = 0;        ///< Number of the state after the changes.
+    std::uint64_t known_version = 0; ///< Latest peer_update_reply::known.
+    bool leaving = false;
+    bool store_reachable = true;
     core::generation config;
-    std::vector<endpoint_table> known; ///< Without endpoints, versions only.
+    std::optional<std::vector<owned_shard>> shards; ///< Absent: unchanged.
+    std::vector<state::shard_summary> summaries;    ///< New or changed.
+    std::vector<endpoint_table> tables;
+    std::vector<backend_load> loads; ///< Changed; 0 in flight: left out now.
+    std::optional<std::vector<owned_shard>> seen; ///< Absent: unchanged.
+};
+
+/** Receiver's view, so that the sender can leave out what is known. */
+struct peer_update_reply
+{
+    core::instance_id instance;
+    std::uint64_t number = 0;        ///< State held now; 0: send a peer_update.
+    std::uint64_t known_version = 0; ///< Changes with each change of known.
+    /** Table versions without endpoints; absent if the sender has them. */
+    std::optional<std::vector<endpoint_table>> known;
 };
 
 /** Asks for the configuration document. */
@@ -134,8 +156,8 @@
 };
 
 using peer_request = std::variant<
-    peer_update, config_request, submit_request, cancel_request, jobs_request,
-    workers_request, timeline_request, state::offer_request,
+    peer_update, peer_changes, config_request, submit_request, cancel_request,
+    jobs_request, workers_request, timeline_request, state::offer_request,
     state::claim_request, state::over_request, state::status_request>;
 
 using peer_reply = std::variant<
