Let the demo fail when a listing fails

Two steps passed when the tool itself failed: an empty list of workers counted as an empty data centre, and the last step's exit code was that of tail. Both now read the tool's output first. The demo also waits until the restarted daemon is ready.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,11 +35,13 @@
     [ "$("$ctl" services | grep -c 'climb-desk .* no$')" -eq "$1" ]
 }
 
-runs_in() { "$ctl" jobs "$1" | grep -q "running.*$2"; }
-
 # Succeeds if no process of a service or job runs in data centre dc-1, whose
 # workers are 2 and 3.
-dc_1_is_empty() { ! "$ctl" workers | grep ' dc-1 ' | grep -qv ' 0m 0MB 0acc '; }
+dc_1_is_empty() {
+    local rows
+    rows=$("$ctl" workers) && rows=$(grep ' dc-1 ' <<<"$rows") || return 1
+    ! grep -qv ' 0m 0MB 0acc ' <<<"$rows"
+}
 
 request() {
     curl -sf --max-time 5 "http://127.0.0.1:$((PORT_BASE + $1))/s/climb-desk/$2"
@@ -82,6 +84,7 @@
 "$ctl" submit --id tally-2 --team stock --cpu-milli 500 --command "work 500"
 "$ctl" wait tally-2 --timeout-s 60
 scripts/cluster.sh restart-daemon 2 "$build"
+within 20 curl -sf "http://127.0.0.1:$((PORT_BASE + 102))/ready"
 
 step "Take data centre dc-1 out, then bring it back"
 "$ctl" drain data-centre dc-1 --author demo
@@ -103,6 +106,8 @@
 [ "$resumed" -ge 1 ] || fail "no survey was evicted and resumed"
 
 step "Merged time line of the evicted work"
-"$ctl" timeline | grep -E 'survey' | tail -15
+events=$("$ctl" timeline) || fail "time line"
+events=$(grep 'survey' <<<"$events") || fail "the time line has no survey"
+tail -15 <<<"$events"
 
 step "All steps passed"
