--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -53,6 +53,8 @@
     std::size_t timeline_events = 20'000;
     core::duration drain_delay = std::chrono::seconds{2};
     core::duration drain_timeout = std::chrono::seconds{30};
+
+    auto operator==(daemon_settings const&) const -> bool = default;
 };
 
 /**
--- a/programs/godwitcleatctl/main.cpp
+++ b/programs/godwitcleatctl/main.cpp
@@ -72,7 +72,7 @@
         "  --timeout-ms N         longest wait for one answer (default: "
         "10000)\n"
         "  --json                 print JSON\n"
-        "  --help                 print this help\n\n{}",
+        "  -h, --help             print this help\n\n{}",
         exit_codes));
 }
 
@@ -91,7 +91,7 @@
     add("timeout-ms", "longest wait for one answer in ms",
         cxxopts::value<std::uint32_t>()->default_value("10000"), "N");
     add("json", "print JSON");
-    add("help", "print this help");
+    add("h,help", "print this help");
     options.add_options("hidden")(
         "arguments", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"arguments"});
@@ -197,9 +197,10 @@
     if (positional.size() < command.least_arguments ||
         positional.size() > command.most_arguments)
     {
+        auto const* const blank = command.arguments.empty() ? "" : " ";
         ctl::print_error(fmt::format(
-            "wrong number of arguments; use {} {} (see {} --help)",
-            command.name, command.arguments, command.name));
+            "wrong number of arguments; use {}{}{} (see {} --help)",
+            command.name, blank, command.arguments, command.name));
         return ctl::exit_status::usage;
     }
     return run_command(command, parsed, std::move(positional));
@@ -215,8 +216,12 @@
     {
         auto const wants_help = std::any_of(
             all.begin(), all.end(),
-            [](std::string_view it) { return it == "--help"; });
+            [](std::string_view it) { return it == "--help" || it == "-h"; });
         print_overview(commands);
+        if (!wants_help)
+        {
+            ctl::print_error("no command is given; use one of the above");
+        }
         return wants_help ? ctl::exit_status::done : ctl::exit_status::usage;
     }
     auto const name = std::string_view{all[place]};
--- a/protocol/json_func.cpp
+++ b/protocol/json_func.cpp
@@ -312,7 +312,9 @@
 auto failure_from_json(std::string_view text) -> core::failure
 {
     auto unreadable = core::failure{
-        core::error_kind::internal, "the error answer cannot be read"};
+        core::error_kind::internal,
+        "the error answer cannot be read; check that the address is a daemon's "
+        "control port"};
     auto const root = nlohmann::json::parse(text, nullptr, false);
     if (!root.is_object() || !root.contains("error"))
     {
--- a/tests/ctl_test.sh
+++ b/tests/ctl_test.sh
@@ -38,7 +38,14 @@
 # Nothing listens on port 1.
 expect 3 "cannot be reached" status --daemon 127.0.0.1:1
 expect 3 "cannot be reached" cancel job --daemon 127.0.0.1:1 --daemon 127.0.0.1:1
+expect 2 "ADDRESS:PORT" status --daemon localhost:1
+expect 2 "ADDRESS:PORT" status --daemon 127.0.0.1:99999
+expect 2 "use status (see status --help)" status extra --daemon 127.0.0.1:1
+expect 2 "frob" status --frob
+expect 2 "no command is given"
+expect 2 "no command is given" --daemon 127.0.0.1:1
 expect 0 "Exit codes" --help
+expect 0 "Exit codes" -h
 for command in check publish config drain undrain submit cancel jobs wait \
     services workers status metrics timeline; do
     expect 0 "Examples:" "$command" --help
