Give the store stand-in a data file and kill the store in kill_each.sh

The stand-in kept its data in memory, so a killed store lost everything that the platform's durable store would keep, and kill_each.sh left the store out.

A change that cannot be written fails as unavailable and has no effect.

kill_each.sh used 400 ports for each process; it now reuses one range.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,7 @@
 # Starts and stops a small cluster of separate processes on loopback: a stand-in
 # store and instance list, six stand-in workers in two data centres, and three
 # daemons. Usage: cluster.sh start BUILD_DIR | stop | restart-daemon N BUILD_DIR |
-# restart-worker N BUILD_DIR | gone N
+# restart-worker N BUILD_DIR | restart-store BUILD_DIR | gone N
 # Environment: RUN_DIR (default run), PORT_BASE (default 7000).
 set -eu
 cd "$(dirname "$0")/.."
@@ -86,11 +86,16 @@
     return 1
 }
 
+# The data file stands for the durability of the platform's store.
+start_store() {
+    launch store "$build/standin-store" --listen "127.0.0.1:$store_port" \
+        --history "$run/store.history" --data "$run/store.data"
+}
+
 start() {
     mkdir -p "$run"
     rm -f "$run"/*
-    launch store "$build/standin-store" --listen "127.0.0.1:$store_port" \
-        --history "$run/store.history"
+    start_store
     launch instances "$build/standin-instances" \
         --listen "127.0.0.1:$list_port" --lag-ms 500
     wait_for curl -sf "http://127.0.0.1:$list_port/v1/instances"
@@ -120,10 +125,11 @@
 stop) stop ;;
 restart-daemon) build=${3:?"cluster.sh restart-daemon N BUILD_DIR"} && start_daemon "$2" ;;
 restart-worker) build=${3:?"cluster.sh restart-worker N BUILD_DIR"} && start_worker "$2" ;;
+restart-store) build=${2:?"cluster.sh restart-store BUILD_DIR"} && start_store ;;
 gone) list_instance "entry-$2" "$(peer_port "$2")" gone ;;
 *)
     echo "usage: cluster.sh start BUILD_DIR | stop | restart-daemon N BUILD_DIR |" \
-        "restart-worker N BUILD_DIR | gone N" >&2
+        "restart-worker N BUILD_DIR | restart-store BUILD_DIR | gone N" >&2
     exit 2
     ;;
 esac
--- a/scripts/kill_each.sh
+++ b/scripts/kill_each.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Kills each process of the demonstration cluster in turn, one cluster for each,
-# and checks that no job is lost. The store is left out: the platform's store is
-# durable, its stand-in is not. Usage: kill_each.sh BUILD_DIR [PROCESS...]
+# and checks that no job is lost. The store is started again after 3 s, because
+# the cluster has one and the platform's store comes back; the others stay down.
+# Usage: kill_each.sh BUILD_DIR [PROCESS...]
 set -eu
 cd "$(dirname "$0")/.."
 build=${1:?"kill_each.sh BUILD_DIR [PROCESS...]"}
@@ -9,7 +10,7 @@
 processes=("$@")
 [ ${#processes[@]} -gt 0 ] ||
     processes=(entry-1 entry-2 entry-3 worker-0 worker-1 worker-2 worker-3
-        worker-4 worker-5 instances)
+        worker-4 worker-5 instances store)
 jobs=8
 ctl="$build/godwitcleatctl"
 
@@ -18,7 +19,7 @@
     local victim=$1 port=$2
     export RUN_DIR="run/kill-$victim" PORT_BASE=$port
     export GODWITCLEAT_DAEMON="127.0.0.1:$((port + 101)),127.0.0.1:$((port + 102)),127.0.0.1:$((port + 103))"
-    local result=ok
+    local result=ok began=$SECONDS
     scripts/cluster.sh start "$build"
     "$ctl" publish examples/demo --author kill-each >/dev/null
     for ((i = 1; i <= jobs; ++i)); do
@@ -27,12 +28,16 @@
     done
     sleep 3
     kill -9 "$(cat "$RUN_DIR/$victim.pid")"
+    if [ "$victim" = store ]; then
+        sleep 3
+        scripts/cluster.sh restart-store "$build"
+    fi
     [[ "$victim" != entry-* ]] || scripts/cluster.sh gone "${victim#entry-}"
     for ((i = 1; i <= jobs; ++i)); do
         "$ctl" wait "tally-$i" --timeout-s 120 >/dev/null || result="lost tally-$i"
     done
     scripts/cluster.sh stop
-    echo "$victim killed: $result"
+    echo "$victim killed: $result, $((SECONDS - began)) s"
     [ "$result" = ok ]
 }
 
@@ -40,6 +45,5 @@
 port=${PORT_BASE:-21000}
 for victim in "${processes[@]}"; do
     run_without "$victim" "$port" || failed=1
-    port=$((port + 400))
 done
 exit $failed
--- a/standins/standin-store/main.cpp
+++ b/standins/standin-store/main.cpp
@@ -27,6 +27,8 @@
         cxxopts::value<std::string>()->default_value("127.0.0.1:2379"));
     add("history", "file for one JSON line per call",
         cxxopts::value<std::string>()->default_value(""));
+    add("data", "file that keeps the data over a restart, empty: none",
+        cxxopts::value<std::string>()->default_value(""));
     add("writes-per-s", "rate limit of writes and lease calls, 0: none",
         cxxopts::value<std::uint32_t>()->default_value("0"));
     add("reads-per-s", "rate limit of reads, 0: none",
@@ -59,6 +61,12 @@
             {{"path", settings.history_path}});
         return standins::exit_usage;
     }
+    auto const data = options["data"].as<std::string>();
+    if (!data.empty() && !store.open_data(data, log))
+    {
+        log.error(core::last_reason().message);
+        return EXIT_FAILURE;
+    }
     auto loop = transport::reactor{threads};
     auto server = transport::http_server::listen(
         loop, *where, {},
--- a/standins/support/memory_store_base.cpp
+++ b/standins/support/memory_store_base.cpp
@@ -251,12 +251,15 @@
     entry.call = store_call::grant;
     run<store_lease>(
         std::move(entry),
-        [this, time_to_live](store_history_entry& call)
+        [this,
+         time_to_live](store_history_entry& call) -> std::optional<store_lease>
         {
-            call.lease = store_lease{next_lease_++};
-            auto const length = round_up(time_to_live);
-            leases_[call.lease] = {length, clock_() + length};
-            return std::optional{call.lease};
+            call.lease = store_lease{next_lease_};
+            auto value = store_change{};
+            value.revision = revision_;
+            value.granted = call.lease;
+            value.time_to_live = round_up(time_to_live);
+            return change(value) ? std::optional{call.lease} : std::nullopt;
         },
         std::move(on_done));
 }
@@ -299,8 +302,8 @@
                 return core::fail(
                     core::error_kind::not_found, "The lease has lapsed.");
             }
-            drop_lease(call.lease);
-            return call.lease;
+            return drop_lease(call.lease) ? std::optional{call.lease}
+                                          : std::nullopt;
         },
         std::move(on_done));
 }
@@ -323,12 +326,15 @@
     {
         return std::nullopt;
     }
-    auto changed = false;
-    for (auto const& it : transaction.writes)
+    auto value = store_change{};
+    value.revision = revision_ + 1;
+    value.writes = transaction.writes;
+    auto const changed = std::ranges::any_of(
+        value.writes, [this](auto const& it) { return has_effect(it); });
+    if (changed && !change(value))
     {
-        changed = write(it, revision_ + 1) || changed;
+        return std::nullopt;
     }
-    revision_ += changed ? 1 : 0;
     return store_commit{true, revision_};
 }
 
@@ -354,8 +360,59 @@
     return true;
 }
 
+auto memory_store::has_effect(store_write const& value) const -> bool
+{
+    if (value.value || value.range_end.empty())
+    {
+        return value.value || entries_.contains(value.key);
+    }
+    auto const it = entries_.lower_bound(value.key);
+    return it != entries_.end() && it->first < value.range_end;
+}
+
+auto memory_store::change(store_change const& value) -> bool
+{
+    if (hooks_.on_change && !hooks_.on_change(value))
+    {
+        core::fail(
+            core::error_kind::unavailable,
+            "The store cannot keep the change; check its data file.");
+        return false;
+    }
+    carry_out(value);
+    return true;
+}
+
+auto memory_store::carry_out(store_change const& value) -> void
+{
+    revision_ = value.revision;
+    if (value.granted.value != 0)
+    {
+        leases_[value.granted] = {
+            value.time_to_live, clock_() + value.time_to_live};
+        next_lease_ = std::max(next_lease_, value.granted.value + 1);
+    }
+    for (auto const& it : value.writes)
+    {
+        write(it, value.revision);
+    }
+    if (value.ended.value != 0)
+    {
+        leases_.erase(value.ended);
+        std::erase_if(
+            entries_, [&value](auto const& it)
+            { return it.second.lease == value.ended; });
+    }
+}
+
+auto memory_store::restore(store_change const& change) -> void
+{
+    auto const lock = std::scoped_lock{mutex_};
+    carry_out(change);
+}
+
 auto memory_store::write(store_write const& value, std::int64_t revision)
-    -> bool
+    -> void
 {
     if (!value.value)
     {
@@ -363,9 +420,8 @@
         auto const last = value.range_end.empty()
                               ? entries_.upper_bound(value.key)
                               : entries_.lower_bound(value.range_end);
-        auto const changed = first != last;
         entries_.erase(first, last);
-        return changed;
+        return;
     }
     auto& it = entries_[value.key];
     if (it.entry.create_revision == 0)
@@ -376,15 +432,16 @@
     it.entry.value = *value.value;
     it.entry.modify_revision = revision;
     it.lease = value.lease;
-    return true;
 }
 
-auto memory_store::drop_lease(store_lease lease) -> void
+auto memory_store::drop_lease(store_lease lease) -> bool
 {
-    leases_.erase(lease);
-    auto const dropped = std::erase_if(
+    auto const used = std::ranges::any_of(
         entries_, [lease](auto const& it) { return it.second.lease == lease; });
-    revision_ += dropped > 0 ? 1 : 0;
+    auto value = store_change{};
+    value.revision = revision_ + (used ? 1 : 0);
+    value.ended = lease;
+    return change(value);
 }
 
 auto memory_store::drop_due_leases() -> void
--- a/standins/support/memory_store_base.hpp
+++ b/standins/support/memory_store_base.hpp
@@ -69,6 +69,16 @@
     std::int64_t revision = 0; ///< Store revision afterwards.
 };
 
+/** One change of what is stored: writes, a new lease, or a lease's end. */
+struct store_change
+{
+    std::int64_t revision = 0; ///< Store revision afterwards.
+    std::vector<coordination::store_write> writes; ///< Of a transaction.
+    coordination::store_lease granted;             ///< 0: none.
+    core::duration time_to_live{};                 ///< Of the granted lease.
+    coordination::store_lease ended; ///< Revoked or lapsed; 0: none.
+};
+
 /** Hooks of a memory store. Each may be empty. */
 struct memory_store_hooks
 {
@@ -76,6 +86,11 @@
     std::function<void(store_history_entry const&)> on_call;
     /** Chooses the fate of a call before the counters of store_faults do. */
     std::function<std::optional<store_fate>(store_call)> choose_fate;
+    /**
+     * Called with each change before it takes effect, with the store's lock
+     * held. If it returns false, the call fails with unavailable.
+     */
+    std::function<bool(store_change const&)> on_change;
 };
 
 /**
@@ -125,6 +140,12 @@
     /** Lets the leases lapse that are due by the clock. */
     auto expire_due() -> void;
 
+    /**
+     * Repeats a change of an earlier store, without calling a hook. A lease
+     * that it grants has its whole time again, counted from now.
+     */
+    auto restore(store_change const& change) -> void;
+
     /** Returns the number of calls of kind @p call so far. */
     [[nodiscard]] auto calls(store_call call) const -> std::uint64_t;
 
@@ -160,9 +181,12 @@
         -> std::optional<coordination::store_commit>;
     auto test_writes(coordination::store_transaction const& transaction)
         -> bool;
+    auto has_effect(coordination::store_write const& value) const -> bool;
+    auto change(store_change const& value) -> bool;
+    auto carry_out(store_change const& value) -> void;
     auto write(coordination::store_write const& value, std::int64_t revision)
-        -> bool;
-    auto drop_lease(coordination::store_lease lease) -> void;
+        -> void;
+    auto drop_lease(coordination::store_lease lease) -> bool;
     auto drop_due_leases() -> void;
 
     core::clock clock_;
--- a/standins/support/standin_store_base.cpp
+++ b/standins/support/standin_store_base.cpp
@@ -85,7 +85,12 @@
     : clock_(clock)
     , store_(
           std::move(clock),
-          {[this](auto const& entry) { write_history(entry); }, {}})
+          {[this](auto const& entry) { write_history(entry); },
+           {},
+           [this](auto const& it)
+           {
+               return !data_ || data_->append(it);
+           }})
     , gateway_(store_)
     , writes_(settings.writes_per_s)
     , reads_(settings.reads_per_s)
@@ -96,6 +101,14 @@
     }
 }
 
+auto standin_store::open_data(std::string const& path, core::logger const& log)
+    -> bool
+{
+    data_ = store_data::open(
+        path, [this](auto const& it) { store_.restore(it); }, log);
+    return data_.has_value();
+}
+
 auto standin_store::history_good() const -> bool
 {
     return history_.good();
--- a/standins/support/standin_store_base.hpp
+++ b/standins/support/standin_store_base.hpp
@@ -4,12 +4,14 @@
 
 #include "standins/support/etcd_gateway_base.hpp"
 #include "standins/support/memory_store_base.hpp"
+#include "standins/support/store_data_base.hpp"
 
 #include <cstdint>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,6 +54,13 @@
 public:
     standin_store(core::clock clock, standin_store_settings const& settings);
 
+    /**
+     * Repeats the changes of the data file @p path and appends each later one
+     * before its reply. Call it before the first request.
+     * @return false with a reason, see store_data::open().
+     */
+    auto open_data(std::string const& path, core::logger const& log) -> bool;
+
     /** Handles one request; @p reply is called exactly once. */
     auto handle(
         std::string_view method, std::string_view path, std::string_view body,
@@ -69,6 +78,7 @@
 
     core::clock clock_;
     std::ofstream history_;
+    std::optional<store_data> data_; ///< Guarded by the store's lock.
     memory_store store_;
     etcd_gateway gateway_;
     std::mutex mutex_;
