Plant a fault in the daemon's planned stop

With cut_requests_at_stop the daemon ends without waiting for requests in flight, and the rule rejects the recorded history; without it the same run passes with 7 of 7 requests answered.

The test runs the daemon in its own process, without a store; a peer that the fixture plays gives it the configuration and the endpoints. The same fixture shows that a daemon is ready only with an endpoint table or after 3 s, and never without a configuration.

--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -14,10 +14,6 @@
 {
 
 constexpr auto peer_interval = std::chrono::milliseconds{500};
-
-// A restarted daemon gets the endpoint tables from its peers within two peer
-// updates. Without peers it must become ready nevertheless.
-constexpr auto longest_wait_for_tables = std::chrono::seconds{3};
 constexpr auto drain_poll_interval = std::chrono::milliseconds{50};
 constexpr auto config_fetch_timeout = std::chrono::seconds{1};
 
@@ -81,9 +77,11 @@
 } // namespace
 
 entry_daemon::entry_daemon(
-    coordination::daemon_settings settings, core::logger log)
+    coordination::daemon_settings settings, core::logger log,
+    daemon_faults faults)
     : settings_(std::move(settings))
     , log_(std::move(log))
+    , faults_(faults)
     , events_(settings_.name, settings_.timeline_events)
     , random_(seed_from(boot_id_))
     , instances_(settings_.instances_lag)
@@ -529,42 +527,6 @@
         });
 }
 
-auto entry_daemon::is_ready() -> bool
-{
-    auto const view = config_.current();
-    auto const has_config =
-        view.head_revision.has_value() || view.document->number.value > 0;
-    auto const has_tables = !router_.tables().empty();
-    auto const has_waited = now_() - started_ >= longest_wait_for_tables;
-    return gateway_.ready() && has_config && (has_tables || has_waited);
-}
-
-auto entry_daemon::status() -> coordination::daemon_status
-{
-    auto result = coordination::daemon_status{};
-    result.instance = settings_.name;
-    result.boot_id = boot_id_;
-    result.data_centre = settings_.data_centre;
-    result.ready = is_ready();
-    result.config = config_.current().document->number;
-    result.store_reachable = ownership_.store_reachable();
-    result.shards = host_.owned();
-    for (auto const& it : peers_.peers(now_()))
-    {
-        auto peer = coordination::peer_status{};
-        peer.instance = it.update.instance;
-        peer.control_address = it.update.control_address;
-        peer.config = it.update.config;
-        peer.suspect = it.suspect;
-        for (auto const& owned : it.update.shards)
-        {
-            peer.shards.push_back(owned.shard);
-        }
-        result.peers.push_back(std::move(peer));
-    }
-    return result;
-}
-
 auto entry_daemon::drain(std::function<void()> on_done) -> void
 {
     log_.info("Daemon drains.", {{"in_flight", gateway_.in_flight()}});
@@ -590,7 +552,7 @@
     auto const is_drained = gateway_.in_flight() == 0 &&
                             gateway_listener_->is_drained() &&
                             control_listener_->is_drained();
-    if (is_drained || now_() >= drain_end_)
+    if (is_drained || now_() >= drain_end_ || faults_.cut_requests_at_stop)
     {
         log_.info(
             "Daemon stops.",
--- a/programs/godwitcleatd/daemon_base.hpp
+++ b/programs/godwitcleatd/daemon_base.hpp
@@ -17,11 +17,28 @@
 namespace godwitcleat::daemon
 {
 
+/** Faults for tests that prove the history checks. All are off in use. */
+struct daemon_faults
+{
+    /** A planned stop does not wait for requests in flight. */
+    bool cut_requests_at_stop = false;
+};
+
+/** Where a daemon listens, with the ports in use. */
+struct daemon_addresses
+{
+    transport::endpoint gateway;
+    transport::endpoint control;
+    transport::endpoint peer;
+};
+
 /** One daemon. Members are declared in the order of their dependencies. */
 class entry_daemon
 {
 public:
-    entry_daemon(coordination::daemon_settings settings, core::logger log);
+    entry_daemon(
+        coordination::daemon_settings settings, core::logger log,
+        daemon_faults faults = {});
     ~entry_daemon();
     entry_daemon(entry_daemon const&) = delete;
     auto operator=(entry_daemon const&) -> entry_daemon& = delete;
@@ -36,6 +53,9 @@
      */
     auto drain(std::function<void()> on_done) -> void;
 
+    /** Returns the addresses; start() must have succeeded. */
+    [[nodiscard]] auto addresses() const -> daemon_addresses;
+
     /** Returns the event loop, for signal handlers. */
     auto loop() -> transport::reactor&
     {
@@ -64,6 +84,7 @@
 
     coordination::daemon_settings settings_;
     core::logger log_;
+    daemon_faults faults_;
     core::clock now_ = core::system_clock();
     std::string boot_id_ = core::unique_id();
     std::atomic<bool> leaving_ = false;
--- /dev/null
+++ b/tests/daemon_stop_test.cpp
@@ -0,0 +1,201 @@
+/** @file daemon_stop_test.cpp Start and planned stop of a whole daemon. */
+#include "standins/support/history_check_base.hpp"
+#include "standins/support/runner_base.hpp"
+#include "tests/support/daemon_fixture_base.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+
+namespace core = godwitcleat::core;
+namespace standins = godwitcleat::standins;
+namespace tests = godwitcleat::tests;
+namespace transport = godwitcleat::transport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto serve_time = 600ms;
+constexpr auto drain_delay = 200ms;
+constexpr std::size_t requests = 6;
+
+/** Sends POST requests to one gateway and records them. */
+class caller
+{
+public:
+    caller(
+        transport::reactor& loop, transport::endpoint gateway,
+        standins::history& record)
+        : gateway_(std::move(gateway))
+        , record_(record)
+        , client_(loop, {})
+    {
+    }
+
+    auto send() -> void
+    {
+        auto event = standins::call_event{};
+        event.request_id = "r" + std::to_string(++open_);
+        event.method = "POST";
+        event.gateway = transport::to_string(gateway_);
+        event.at = clock_();
+        record_.write(standins::to_json(event));
+        auto request = transport::http_request{};
+        request.method = "POST";
+        request.target = "/s/desk/";
+        request.headers.set("X-Request-Id", event.request_id);
+        client_.send(
+            gateway_, std::move(request), tests::patience,
+            [this, event](auto const& result) { finish(event, result); });
+    }
+
+    [[nodiscard]] auto done() const -> bool
+    {
+        return ended_ == open_;
+    }
+
+private:
+    auto
+    finish(standins::call_event event, transport::http_result const& result)
+        -> void
+    {
+        event.at = clock_();
+        event.event = standins::call_event::kind::failed;
+        event.reason = core::to_string(result.reason.kind);
+        if (result.response)
+        {
+            auto const body =
+                nlohmann::json::parse(result.response->body, nullptr, false);
+            event.event = standins::call_event::kind::answered;
+            event.status = result.response->status;
+            event.outcome = result.response->headers.get("X-Outcome");
+            event.own = body.is_object() &&
+                        body.value("request_id", "") == event.request_id;
+        }
+        record_.write(standins::to_json(event));
+        ++ended_;
+    }
+
+    transport::endpoint gateway_;
+    standins::history& record_;
+    core::clock clock_ = core::system_clock();
+    std::atomic<std::size_t> open_ = 0;
+    std::atomic<std::size_t> ended_ = 0;
+    transport::http_client client_;
+};
+
+auto lines_of(std::string const& path) -> std::vector<std::string>
+{
+    auto file = std::ifstream{path};
+    auto result = std::vector<std::string>{};
+    for (auto line = std::string{}; std::getline(file, line);)
+    {
+        result.push_back(line);
+    }
+    return result;
+}
+
+// Stops a daemon with requests in flight and checks the history.
+auto verdict_of_stop(godwitcleat::daemon::daemon_faults faults)
+    -> standins::history_verdict
+{
+    auto const path = testing::TempDir() + "daemon_stop_test_" +
+                      std::string{core::unique_id()} + ".history";
+    auto record = standins::history::open(path).value();
+    auto it = tests::daemon_fixture{
+        faults, [](auto& settings)
+        {
+            settings.drain_delay = drain_delay;
+        }};
+    auto runner =
+        standins::runner::listen(
+            it.loop(), {{"127.0.0.1", 0}, "w1", requests, 64, serve_time},
+            core::system_clock(), record)
+            .value();
+    it.teach_endpoint(runner.local());
+    EXPECT_TRUE(
+        tests::within([&it] { return it.is_ready(); }, tests::patience));
+    auto const gateway = it.where().gateway;
+    auto sender = caller{it.loop(), gateway, record};
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        sender.send();
+    }
+    EXPECT_TRUE(tests::within(
+        [&runner] { return runner.running() == requests; }, tests::patience));
+    auto const mark = [&](bool completed)
+    {
+        record.write(standins::to_json(standins::gateway_stop_event{
+            completed, transport::to_string(gateway), core::system_clock()()}));
+    };
+    mark(false);
+    it.begin_stop();
+    sender.send(); // Within the drain delay, so it must be answered as well.
+    EXPECT_TRUE(it.end_stop());
+    mark(true);
+    EXPECT_TRUE(
+        tests::within([&sender] { return sender.done(); }, tests::patience));
+    auto settings = standins::history_check_settings{};
+    settings.planned_stop = transport::to_string(gateway);
+    settings.drain_delay = drain_delay;
+    auto const verdict = standins::check_histories(lines_of(path), settings);
+    std::remove(path.c_str());
+    it.loop().stop();
+    return verdict.value();
+}
+
+} // namespace
+
+// Guards against a planned stop that cuts requests in flight.
+TEST(daemon_stop, lets_requests_in_flight_finish)
+{
+    auto const verdict = verdict_of_stop({});
+    EXPECT_FALSE(verdict.violation) << verdict.violation->rule;
+    EXPECT_EQ(verdict.counts.calls_ok, requests + 1);
+}
+
+// Guards against a rule `planned-stop` that accepts a daemon that cuts them.
+TEST(daemon_stop, check_rejects_a_stop_that_cuts_requests)
+{
+    auto const verdict = verdict_of_stop({.cut_requests_at_stop = true});
+    ASSERT_TRUE(verdict.violation);
+    EXPECT_EQ(verdict.violation->rule, "planned-stop");
+    EXPECT_GE(verdict.counts.calls_failed, 1U);
+}
+
+// Guards against a restarted daemon that takes requests before it knows any
+// backend server.
+TEST(daemon_start, is_ready_with_an_endpoint_table)
+{
+    auto it = tests::daemon_fixture{};
+    EXPECT_FALSE(it.is_ready());
+    auto const begin = std::chrono::steady_clock::now();
+    it.teach_endpoint({"127.0.0.1", 1});
+    EXPECT_TRUE(
+        tests::within([&it] { return it.is_ready(); }, tests::patience));
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2s);
+}
+
+// Guards against a daemon without peers that never becomes ready, and against
+// one that is ready with its configuration alone.
+TEST(daemon_start, is_ready_without_endpoint_table_after_3_s)
+{
+    auto const begin = std::chrono::steady_clock::now();
+    auto it = tests::daemon_fixture{};
+    it.teach_config();
+    EXPECT_TRUE(
+        tests::within([&it] { return it.is_ready(); }, tests::patience));
+    auto const waited = std::chrono::steady_clock::now() - begin;
+    EXPECT_GE(waited, 2900ms);
+}
+
+// Guards against a daemon that is ready without any configuration.
+TEST(daemon_start, is_not_ready_without_configuration)
+{
+    auto it = tests::daemon_fixture{};
+    EXPECT_FALSE(tests::within([&it] { return it.is_ready(); }, 3500ms));
+}
