--- a/coordination/config_follower_base.cpp
+++ b/coordination/config_follower_base.cpp
@@ -344,8 +344,17 @@
             [it, head](
                 implementation& self, std::optional<store_range> const& found)
             {
+                if (!found)
+                {
+                    core::fail(
+                        core::error_kind::unavailable,
+                        "Another change came first, and the store did not "
+                        "tell which; nothing was published, read the "
+                        "configuration and try again.");
+                    return it->on_done(std::nullopt);
+                }
                 auto result = publish_outcome{false, head, {}};
-                for (auto const& entry : found.value_or(store_range{}).entries)
+                for (auto const& entry : found->entries)
                 {
                     if (auto change = self.codec.decode_change(entry.value))
                     {
