Check starts after a drain and after a stored finish in processes_test

history-check had no rule on drains, and nothing marked when a finish was stored. Workers now record their data centre; the script marks the return of the drain command, the undrain, and each job that the daemons call finished.

The drain step is now a race of two drains and a publish at three daemons. An accepted change must be in force, a conflict must name the change that came first.

--- a/standins/history-check/main.cpp
+++ b/standins/history-check/main.cpp
@@ -35,6 +35,15 @@
         cxxopts::value<std::string>()->default_value(""));
     add("mark-killed", "append to the file that this worker is killed now",
         cxxopts::value<std::string>());
+    add("mark-drained",
+        "append to the file that this data centre has been taken out",
+        cxxopts::value<std::string>());
+    add("mark-undrained",
+        "append to the file that this data centre is brought back now",
+        cxxopts::value<std::string>());
+    add("mark-finished",
+        "append to the file that this job is stored as finished",
+        cxxopts::value<std::string>());
     add("mark-stopping", "append to the file that this gateway stops now",
         cxxopts::value<std::string>());
     add("mark-stopped", "append to the file that this gateway has stopped",
@@ -51,7 +60,21 @@
     if (options.count("mark-killed") > 0)
     {
         return standins::to_json(standins::worker_process_event{
-            true, options["mark-killed"].as<std::string>(), {}, now});
+            true, options["mark-killed"].as<std::string>(), {}, {}, now});
+    }
+    if (options.count("mark-finished") > 0)
+    {
+        return standins::to_json(standins::job_finish_event{
+            options["mark-finished"].as<std::string>(), now});
+    }
+    for (auto const* it : {"mark-drained", "mark-undrained"})
+    {
+        if (options.count(it) > 0)
+        {
+            return standins::to_json(standins::drain_event{
+                std::string_view{it} == "mark-drained",
+                options[it].as<std::string>(), now});
+        }
     }
     for (auto const* it : {"mark-stopping", "mark-stopped"})
     {
@@ -118,9 +141,10 @@
     }
     auto const& counts = verdict->counts;
     fmt::print(
-        "task starts {}, requests {} (ok {}, failed {}), runs in runners {}\n",
+        "task starts {}, requests {} (ok {}, failed {}), runs in runners {}, "
+        "drains {}, stored finishes {}\n",
         counts.task_starts, counts.calls, counts.calls_ok, counts.calls_failed,
-        counts.runs);
+        counts.runs, counts.drains, counts.finishes);
     if (!verdict->violation)
     {
         fmt::print("no violation\n");
--- a/standins/standin-worker/main.cpp
+++ b/standins/standin-worker/main.cpp
@@ -135,7 +135,8 @@
         {SIGTERM, SIGINT}, [&](int number) { stopped.set_value(number); });
     auto const& info = settings->worker.info;
     record.write(standins::to_json(standins::worker_process_event{
-        false, info.worker.value, info.capacity, core::system_clock()()}));
+        false, info.worker.value, info.capacity, info.data_centre.value,
+        core::system_clock()()}));
     process.start();
     log.info("started", {{"id", settings->worker.info.worker.value}});
     log.info("stopping", {{"signal", stopped.get_future().get()}});
--- a/standins/support/history_base.cpp
+++ b/standins/support/history_base.cpp
@@ -67,6 +67,7 @@
          {"cpu_milli", event.capacity.cpu_milli},
          {"memory_mb", event.capacity.memory_mb},
          {"accelerators", event.capacity.accelerators},
+         {"data_centre", event.data_centre},
          {"at_us", microseconds_of(event.at)}});
 }
 
@@ -107,6 +108,24 @@
          {"at_us", microseconds_of(event.at)}});
 }
 
+auto to_json(drain_event const& event) -> std::string
+{
+    return line_of(
+        {{"type", "data_centre"},
+         {"event", event.drained ? "drained" : "undrained"},
+         {"data_centre", event.data_centre},
+         {"at_us", microseconds_of(event.at)}});
+}
+
+auto to_json(job_finish_event const& event) -> std::string
+{
+    return line_of(
+        {{"type", "job"},
+         {"event", "finished"},
+         {"job", event.job},
+         {"at_us", microseconds_of(event.at)}});
+}
+
 auto history::open(std::string const& path) -> std::optional<history>
 {
     auto result = history{};
--- a/standins/support/history_base.hpp
+++ b/standins/support/history_base.hpp
@@ -34,6 +34,7 @@
     bool killed = false; ///< False: the process starts.
     std::string worker;
     core::resources capacity; ///< Set if the process starts.
+    std::string data_centre;  ///< Set if the process starts.
     core::time_point at;
 };
 
@@ -68,6 +69,21 @@
     core::time_point at;
 };
 
+/** An operator was told that a data centre is out, or brings it back. */
+struct drain_event
+{
+    bool drained = false; ///< False: the data centre comes back.
+    std::string data_centre;
+    core::time_point at;
+};
+
+/** An operator was told that a job has finished, so that is stored. */
+struct job_finish_event
+{
+    std::string job;
+    core::time_point at;
+};
+
 /**
  * Returns the line of an event, without the line end. `at_us` is monotonic
  * time in microseconds, which processes of one instance can compare.
@@ -77,6 +93,8 @@
 auto to_json(worker_process_event const& event) -> std::string;
 auto to_json(call_event const& event) -> std::string;
 auto to_json(gateway_stop_event const& event) -> std::string;
+auto to_json(drain_event const& event) -> std::string;
+auto to_json(job_finish_event const& event) -> std::string;
 
 /**
  * Appends lines to a file and flushes each, so that the lines survive the end
--- a/standins/support/history_check_base.cpp
+++ b/standins/support/history_check_base.cpp
@@ -95,8 +95,28 @@
             if (has(from, "worker", "started"))
             {
                 history_.capacities[worker_of(from)] = resources_of(from);
+                data_centres_[worker_of(from)] =
+                    core::data_centre_id{text_of(from, "data_centre")};
             }
         }
+        else if (is_of(from, "data_centre"))
+        {
+            auto event = task_event{};
+            event.at = core::time_point{microseconds{from.at_us}};
+            event.kind = has(from, "data_centre", "drained")
+                             ? task_event_kind::drain_accepted
+                             : task_event_kind::undrain_accepted;
+            event.data_centre =
+                core::data_centre_id{text_of(from, "data_centre")};
+            event.text = from.line;
+            history_.events.push_back(std::move(event));
+        }
+        else if (is_of(from, "job"))
+        {
+            finishes_.emplace(
+                core::job_id{text_of(from, "job")},
+                core::time_point{microseconds{from.at_us}});
+        }
         else if (is_of(from, "task"))
         {
             read_task(from);
@@ -108,6 +128,13 @@
         return history_;
     }
 
+    /** Returns when the finish of each job was known to be stored. */
+    [[nodiscard]] auto finishes() const
+        -> std::map<core::job_id, core::time_point> const&
+    {
+        return finishes_;
+    }
+
 private:
     static auto worker_of(record const& from) -> core::worker_id
     {
@@ -129,6 +156,7 @@
         if (has(from, "task", "started"))
         {
             history_.needs[event.key.job] = resources_of(from);
+            event.data_centre = data_centres_.at(event.worker);
             open_.emplace(place, event);
             history_.events.push_back(std::move(event));
             return;
@@ -173,6 +201,8 @@
 
     using place = std::pair<core::worker_id, state::attempt_key>;
     task_history history_;
+    std::map<core::worker_id, core::data_centre_id> data_centres_;
+    std::map<core::job_id, core::time_point> finishes_;
     std::map<place, task_event> open_;
     std::map<place, std::int64_t> checkpoints_;
 };
@@ -187,9 +217,11 @@
     return result;
 }
 
-auto find_task_violation(task_history const& history)
+auto find_task_violation(
+    task_reader const& tasks, history_check_settings const& settings)
     -> std::optional<line_violation>
 {
+    auto const& history = tasks.history();
     if (auto const it = find_overlap(history))
     {
         return lines_of(*it);
@@ -198,7 +230,11 @@
     {
         return lines_of(*it);
     }
-    if (auto const it = find_bad_resume(history, {}))
+    if (auto const it = find_bad_resume(history, tasks.finishes()))
+    {
+        return lines_of(*it);
+    }
+    if (auto const it = find_start_after_drain(history, settings.start_bound))
     {
         return lines_of(*it);
     }
@@ -372,11 +408,17 @@
     }
     auto result = history_verdict{};
     requests.count(result.counts);
-    result.counts.task_starts = static_cast<std::size_t>(std::count_if(
-        tasks.history().events.begin(), tasks.history().events.end(),
-        [](task_event const& event)
-        { return event.kind == task_event_kind::started; }));
-    result.violation = find_task_violation(tasks.history());
+    auto const count = [&tasks](task_event_kind kind)
+    {
+        auto const& events = tasks.history().events;
+        return static_cast<std::size_t>(std::count_if(
+            events.begin(), events.end(),
+            [kind](task_event const& event) { return event.kind == kind; }));
+    };
+    result.counts.task_starts = count(task_event_kind::started);
+    result.counts.drains = count(task_event_kind::drain_accepted);
+    result.counts.finishes = tasks.finishes().size();
+    result.violation = find_task_violation(tasks, settings);
     if (!result.violation)
     {
         result.violation =
--- a/standins/support/history_check_base.hpp
+++ b/standins/support/history_check_base.hpp
@@ -22,6 +22,8 @@
     std::string planned_stop;
     /** The listener of a stopping gateway stays open at least this long. */
     core::duration drain_delay = std::chrono::seconds{2};
+    /** No task starts in a drained data centre later than this. */
+    core::duration start_bound = std::chrono::seconds{4};
 };
 
 /** A rule that a history breaks, with the lines that show it. */
@@ -39,6 +41,8 @@
     std::size_t calls_ok = 0;     ///< Answered with a status below 400.
     std::size_t runs = 0;         ///< Requests that runners began to run.
     std::size_t calls_failed = 0; ///< No answer, or status 400 or more.
+    std::size_t drains = 0;       ///< Data centres that were taken out.
+    std::size_t finishes = 0;     ///< Jobs whose finish was stored.
 };
 
 /** Result of a check. */
@@ -50,10 +54,11 @@
 
 /**
  * Checks the lines of all histories of one run, each file's lines in order.
- * Lines have type `task`, `request`, `worker`, `call` or `gateway`; see
- * history_base.hpp. Rules: `overlap`, `overcommitment`, `resume`,
- * `not-finished`, `post-ran-twice`, `not-run-but-ran`, `wrong-answer`,
- * `not-answered` and `planned-stop`.
+ * Lines have type `task`, `request`, `worker`, `call`, `gateway`,
+ * `data_centre` or `job`; see history_base.hpp. Rules: `overlap`,
+ * `overcommitment`, `resume`, `start-after-finish`, `drain`, `not-finished`,
+ * `post-ran-twice`, `not-run-but-ran`, `wrong-answer`, `not-answered` and
+ * `planned-stop`.
  * @return std::nullopt with invalid_input if a line cannot be read or is
  *         missing, because a check of an incomplete history proves nothing.
  */
--- a/standins/support/task_history_base.cpp
+++ b/standins/support/task_history_base.cpp
@@ -128,7 +128,7 @@
         auto const stored = stored_finished.find(it.key.job);
         if (stored != stored_finished.end() && stored->second < it.at)
         {
-            return history_violation{"resume", {it}};
+            return history_violation{"start-after-finish", {it}};
         }
     }
     return std::nullopt;
--- a/standins/support/task_history_base.hpp
+++ b/standins/support/task_history_base.hpp
@@ -47,7 +47,8 @@
 /** A rule that a history breaks, with the events that show it. */
 struct history_violation
 {
-    std::string rule; ///< `overlap`, `overcommitment`, `resume` or `drain`.
+    /** `overlap`, `overcommitment`, `resume`, `start-after-finish`, `drain`. */
+    std::string rule;
     std::vector<task_event> events;
 };
 
--- a/tests/history_check_test.cpp
+++ b/tests/history_check_test.cpp
@@ -26,7 +26,7 @@
     -> std::string
 {
     return standins::to_json(standins::worker_process_event{
-        killed, std::move(name), {4000, 1024, 0}, at(time)});
+        killed, std::move(name), {4000, 1024, 0}, "dc-1", at(time)});
 }
 
 auto task(
--- a/tests/processes_test.sh
+++ b/tests/processes_test.sh
@@ -3,8 +3,9 @@
 # paused and stopped, the store fails and a data centre leaves and returns. The
 # verdict comes from the histories of workers and callers. Guards against jobs
 # that run twice or get lost, overcommitted workers, POST requests that run
-# twice, false not-run refusals, mixed-up answers, and planned stops that
-# interrupt requests. Waits poll a condition; only the faults have fixed
+# twice, false not-run refusals, mixed-up answers, planned stops that interrupt
+# requests, starts in a drained data centre, starts of finished jobs, and
+# changes that racing operators lose. Waits poll a condition; only the faults have fixed
 # lengths.
 set -eu
 build=$(cd "$1" && pwd)
@@ -14,6 +15,7 @@
 ctl="$build/godwitcleatctl"
 check="$build/history-check"
 marks="$RUN_DIR/marks.history"
+demo=$(mktemp -d)
 caller_pid=
 jobs=()
 
@@ -58,7 +60,28 @@
     jobs+=("$1")
 }
 
+# Marks the jobs that the daemons call finished; the first mark counts.
+mark_finished() {
+    local job
+    "$ctl" jobs >"$RUN_DIR/jobs.log" 2>&1 || return 0
+    for job in $(awk '$4 == "finished" { print $1 }' "$RUN_DIR/jobs.log"); do
+        "$check" "$marks" --mark-finished "$job"
+    done
+}
+
+# Runs the tool at daemon N; writes its output and exit code to NAME.race.
+race() {
+    local name=$1 daemon=$2 status=0
+    shift 2
+    "$ctl" --daemon "127.0.0.1:$((PORT_BASE + 100 + daemon))" "$@" \
+        --author "$name" >"$RUN_DIR/$name.race" 2>&1 || status=$?
+    echo "$status" >"$RUN_DIR/$name.status"
+}
+
+in_force() { "$ctl" config --document | tr -d ' \n' | grep -qE "$1"; }
+
 cleanup() {
+    rm -r "$demo"
     local pids
     pids=$(cat "$RUN_DIR"/*.pid 2>/dev/null || true)
     for pid in $pids $caller_pid; do kill -CONT "$pid" 2>/dev/null || true; done
@@ -112,13 +135,44 @@
 
 step "Drain data centre dc-1 and bring it back"
 within 60 has_started haul-6
+mark_finished
+cp examples/demo/*.ini "$demo"
+printf '[team night]\ncpu_milli = 1000\nmemory_mb = 1024\n' >"$demo/night.ini"
+race ann 1 drain data-centre dc-1 &
+racers=$!
+race bob 2 drain data-centre dc-2 &
+racers="$racers $!"
+race cid 3 publish "$demo" &
+racers="$racers $!"
+# shellcheck disable=SC2086 # One word for each process.
+wait $racers
 within 60 "$ctl" drain data-centre dc-1 --author test
+"$check" "$marks" --mark-drained dc-1
+for name in ann bob cid; do
+    echo "$name: $(cat "$RUN_DIR/$name.status") $(tr '\n' ' ' <"$RUN_DIR/$name.race")"
+done
+for name in ann bob; do
+    [ "$(cat "$RUN_DIR/$name.status")" -eq 0 ] || fail "the drain of $name was refused"
+done
+# A daemon learns of a change within a second; a lost one never comes.
+within 10 in_force '"drained_data_centres":\["dc-1","dc-2"\]'
+case $(cat "$RUN_DIR/cid.status") in
+0) within 10 in_force '"night"' ;;
+4) grep -qE ' [0-9]+ (ann|bob): data-centre' "$RUN_DIR/cid.race" ||
+    fail "a conflict does not name the change that came first" ;;
+*) fail "the publish ended with $(cat "$RUN_DIR/cid.race")" ;;
+esac
 within 60 dc_1_is_empty
 submit tally-4 500 500
+# Long enough for starts that come too late to show.
+sleep 5
+"$check" "$marks" --mark-undrained dc-1
 within 60 "$ctl" undrain data-centre dc-1 --author test
+within 60 "$ctl" undrain data-centre dc-2 --author test
 within 60 has_runners 4
 
 step "Stop daemon 1 by SIGTERM under load"
+mark_finished
 "$check" "$marks" --mark-stopping "127.0.0.1:$((PORT_BASE + 1))"
 stopping_pid=$(pid_of entry-1)
 kill -TERM "$stopping_pid"
@@ -133,6 +187,7 @@
 finished=()
 for job in "${jobs[@]}"; do
     "$ctl" wait "$job" --timeout-s 120 >/dev/null || fail "job $job did not finish"
+    "$check" "$marks" --mark-finished "$job"
     finished+=(--finished "$job")
 done
 kill -TERM "$caller_pid"
@@ -143,6 +198,7 @@
 "$check" "$RUN_DIR"/worker-*.history "$RUN_DIR/caller.history" "$marks" \
     --planned-stop "127.0.0.1:$((PORT_BASE + 1))" "${finished[@]}" ||
     fail "the histories break a rule"
+[ "$(grep -c '"event":"drained"' "$marks")" -eq 1 ] || fail "no drain is marked"
 # A run in which hardly anything succeeded would satisfy most rules.
 ok=$(grep -c '"status":200' "$RUN_DIR/caller.history")
 sent=$(grep -c '"event":"invoked"' "$RUN_DIR/caller.history")
@@ -157,4 +213,12 @@
     fail "a POST that ran twice was accepted"
 fi
 grep -q "rule post-ran-twice" "$RUN_DIR/bad.log" || fail "wrong rule in bad.log"
+late=$(grep -h '"type":"task"' "$RUN_DIR"/worker-*.history | grep '"event":"finished"' |
+    grep '"job":"tally-1"' | head -1 | sed 's/"event":"finished"/"event":"started"/; s/"at_us":[0-9]*/"at_us":9000000000000000/; s/"attempt":[0-9]*/"attempt":99/; s/"progress":[0-9]*/"progress":0/')
+echo "$late" >"$RUN_DIR/bad.history"
+if "$check" "$RUN_DIR"/worker-*.history "$RUN_DIR/caller.history" "$marks" \
+    "$RUN_DIR/bad.history" >"$RUN_DIR/bad.log"; then
+    fail "a start after the stored finish was accepted"
+fi
+grep -q "rule start-after-finish" "$RUN_DIR/bad.log" || fail "wrong rule in bad.log"
 step "Passed"
