--- a/coordination/control_base.cpp
+++ b/coordination/control_base.cpp
@@ -101,10 +101,22 @@
     };
 }
 
+// Names from peers may hold bytes that are not UTF-8, for which dump() throws.
+auto text_of(json const& value) -> std::string
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+auto parse_body(std::string const& body) -> json
+{
+    return protocol::has_bounded_depth(body) ? json::parse(body, nullptr, false)
+                                             : json(json::value_t::discarded);
+}
+
 auto parse_cancel(std::string const& body)
     -> std::optional<std::pair<core::job_id, std::string>>
 {
-    auto const document = json::parse(body, nullptr, false);
+    auto const document = parse_body(body);
     auto const valid = document.is_object() && document.contains("job") &&
                        document["job"].is_string();
     if (!valid)
@@ -124,7 +136,7 @@
 
 auto parse_publish(std::string const& body) -> std::optional<publish_command>
 {
-    auto const root = json::parse(body, nullptr, false);
+    auto const root = parse_body(body);
     auto const valid = root.is_object() && root.contains("base") &&
                        root["base"].is_number_unsigned() &&
                        root.contains("document");
@@ -176,7 +188,8 @@
              {"author", it.author},
              {"summary", it.summary}});
     }
-    return json_response(http_status(core::error_kind::conflict), body.dump());
+    return json_response(
+        http_status(core::error_kind::conflict), text_of(body));
 }
 
 auto status_json(daemon_status const& status) -> std::string
@@ -202,7 +215,7 @@
              {"suspect", it.suspect},
              {"shards", owned}});
     }
-    return json{
+    return text_of(json{
         {"instance", status.instance.value},
         {"boot_id", status.boot_id},
         {"data_centre", status.data_centre.value},
@@ -210,8 +223,7 @@
         {"generation", status.config.value},
         {"store_reachable", status.store_reachable},
         {"shards", shards},
-        {"peers", peers}}
-        .dump();
+        {"peers", peers}});
 }
 
 auto services_json(std::vector<state::service_endpoint> const& endpoints)
@@ -233,7 +245,7 @@
     {
         result.push_back({{"service", service}, {"endpoints", list}});
     }
-    return result.dump();
+    return text_of(result);
 }
 
 auto parse_sequence(std::string_view text) -> std::uint64_t
@@ -322,7 +334,7 @@
                     "heartbeat to \"owner\""}));
                 body["owner"] = result.owner;
                 reply(json_response(
-                    http_status(core::error_kind::not_owner), body.dump()));
+                    http_status(core::error_kind::not_owner), text_of(body)));
             });
     };
     routes_["GET /v1/workers"] = [this](auto const&, auto reply)
--- a/protocol/json_func.cpp
+++ b/protocol/json_func.cpp
@@ -37,14 +37,23 @@
     return text_of(result);
 }
 
+auto parse(std::string_view text) -> nlohmann::json
+{
+    return has_bounded_depth(text)
+               ? nlohmann::json::parse(text, nullptr, false)
+               : nlohmann::json(nlohmann::json::value_t::discarded);
+}
+
 template <class Type>
 auto from_json(std::string_view text, unknown_keys policy)
     -> std::optional<Type>
 {
-    auto const root = nlohmann::json::parse(text, nullptr, false);
+    auto const root = parse(text);
     if (root.is_discarded())
     {
-        return invalid("the body is not JSON; check quotes, commas and braces");
+        return invalid(
+            "the body is not JSON, or it nests too deeply; check quotes, "
+            "commas and braces");
     }
     auto reader = json_reader{policy};
     auto value = std::optional<Type>{std::in_place};
@@ -309,11 +318,43 @@
     return checked_from_json<state::config_document>(text);
 }
 
+auto has_bounded_depth(std::string_view text) -> bool
+{
+    auto depth = std::size_t{0};
+    auto in_string = false;
+    for (auto it = text.begin(); it != text.end(); ++it)
+    {
+        if (in_string && *it == '\\')
+        {
+            if (++it == text.end())
+            {
+                break;
+            }
+        }
+        else if (*it == '"')
+        {
+            in_string = !in_string;
+        }
+        else if (!in_string && (*it == '[' || *it == '{'))
+        {
+            if (++depth > most_json_depth)
+            {
+                return false;
+            }
+        }
+        else if (!in_string && (*it == ']' || *it == '}') && depth > 0)
+        {
+            --depth;
+        }
+    }
+    return true;
+}
+
 auto failure_from_json(std::string_view text) -> core::failure
 {
     auto unreadable = core::failure{
         core::error_kind::internal, "the error answer cannot be read"};
-    auto const root = nlohmann::json::parse(text, nullptr, false);
+    auto const root = parse(text);
     if (!root.is_object() || !root.contains("error"))
     {
         return unreadable;
--- a/protocol/json_func.hpp
+++ b/protocol/json_func.hpp
@@ -13,6 +13,13 @@
 namespace godwitcleat::protocol
 {
 
+/**
+ * Returns false if @p text nests deeper than any message does. Such text must
+ * not be parsed: nlohmann-json keeps about 65 bytes for each level and writes
+ * levels recursively, so that one body could exhaust memory or the stack.
+ */
+auto has_bounded_depth(std::string_view text) -> bool;
+
 /** Operator commands and worker heartbeats; keys are the members' names. */
 auto to_json(state::worker_report const& value) -> std::string;
 auto to_json(state::heartbeat_reply const& value) -> std::string;
--- a/protocol/limits_internal.hpp
+++ b/protocol/limits_internal.hpp
@@ -18,6 +18,9 @@
 inline constexpr auto most_connections = std::uint32_t{65'535};
 inline constexpr auto most_deadline_ms = std::int64_t{3'600'000};
 
+/** Levels of JSON; the deepest message, a published document, nests 6. */
+inline constexpr auto most_json_depth = std::size_t{32};
+
 /** Bytes of a packed document; the store holds values of up to 1 MB. */
 inline constexpr auto most_document_bytes = std::size_t{1'000'000};
 
