--- a/tests/config_follower_test.cpp
+++ b/tests/config_follower_test.cpp
@@ -88,7 +88,8 @@
                  fates.pop_back();
              }
              return result;
-         }}};
+         },
+         {}}};
     bool late_while_settling = false; ///< Late writes overtake repetitions.
     std::vector<std::uint64_t> seen;  ///< Generations of the first follower.
     std::set<std::string> workers;    ///< Of the documents that it applied.
--- a/tests/shard_log_test.cpp
+++ b/tests/shard_log_test.cpp
@@ -112,7 +112,8 @@
                  return fate;
              }
              return std::optional<standins::store_fate>{};
-         }}};
+         },
+         {}}};
     coordination::shard_log_settings settings;
     std::unique_ptr<coordination::shard_log> log;
     std::optional<coordination::log_result> result;
--- a/tests/support/daemon_fixture_base.cpp
+++ b/tests/support/daemon_fixture_base.cpp
@@ -54,8 +54,9 @@
     }
     else if (request && std::holds_alternative<protocol::peer_update>(*request))
     {
-        reply =
-            protocol::peer_update_reply{core::instance_id{"peer"}, "b", {}, {}};
+        // Number 0 asks for whole states.
+        reply = protocol::peer_update_reply{
+            core::instance_id{"peer"}, 0, 0, std::nullopt};
     }
     return protocol::encode(reply);
 }
