Split the router, and query its tables without copying them

router_base.cpp keeps the choice of a backend server; the state of a service and the estimates from counts and latencies move to router_internal.hpp and router_estimate_func.cpp.

Readiness and the daemon's tick copied the endpoint tables of all shards, the tick ten times a second. router::has_tables() and router::is_newer() answer without a copy; shard_host::tables() copies only tables that the router does not have. router::known_tables(), used by one test only, is removed, and the test reads router::tables() and the new queries instead. engine_settings::most_failures was never read and is removed.

--- a/coordination/router_base.cpp
+++ b/coordination/router_base.cpp
@@ -1,11 +1,12 @@
 /** @file router_base.cpp Choice of a backend server for a request. */
 #include "coordination/router_base.hpp"
 
+#include "coordination/router_internal.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <map>
 #include <mutex>
 #include <set>
@@ -15,6 +16,8 @@
 namespace godwitcleat::coordination
 {
 
+using namespace routing;
+
 namespace
 {
 
@@ -32,202 +35,6 @@
 /// Reports of free slots that are kept for one backend server.
 constexpr std::uint32_t most_idle_reports = 8;
 
-struct backend
-{
-    state::service_endpoint endpoint;
-    transport::endpoint where;
-    bool listed = true;
-    std::uint32_t in_flight = 0;
-    std::vector<std::uint32_t> peers; ///< As in service_state::peers.
-    double latency_ns = 0.0;          ///< 0: no answer yet.
-    core::time_point latency_at;
-    std::uint32_t failures = 0; ///< In a row.
-    core::time_point suspect_until;
-    std::uint32_t idle_reports = 0;
-};
-
-/** A peer's counts for one service. */
-struct peer_summary
-{
-    core::instance_id peer;
-    core::time_point counted;
-    double mean = 0.0; ///< Over the listed backend servers.
-};
-
-struct pooled_probe
-{
-    core::backend_server_id backend_server;
-    backend_probe probe;
-    core::time_point at;
-    std::uint32_t uses = 0;
-};
-
-struct service_state
-{
-    std::vector<backend> backends;
-    std::vector<peer_summary> peers;
-    double mean_ns = 0.0; ///< 0: no answer yet.
-    std::uint64_t turn = 0;
-    std::vector<pooled_probe> probes;       ///< Oldest first.
-    std::vector<std::uint32_t> recent_load; ///< Ring of probe answers.
-    std::size_t recent_next = 0;
-};
-
-struct service_shard
-{
-    mutable std::mutex mutex;
-    std::unordered_map<core::service_id, service_state> services;
-};
-
-auto to_duration(double ns) -> core::duration
-{
-    return core::duration{static_cast<core::duration::rep>(ns)};
-}
-
-auto find(service_state& state, core::backend_server_id const& id) -> backend*
-{
-    auto const it = std::find_if(
-        state.backends.begin(), state.backends.end(),
-        [&](auto const& b) { return b.endpoint.backend_server == id; });
-    return it == state.backends.end() ? nullptr : &*it;
-}
-
-auto is_open(backend const& it) -> bool
-{
-    return it.listed && !it.endpoint.leaving;
-}
-
-/** Returns how much of a count is left after @p age. */
-auto decay(core::duration age, double memory_ns) -> double
-{
-    auto const ns = std::max(0.0, static_cast<double>(age.count()));
-    return std::exp(-ns / std::max(memory_ns, 1e6));
-}
-
-/** One peer's share of an estimate at the present time. */
-struct peer_weight
-{
-    std::size_t index = 0; ///< In service_state::peers.
-    double mean = 0.0;
-    double weight = 0.0; ///< Of the difference from the mean.
-};
-
-/**
- * Requests in flight turn over in about one latency. An older count tells
- * little more than the peer's mean, so it moves towards that mean.
- */
-auto peer_weights(
-    service_state const& state, core::time_point now, core::duration silence)
-    -> std::vector<peer_weight>
-{
-    auto result = std::vector<peer_weight>{};
-    for (std::size_t i = 0; i < state.peers.size(); ++i)
-    {
-        auto const& it = state.peers[i];
-        auto const age = now - it.counted;
-        if (age < silence)
-        {
-            result.push_back({i, it.mean, decay(age, state.mean_ns)});
-        }
-    }
-    return result;
-}
-
-auto peers_in_flight(backend const& it, std::vector<peer_weight> const& peers)
-    -> double
-{
-    auto sum = 0.0;
-    for (auto const& [index, mean, weight] : peers)
-    {
-        auto const count = index < it.peers.size() ? it.peers[index] : 0U;
-        sum += mean + weight * (count - mean);
-    }
-    return sum;
-}
-
-/** Returns the position of @p peer, which is added if it is new. */
-auto peer_index(service_state& state, core::instance_id const& peer)
-    -> std::size_t
-{
-    auto const it = std::find_if(
-        state.peers.begin(), state.peers.end(),
-        [&](auto const& p) { return p.peer == peer; });
-    if (it != state.peers.end())
-    {
-        return static_cast<std::size_t>(it - state.peers.begin());
-    }
-    state.peers.push_back({peer, {}, 0.0});
-    return state.peers.size() - 1;
-}
-
-/**
- * An estimate that is not renewed moves towards the mean, so that a backend
- * server that was slow is tried again.
- */
-auto latency_now(
-    service_state const& state, backend const& it, core::time_point now,
-    core::duration memory) -> double
-{
-    if (it.latency_ns <= 0.0)
-    {
-        return state.mean_ns;
-    }
-    auto const left =
-        decay(now - it.latency_at, static_cast<double>(memory.count()));
-    return state.mean_ns + left * (it.latency_ns - state.mean_ns);
-}
-
-auto hot_limit(service_state const& state, double quantile) -> std::uint32_t
-{
-    if (state.recent_load.empty())
-    {
-        return 1;
-    }
-    auto sorted = state.recent_load;
-    auto const n = static_cast<double>(sorted.size());
-    auto const at =
-        std::min(static_cast<std::size_t>(quantile * n), sorted.size() - 1);
-    std::nth_element(
-        sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(at),
-        sorted.end());
-    return std::max(1U, sorted[at]);
-}
-
-/** Places a merged endpoint list into the state of a service. */
-auto replace_endpoints(
-    service_state& state, std::vector<state::service_endpoint> const& list)
-    -> void
-{
-    for (auto& it : state.backends)
-    {
-        it.listed = false;
-    }
-    for (auto const& entry : list)
-    {
-        auto const where = transport::parse_endpoint(entry.address);
-        if (!where)
-        {
-            continue;
-        }
-        auto* known = find(state, entry.backend_server);
-        if (known == nullptr)
-        {
-            known = &state.backends.emplace_back();
-        }
-        // Two shards may list one backend server during a hand-over; it is
-        // leaving if either says so.
-        auto const leaving =
-            entry.leaving || (known->listed && known->endpoint.leaving);
-        known->endpoint = entry;
-        known->endpoint.leaving = leaving;
-        known->where = *where;
-        known->listed = true;
-    }
-    std::erase_if(
-        state.backends,
-        [](auto const& it) { return !it.listed && it.in_flight == 0; });
-}
-
 } // namespace
 
 struct router::implementation
@@ -245,6 +52,17 @@
         return shards[core::stable_hash(service.value) % shard_count];
     }
 
+    /** Requires tables_mutex. */
+    auto is_newer(protocol::endpoint_table const& table) const -> bool
+    {
+        auto const found = tables.find(table.shard);
+        auto const present =
+            found == tables.end()
+                ? std::pair{core::epoch{}, std::uint64_t{0}}
+                : std::pair{found->second.owner_epoch, found->second.version};
+        return std::pair{table.owner_epoch, table.version} > present;
+    }
+
     /** Requires tables_mutex. */
     auto refresh(core::service_id const& service) -> void
     {
@@ -364,15 +182,11 @@
 {
     auto& self = *implementation_;
     auto const lock = std::scoped_lock{self.tables_mutex};
-    auto& present = self.tables[table.shard];
-    auto const rank = [](protocol::endpoint_table const& it)
-    {
-        return std::pair{it.owner_epoch, it.version};
-    };
-    if (rank(table) <= rank(present))
+    if (!self.is_newer(table))
     {
         return false;
     }
+    auto& present = self.tables[table.shard];
     auto affected = std::set<core::service_id>{};
     for (auto const* list : {&present.endpoints, &table.endpoints})
     {
@@ -389,14 +203,16 @@
     return true;
 }
 
-auto router::known_tables() const -> std::vector<protocol::endpoint_table>
+auto router::is_newer(protocol::endpoint_table const& table) const -> bool
 {
-    auto result = tables();
-    for (auto& it : result)
-    {
-        it.endpoints.clear();
-    }
-    return result;
+    auto const lock = std::scoped_lock{implementation_->tables_mutex};
+    return implementation_->is_newer(table);
+}
+
+auto router::has_tables() const -> bool
+{
+    auto const lock = std::scoped_lock{implementation_->tables_mutex};
+    return !implementation_->tables.empty();
 }
 
 auto router::tables() const -> std::vector<protocol::endpoint_table>
--- a/coordination/router_base.hpp
+++ b/coordination/router_base.hpp
@@ -158,9 +158,12 @@
      */
     auto update_table(protocol::endpoint_table table) -> bool;
 
-    /** Returns all tables without endpoints, for peer_update_reply::known. */
-    [[nodiscard]] auto known_tables() const
-        -> std::vector<protocol::endpoint_table>;
+    /** Returns true if update_table() would take @p table. */
+    [[nodiscard]] auto is_newer(protocol::endpoint_table const& table) const
+        -> bool;
+
+    /** Returns true if the table of at least one shard is present. */
+    [[nodiscard]] auto has_tables() const -> bool;
 
     /** Returns all tables, for new peers. */
     [[nodiscard]] auto tables() const -> std::vector<protocol::endpoint_table>;
--- a/coordination/shard_host_base.cpp
+++ b/coordination/shard_host_base.cpp
@@ -515,13 +515,15 @@
     return result;
 }
 
-auto shard_host::tables() const -> std::vector<protocol::endpoint_table>
+auto shard_host::tables(
+    std::function<bool(protocol::endpoint_table const&)> const& wanted) const
+    -> std::vector<protocol::endpoint_table>
 {
     auto result = std::vector<protocol::endpoint_table>{};
     for (auto const& entry : entries())
     {
         auto const lock = std::scoped_lock{entry->mutex};
-        if (entry->table.version > 0)
+        if (entry->table.version > 0 && wanted(entry->table))
         {
             result.push_back(entry->table);
         }
--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -140,7 +140,10 @@
         -> std::optional<std::vector<state::job>>;
     [[nodiscard]] auto workers() const -> std::vector<state::worker_view>;
     [[nodiscard]] auto summaries() const -> std::vector<state::shard_summary>;
-    [[nodiscard]] auto tables() const -> std::vector<protocol::endpoint_table>;
+    /** Returns the endpoint tables of the own shards that @p wanted accepts. */
+    [[nodiscard]] auto
+    tables(std::function<bool(protocol::endpoint_table const&)> const& wanted)
+        const -> std::vector<protocol::endpoint_table>;
 
 private:
     struct shard_entry;
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -1,6 +1,7 @@
 /** @file daemon_base.cpp All parts of one daemon, put together. */
 #include "programs/godwitcleatd/daemon_base.hpp"
 
+#include "programs/godwitcleatd/settings_func.hpp"
 #include "protocol/protocol.hpp"
 
 #include <algorithm>
@@ -21,58 +22,6 @@
 constexpr auto drain_poll_interval = std::chrono::milliseconds{50};
 constexpr auto config_fetch_timeout = std::chrono::seconds{1};
 
-// All shards of the system together stay within this rate.
-constexpr std::int64_t most_writes_per_second = 250;
-
-auto host_settings(coordination::daemon_settings const& settings)
-    -> coordination::shard_host_settings
-{
-    auto result = coordination::shard_host_settings{};
-    result.engine.lease = settings.lease;
-    result.engine.heartbeat_interval = settings.heartbeat;
-    result.engine.start_validity = settings.start_validity;
-    result.engine.shard_count = settings.shards;
-    result.batch_interval =
-        core::duration{std::chrono::seconds{settings.shards}} /
-        most_writes_per_second;
-    return result;
-}
-
-auto ownership_settings(coordination::daemon_settings const& settings)
-    -> coordination::ownership_settings
-{
-    auto result = coordination::ownership_settings{};
-    result.shard_count = settings.shards;
-    return result;
-}
-
-auto store_settings(coordination::daemon_settings const& settings)
-    -> coordination::etcd_store_settings
-{
-    auto result = coordination::etcd_store_settings{};
-    result.addresses = settings.store;
-    // A call must end before the lease has to be renewed again.
-    result.timeout = std::min(settings.store_timeout, result.timeout);
-    return result;
-}
-
-auto backend_limits(coordination::daemon_settings const& settings)
-    -> transport::http_client_limits
-{
-    auto result = transport::http_client_limits{};
-    result.connections_per_endpoint = settings.connections_per_backend;
-    return result;
-}
-
-auto router_settings(coordination::daemon_settings const& settings)
-    -> coordination::router_settings
-{
-    auto result = coordination::router_settings{};
-    result.connections =
-        static_cast<std::uint32_t>(settings.connections_per_backend);
-    return result;
-}
-
 auto seed_from(std::string_view text) -> std::uint64_t
 {
     return core::stable_hash(text);
@@ -373,7 +322,11 @@
     logs_.tick();
     host_.tick();
     forwarding_.tick();
-    for (auto& it : host_.tables())
+    auto const is_new = [this](auto const& it)
+    {
+        return router_.is_newer(it);
+    };
+    for (auto& it : host_.tables(is_new))
     {
         router_.update_table(std::move(it));
     }
@@ -534,7 +487,7 @@
     auto const view = config_.current();
     auto const has_config =
         view.head_revision.has_value() || view.document->number.value > 0;
-    auto const has_tables = !router_.tables().empty();
+    auto const has_tables = router_.has_tables();
     auto const has_waited = now_() - started_ >= longest_wait_for_tables;
     return gateway_.ready() && has_config && (has_tables || has_waited);
 }
--- /dev/null
+++ b/programs/godwitcleatd/settings_func.hpp
@@ -0,0 +1,28 @@
+/** @file settings_func.hpp The daemon's settings for each of its parts. */
+#ifndef GODWITCLEAT_PROGRAMS_GODWITCLEATD_SETTINGS_FUNC_HPP
+#define GODWITCLEAT_PROGRAMS_GODWITCLEATD_SETTINGS_FUNC_HPP
+
+#include "coordination/coordination.hpp"
+
+namespace godwitcleat::daemon
+{
+
+/** Each function returns the settings of one part; others keep defaults. */
+auto host_settings(coordination::daemon_settings const& settings)
+    -> coordination::shard_host_settings;
+
+auto ownership_settings(coordination::daemon_settings const& settings)
+    -> coordination::ownership_settings;
+
+auto store_settings(coordination::daemon_settings const& settings)
+    -> coordination::etcd_store_settings;
+
+auto backend_limits(coordination::daemon_settings const& settings)
+    -> transport::http_client_limits;
+
+auto router_settings(coordination::daemon_settings const& settings)
+    -> coordination::router_settings;
+
+} // namespace godwitcleat::daemon
+
+#endif
--- a/standins/support/memory_store_base.hpp
+++ b/standins/support/memory_store_base.hpp
@@ -90,7 +90,7 @@
      * Called with each change before it takes effect, with the store's lock
      * held. If it returns false, the call fails with unavailable.
      */
-    std::function<bool(store_change const&)> on_change;
+    std::function<bool(store_change const&)> on_change = {};
 };
 
 /**
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -40,8 +40,6 @@
     core::duration retention = std::chrono::minutes{60};
     core::duration exclusion_first = std::chrono::seconds{30};
     core::duration exclusion_most = std::chrono::minutes{10};
-    std::uint32_t most_failures =
-        most_failed_attempts; ///< For display; the log's rule is the constant.
     std::uint32_t excluding_failures = 3; ///< In a row on one worker.
     std::uint32_t starts_per_tick = 64;
     std::uint32_t shard_count = 16;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -93,16 +93,19 @@
         auto const rank = std::pair{epoch, version};
         auto const newer = rank > newest[shard];
         newest[shard] = std::max(newest[shard], rank);
-        RC_ASSERT(
-            test.router.update_table(
-                table_of(shard, epoch, version, {false})) == newer);
+        auto const table = table_of(shard, epoch, version, {false});
+        RC_ASSERT(test.router.is_newer(table) == newer);
+        RC_ASSERT(test.router.update_table(table) == newer);
     }
-    for (auto const& it : test.router.known_tables())
+    auto const tables = test.router.tables();
+    RC_ASSERT(tables.size() == newest.size());
+    RC_ASSERT(test.router.has_tables() == !newest.empty());
+    for (auto const& it : tables)
     {
         auto const [epoch, version] = newest[static_cast<int>(it.shard.value)];
         RC_ASSERT(it.owner_epoch == core::epoch(epoch));
         RC_ASSERT(it.version == static_cast<std::uint64_t>(version));
-        RC_ASSERT(it.endpoints.empty());
+        RC_ASSERT(it.endpoints.size() == 1U);
     }
 }
 
