Move the recovery of a shard's log to a file of its own

The state is in shard_log_internal.hpp, the recovery in shard_log_recovery.cpp. Four reads that settle a write repeated the same call and the same retry when the store does not answer; they now share read_or_retry(). shard_log_test and shard_history_test pass.

--- a/coordination/shard_log_base.cpp
+++ b/coordination/shard_log_base.cpp
@@ -1,11 +1,9 @@
-/** @file shard_log_base.cpp Recovery and writing of one shard's log. */
+/** @file shard_log_base.cpp Writing of one shard's log. */
 #include "coordination/shard_log_base.hpp"
 
-#include "coordination/guarded_internal.hpp"
 #include "coordination/key_func.hpp"
+#include "coordination/shard_log_internal.hpp"
 
-#include <algorithm>
-#include <atomic>
 #include <mutex>
 #include <utility>
 
@@ -15,258 +13,16 @@
 namespace
 {
 
-/** An append or a snapshot until its outcome is certain. */
-struct operation
-{
-    store_transaction transaction;
-    std::string key;                  ///< The key that tells the outcome.
-    std::int64_t former_revision = 0; ///< Of that key before the write.
-    std::function<bool(std::string const&)> is_ours; ///< Tests its value.
-    std::optional<std::int64_t> config_revision;
-    std::size_t bytes = 0;
-    bool is_snapshot = false;
-    shard_log::done on_done;
-    core::time_point sent_at;
-    std::optional<core::time_point> unknown_since; ///< First unknown sending.
-    std::optional<core::time_point> retry_at;
-};
-
-using operation_pointer = std::shared_ptr<operation>;
-
-/** A recovery that is reading. */
-struct recovery
-{
-    recovered_log result;
-    core::log_index applied;
-    std::int64_t snapshot_revision = 0;
-    std::size_t snapshot_bytes = 0;
-    std::size_t batch_bytes = 0;
-    bool complete = true; ///< No log entry is missing.
-    store::handler<recovered_log> on_done;
-};
-
-using recovery_pointer = std::shared_ptr<recovery>;
-
-auto single(std::optional<store_range> const& found) -> store_entry const*
-{
-    return found && !found->entries.empty() ? &found->entries.front() : nullptr;
-}
-
 /** Returns true if @p entry is what @p it wrote. */
-auto written_by(operation const& it, store_entry const* entry) -> bool
+auto written_by(log_operation const& it, store_entry const* entry) -> bool
 {
     return entry != nullptr && entry->modify_revision != it.former_revision &&
            it.is_ours(entry->value);
 }
 
-auto revision_of(std::optional<store_range> const& found) -> std::int64_t
-{
-    auto const* const entry = single(found);
-    return entry == nullptr ? 0 : entry->modify_revision;
-}
-
 } // namespace
 
-struct shard_log::implementation
-    : public guarded_base<shard_log::implementation>
-{
-    implementation(
-        store& platform, core::clock clock, core::logger const& log,
-        core::shard_id shard, std::int64_t epoch_revision,
-        shard_log_codec codec, shard_log_settings settings)
-        : platform(platform)
-        , clock(std::move(clock))
-        , log(log.with_prefix("shard"))
-        , shard(shard)
-        , epoch_revision(epoch_revision)
-        , codec(std::move(codec))
-        , settings(settings)
-        , page_entries(settings.page_entries)
-    {
-    }
-
-    auto read_snapshot(recovery_pointer const& it) -> void;
-    auto read_page(recovery_pointer const& it) -> void;
-    auto take_page(recovery_pointer const& it, store_range const& page) -> bool;
-    auto check_epoch(recovery_pointer const& it) -> void;
-    auto finish_recovery(recovery_pointer const& it) -> void;
-
-    auto start(operation_pointer const& it) -> std::optional<bool>;
-    auto send(operation_pointer const& it) -> void;
-    auto
-    on_commit(operation_pointer const& it, std::optional<store_commit> result)
-        -> void;
-    auto read_key(operation_pointer const& it) -> void;
-    auto find_cause(operation_pointer const& it) -> void;
-    auto find_config_cause(operation_pointer const& it) -> void;
-    auto settle(operation_pointer const& it, std::optional<log_outcome> cause)
-        -> void;
-    auto retry(operation_pointer const& it) -> void;
-    auto committed(
-        operation_pointer const& it, core::time_point sent_at,
-        std::int64_t revision) -> void;
-    auto finish(operation_pointer const& it, log_result result) -> void;
-    auto size_locked() const -> std::size_t
-    {
-        return snapshot_bytes + batch_bytes;
-    }
-
-    store& platform;
-    core::clock clock;
-    core::logger log;
-    core::shard_id shard;
-    std::int64_t epoch_revision;
-    shard_log_codec codec;
-    shard_log_settings settings;
-
-    std::mutex mutex;
-    std::int64_t page_entries;
-    bool recovered = false;
-    core::log_index applied;
-    std::int64_t snapshot_revision = 0;
-    std::size_t snapshot_bytes = 0;
-    std::size_t batch_bytes = 0;
-    std::uint64_t batches = 0;           ///< Since the last written snapshot.
-    std::uint64_t batches_since_try = 0; ///< Or since a too large one.
-    operation_pointer current;
-};
-
-auto shard_log::implementation::read_snapshot(recovery_pointer const& it)
-    -> void
-{
-    platform.range(
-        snapshot_key(shard), "", 1,
-        guarded(
-            [it](implementation& self, std::optional<store_range> const& found)
-            {
-                if (!found)
-                {
-                    return it->on_done(std::nullopt);
-                }
-                if (auto const* const entry = single(found))
-                {
-                    auto snapshot = self.codec.decode_snapshot(entry->value);
-                    if (!snapshot)
-                    {
-                        return it->on_done(std::nullopt);
-                    }
-                    it->applied = snapshot->applied;
-                    it->result.data = std::move(snapshot->data);
-                    it->snapshot_revision = entry->modify_revision;
-                    it->snapshot_bytes = entry->value.size();
-                }
-                self.read_page(it);
-            }));
-}
-
-auto shard_log::implementation::read_page(recovery_pointer const& it) -> void
-{
-    auto limit = std::int64_t{0};
-    {
-        auto const lock = std::scoped_lock{mutex};
-        limit = page_entries;
-    }
-    // Entries up to `applied` can only stem from a write that took effect
-    // after a snapshot had covered it, so they are not read.
-    platform.range(
-        log_key(shard, it->applied.next()), prefix_end(log_prefix(shard)),
-        limit,
-        guarded(
-            [it](implementation& self, std::optional<store_range> page)
-            {
-                if (!page)
-                {
-                    // The page may exceed the body limit of the HTTP client.
-                    auto const lock = std::scoped_lock{self.mutex};
-                    self.page_entries =
-                        std::max<std::int64_t>(1, self.page_entries / 2);
-                }
-                if (!page || !self.take_page(it, *page))
-                {
-                    return it->on_done(std::nullopt);
-                }
-                if (page->more && it->complete)
-                {
-                    return self.read_page(it);
-                }
-                self.check_epoch(it);
-            }));
-}
-
-auto shard_log::implementation::take_page(
-    recovery_pointer const& it, store_range const& page) -> bool
-{
-    for (auto const& entry : page.entries)
-    {
-        if (trailing_number(entry.key) != it->applied.next().value)
-        {
-            it->complete = false;
-            return true;
-        }
-        auto batch = codec.decode_batch(entry.value);
-        if (!batch)
-        {
-            return false;
-        }
-        it->result.batches.push_back(std::move(*batch));
-        it->batch_bytes += entry.value.size();
-        it->applied = it->applied.next();
-    }
-    return true;
-}
-
-// The reads are several calls. Only an owner of a later epoch can have written
-// between them, so an unchanged epoch proves that they belong together.
-auto shard_log::implementation::check_epoch(recovery_pointer const& it) -> void
-{
-    platform.range(
-        epoch_key(shard), "", 1,
-        guarded(
-            [it](implementation& self, std::optional<store_range> const& found)
-            {
-                if (!found)
-                {
-                    return it->on_done(std::nullopt);
-                }
-                if (revision_of(found) != self.epoch_revision)
-                {
-                    return it->on_done(core::fail(
-                        core::error_kind::stale_epoch,
-                        "The shard has a newer owner; drop it."));
-                }
-                if (!it->complete)
-                {
-                    return it->on_done(core::fail(
-                        core::error_kind::protocol,
-                        "An entry of the shard's log is missing after " +
-                            std::to_string(it->applied.value) +
-                            "; restore the store's keys."));
-                }
-                self.finish_recovery(it);
-            }));
-}
-
-auto shard_log::implementation::finish_recovery(recovery_pointer const& it)
-    -> void
-{
-    {
-        auto const lock = std::scoped_lock{mutex};
-        recovered = true;
-        applied = it->applied;
-        snapshot_revision = it->snapshot_revision;
-        snapshot_bytes = it->snapshot_bytes;
-        batch_bytes = it->batch_bytes;
-        batches = it->result.batches.size();
-        batches_since_try = batches;
-    }
-    log.info(
-        "Log recovered.", {{"shard", shard.value},
-                           {"index", it->applied.value},
-                           {"batches", it->result.batches.size()}});
-    it->on_done(std::move(it->result));
-}
-
-auto shard_log::implementation::start(operation_pointer const& it)
+auto shard_log::implementation::start(log_operation_pointer const& it)
     -> std::optional<bool>
 {
     {
@@ -290,7 +46,7 @@
     return true;
 }
 
-auto shard_log::implementation::send(operation_pointer const& it) -> void
+auto shard_log::implementation::send(log_operation_pointer const& it) -> void
 {
     {
         auto const lock = std::scoped_lock{mutex};
@@ -304,7 +60,7 @@
 }
 
 auto shard_log::implementation::on_commit(
-    operation_pointer const& it, std::optional<store_commit> result) -> void
+    log_operation_pointer const& it, std::optional<store_commit> result) -> void
 {
     if (result && result->succeeded)
     {
@@ -327,119 +83,118 @@
     read_key(it);
 }
 
-auto shard_log::implementation::read_key(operation_pointer const& it) -> void
+auto shard_log::implementation::read_or_retry(
+    std::string key, log_operation_pointer const& it,
+    std::function<void(implementation&, std::optional<store_range> const&)>
+        on_read) -> void
 {
     platform.range(
-        it->key, "", 1,
+        std::move(key), "", 1,
         guarded(
-            [it](implementation& self, std::optional<store_range> const& found)
+            [it, on_read = std::move(on_read)](
+                implementation& self, std::optional<store_range> const& found)
+            { found ? on_read(self, found) : self.retry(it); }));
+}
+
+auto shard_log::implementation::read_key(log_operation_pointer const& it)
+    -> void
+{
+    read_or_retry(
+        it->key, it,
+        [it](implementation& self, std::optional<store_range> const& found)
+        {
+            auto const* const entry = single(found);
+            if (written_by(*it, entry))
             {
-                auto const* const entry = single(found);
-                if (written_by(*it, entry))
-                {
-                    return self.committed(
-                        it, it->unknown_since.value_or(it->sent_at),
-                        entry->modify_revision);
-                }
-                // Absent is no answer yet: the write may take effect later.
-                // Repeating it ends in a commit or in a failed compare.
-                self.retry(it);
-            }));
+                return self.committed(
+                    it, it->unknown_since.value_or(it->sent_at),
+                    entry->modify_revision);
+            }
+            // Absent is no answer yet: the write may take effect later.
+            // Repeating it ends in a commit or in a failed compare.
+            self.retry(it);
+        });
 }
 
 // A compare has failed. The cause is read before the written key: once the
 // epoch or the configuration has changed, no earlier sending can take effect,
 // so the key that is read afterwards is final.
-auto shard_log::implementation::find_cause(operation_pointer const& it) -> void
+auto shard_log::implementation::find_cause(log_operation_pointer const& it)
+    -> void
 {
-    platform.range(
-        epoch_key(shard), "", 1,
-        guarded(
-            [it](implementation& self, std::optional<store_range> const& found)
+    read_or_retry(
+        epoch_key(shard), it,
+        [it](implementation& self, std::optional<store_range> const& found)
+        {
+            if (revision_of(found) != self.epoch_revision)
+            {
+                return self.settle(it, log_outcome::epoch_changed);
+            }
+            if (it->config_revision)
             {
-                if (!found)
-                {
-                    return self.retry(it);
-                }
-                if (revision_of(found) != self.epoch_revision)
-                {
-                    return self.settle(it, log_outcome::epoch_changed);
-                }
-                if (it->config_revision)
-                {
-                    return self.find_config_cause(it);
-                }
-                self.settle(it, std::nullopt);
-            }));
+                return self.find_config_cause(it);
+            }
+            self.settle(it, std::nullopt);
+        });
 }
 
-auto shard_log::implementation::find_config_cause(operation_pointer const& it)
-    -> void
+auto shard_log::implementation::find_config_cause(
+    log_operation_pointer const& it) -> void
 {
-    platform.range(
-        config_head_key(), "", 1,
-        guarded(
-            [it](implementation& self, std::optional<store_range> const& found)
-            {
-                if (!found)
-                {
-                    return self.retry(it);
-                }
-                auto const changed = revision_of(found) != *it->config_revision;
-                self.settle(
-                    it, changed ? std::optional{log_outcome::config_changed}
-                                : std::nullopt);
-            }));
+    read_or_retry(
+        config_head_key(), it,
+        [it](implementation& self, std::optional<store_range> const& found)
+        {
+            auto const changed = revision_of(found) != *it->config_revision;
+            self.settle(
+                it, changed ? std::optional{log_outcome::config_changed}
+                            : std::nullopt);
+        });
 }
 
 auto shard_log::implementation::settle(
-    operation_pointer const& it, std::optional<log_outcome> cause) -> void
+    log_operation_pointer const& it, std::optional<log_outcome> cause) -> void
 {
-    platform.range(
-        it->key, "", 1,
-        guarded(
-            [it, cause](
-                implementation& self, std::optional<store_range> const& found)
+    read_or_retry(
+        it->key, it,
+        [it,
+         cause](implementation& self, std::optional<store_range> const& found)
+        {
+            auto const* const entry = single(found);
+            if (written_by(*it, entry))
+            {
+                return self.committed(
+                    it, it->unknown_since.value_or(it->sent_at),
+                    entry->modify_revision);
+            }
+            if (cause == log_outcome::epoch_changed)
+            {
+                return self.finish(it, {*cause, it->sent_at});
+            }
+            if (revision_of(found) != it->former_revision)
+            {
+                self.log.error(
+                    "Another process writes this shard's log.",
+                    {{"shard", self.shard.value}, {"key", it->key}});
+                return self.finish(
+                    it, {log_outcome::epoch_changed, it->sent_at});
+            }
+            if (!cause)
             {
-                if (!found)
-                {
-                    return self.retry(it);
-                }
-                auto const* const entry = single(found);
-                if (written_by(*it, entry))
-                {
-                    return self.committed(
-                        it, it->unknown_since.value_or(it->sent_at),
-                        entry->modify_revision);
-                }
-                if (cause == log_outcome::epoch_changed)
-                {
-                    return self.finish(it, {*cause, it->sent_at});
-                }
-                if (revision_of(found) != it->former_revision)
-                {
-                    self.log.error(
-                        "Another process writes this shard's log.",
-                        {{"shard", self.shard.value}, {"key", it->key}});
-                    return self.finish(
-                        it, {log_outcome::epoch_changed, it->sent_at});
-                }
-                if (!cause)
-                {
-                    return self.retry(it);
-                }
-                self.finish(it, {*cause, it->sent_at});
-            }));
+                return self.retry(it);
+            }
+            self.finish(it, {*cause, it->sent_at});
+        });
 }
 
-auto shard_log::implementation::retry(operation_pointer const& it) -> void
+auto shard_log::implementation::retry(log_operation_pointer const& it) -> void
 {
     auto const lock = std::scoped_lock{mutex};
     it->retry_at = clock() + settings.retry_interval;
 }
 
 auto shard_log::implementation::committed(
-    operation_pointer const& it, core::time_point sent_at,
+    log_operation_pointer const& it, core::time_point sent_at,
     std::int64_t revision) -> void
 {
     {
@@ -464,7 +219,7 @@
 }
 
 auto shard_log::implementation::finish(
-    operation_pointer const& it, log_result result) -> void
+    log_operation_pointer const& it, log_result result) -> void
 {
     {
         auto const lock = std::scoped_lock{mutex};
@@ -501,7 +256,7 @@
 
 auto shard_log::recover(store::handler<recovered_log> on_done) -> void
 {
-    auto const it = std::make_shared<recovery>();
+    auto const it = std::make_shared<log_recovery>();
     it->on_done = std::move(on_done);
     implementation_->read_snapshot(it);
 }
@@ -512,7 +267,7 @@
     -> std::optional<bool>
 {
     auto& self = *implementation_;
-    auto const it = std::make_shared<operation>();
+    auto const it = std::make_shared<log_operation>();
     auto value = self.codec.encode_batch(batch);
     if (value.size() > self.settings.value_limit_bytes)
     {
@@ -552,7 +307,7 @@
     -> std::optional<bool>
 {
     auto& self = *implementation_;
-    auto const it = std::make_shared<operation>();
+    auto const it = std::make_shared<log_operation>();
     auto applied = core::log_index{};
     {
         auto const lock = std::scoped_lock{self.mutex};
@@ -611,7 +366,7 @@
 auto shard_log::tick() -> void
 {
     auto& self = *implementation_;
-    auto due = operation_pointer{};
+    auto due = log_operation_pointer{};
     {
         auto const lock = std::scoped_lock{self.mutex};
         auto const& it = self.current;
