--- /dev/null
+++ b/transport/http_client_connection.cpp
@@ -0,0 +1,308 @@
+/** @file http_client_connection.cpp One connection of an HTTP client. */
+#include "transport/http_client_internal.hpp"
+#include "transport/listener_internal.hpp"
+
+#include <fmt/format.h>
+
+namespace godwitcleat::transport
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using beast::error_code;
+
+namespace
+{
+
+// Bytes of header that a response may have.
+constexpr std::uint32_t response_header_bytes = 64 * 1024;
+
+// Bytes that a connection may buffer beyond one header.
+constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
+
+// Interim responses (100 to 199) accepted before the final one.
+constexpr int interim_responses = 8;
+
+} // namespace
+
+client_connection::client_connection(
+    std::shared_ptr<http_client_state> client, endpoint address)
+    : client_(std::move(client))
+    , where_(std::move(address))
+    , stream_(asio::make_strand(client_->context))
+    , idle_timer_(stream_.get_executor())
+    , buffer_(response_header_bytes + read_ahead_bytes)
+{
+}
+
+auto client_connection::where() const -> endpoint const&
+{
+    return where_;
+}
+
+auto client_connection::run(exchange_pointer request) -> void
+{
+    asio::post(
+        stream_.get_executor(),
+        [self = shared_from_this(), it = std::move(request)]() mutable
+        { self->begin(std::move(it)); });
+}
+
+auto client_connection::watch() -> void
+{
+    asio::post(
+        stream_.get_executor(),
+        [self = shared_from_this()]
+        {
+            if (!self->request_)
+            {
+                self->start_watch();
+            }
+        });
+}
+
+auto client_connection::abort() -> void
+{
+    asio::post(
+        stream_.get_executor(),
+        [self = shared_from_this()]
+        {
+            self->aborted_ = true;
+            self->stop_watch();
+            self->stream_.close();
+        });
+}
+
+auto client_connection::start_watch() -> void
+{
+    auto const self = shared_from_this();
+    auto const round = ++watch_round_;
+    auto const on_event = [self, round](error_code ec)
+    {
+        if (ec != asio::error::operation_aborted && round == self->watch_round_)
+        {
+            self->client_->drop_idle(self);
+        }
+    };
+    stream_.socket().async_wait(tcp::socket::wait_read, on_event);
+    idle_timer_.expires_after(client_->limits.idle_timeout);
+    idle_timer_.async_wait(on_event);
+}
+
+auto client_connection::stop_watch() -> void
+{
+    ++watch_round_;
+    idle_timer_.cancel();
+    auto ignored = error_code{};
+    stream_.socket().cancel(ignored);
+}
+
+auto client_connection::begin(exchange_pointer request) -> void
+{
+    request_ = std::move(request);
+    progress_ = send_progress::nothing_written;
+    interim_ = 0;
+    stop_watch();
+    if (aborted_)
+    {
+        fail(core::error_kind::shutting_down, "the client was closed");
+        return;
+    }
+    if (core::time_point{std::chrono::steady_clock::now()} >=
+        request_->deadline)
+    {
+        fail_timeout();
+        return;
+    }
+    stream_.expires_at(request_->deadline);
+    if (stream_.socket().is_open() && is_quiet(stream_.socket()))
+    {
+        write();
+        return;
+    }
+    connect();
+}
+
+auto client_connection::connect() -> void
+{
+    stream_.close();
+    buffer_.clear();
+    auto const address = to_tcp(where_);
+    if (!address)
+    {
+        auto const& reason = core::last_reason();
+        fail(reason.kind, reason.message);
+        return;
+    }
+    stream_.async_connect(
+        *address,
+        [self = shared_from_this()](error_code ec) { self->on_connect(ec); });
+}
+
+auto client_connection::on_connect(error_code ec) -> void
+{
+    if (ec)
+    {
+        fail(ec, core::error_kind::unavailable, "cannot connect");
+        return;
+    }
+    stream_.socket().set_option(tcp::no_delay{true}, ec);
+    write();
+}
+
+auto client_connection::write() -> void
+{
+    http::async_write(
+        stream_, request_->message,
+        [self = shared_from_this()](error_code ec, std::size_t n)
+        { self->on_write(ec, n); });
+}
+
+auto client_connection::on_write(error_code ec, std::size_t n) -> void
+{
+    if (n > 0)
+    {
+        progress_ = send_progress::maybe_written;
+    }
+    if (ec)
+    {
+        fail(
+            ec,
+            n > 0 ? core::error_kind::unknown_outcome
+                  : core::error_kind::unavailable,
+            "the connection failed while the request was sent");
+        return;
+    }
+    read_header();
+}
+
+auto client_connection::read_header() -> void
+{
+    parser_.emplace();
+    parser_->header_limit(response_header_bytes);
+    parser_->body_limit(client_->limits.body_bytes);
+    parser_->skip(request_->to_head);
+    http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](error_code ec, std::size_t)
+        { self->on_header(ec); });
+}
+
+auto client_connection::on_header(error_code ec) -> void
+{
+    constexpr unsigned lowest_final_status = 200;
+    if (ec)
+    {
+        fail_read(ec);
+        return;
+    }
+    if (parser_->get().result() == http::status::switching_protocols)
+    {
+        fail(core::error_kind::protocol, "unexpected change of protocol");
+        return;
+    }
+    if (parser_->get().result_int() < lowest_final_status)
+    {
+        skip_interim();
+        return;
+    }
+    if (parser_->need_eof())
+    {
+        // Without a length, a complete body and one that was cut short
+        // look the same.
+        fail(
+            core::error_kind::protocol,
+            "the response has no length; the server must send "
+            "Content-Length or chunks");
+        return;
+    }
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](error_code failed, std::size_t)
+        { failed ? self->fail_read(failed) : self->succeed(); });
+}
+
+auto client_connection::skip_interim() -> void
+{
+    if (++interim_ > interim_responses)
+    {
+        fail(core::error_kind::protocol, "too many interim responses");
+        return;
+    }
+    read_header();
+}
+
+auto client_connection::succeed() -> void
+{
+    auto message = parser_->release();
+    // Bytes beyond the response answer no request.
+    auto const reusable = message.keep_alive() && buffer_.size() == 0;
+    auto result = http_result{};
+    result.response = from_beast(std::move(message));
+    result.progress = send_progress::maybe_written;
+    finish(std::move(result), reusable);
+}
+
+auto client_connection::fail_read(error_code ec) -> void
+{
+    if (ec == http::error::body_limit)
+    {
+        fail(
+            core::error_kind::protocol,
+            fmt::format(
+                "the response exceeds {} bytes", client_->limits.body_bytes));
+        return;
+    }
+    fail(
+        ec, core::error_kind::unknown_outcome,
+        "the connection failed before the whole response arrived");
+}
+
+auto client_connection::fail(
+    error_code ec, core::error_kind kind, std::string_view what) -> void
+{
+    if (ec == beast::error::timeout)
+    {
+        fail_timeout();
+        return;
+    }
+    if (aborted_)
+    {
+        fail(core::error_kind::shutting_down, "the client was closed");
+        return;
+    }
+    fail(kind, fmt::format("{}: {}", what, ec.message()));
+}
+
+auto client_connection::fail_timeout() -> void
+{
+    fail(core::error_kind::timeout, "no response before the deadline");
+}
+
+auto client_connection::fail(core::error_kind kind, std::string_view message)
+    -> void
+{
+    auto result = http_result{};
+    result.reason =
+        core::failure{kind, fmt::format("{}: {}", to_string(where_), message)};
+    result.progress = progress_;
+    finish(std::move(result), false);
+}
+
+auto client_connection::finish(http_result result, bool reusable) -> void
+{
+    auto const request = std::exchange(request_, nullptr);
+    parser_.reset();
+    if (!reusable)
+    {
+        stream_.close();
+    }
+    // The pool comes first, so that a request sent from on_done can use
+    // this connection.
+    client_->release(shared_from_this(), reusable);
+    client_->complete(request, std::move(result));
+}
+
+} // namespace godwitcleat::transport
