Split the routing simulation by subject

Arrivals and quantiles move to workload_func, the queue that knows all slots to omniscient_base.cpp; class and function names stay.

--- a/experiments/routing/simulation_base.cpp
+++ b/experiments/routing/simulation_base.cpp
@@ -1,11 +1,12 @@
 /** @file simulation_base.cpp Event queue that drives the router's decisions. */
 #include "simulation_base.hpp"
 
+#include "workload_func.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <deque>
 #include <memory>
 #include <queue>
@@ -21,15 +22,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t slots = 8;
 constexpr std::uint64_t connections = 64;
-constexpr core::duration one_way = 1500us;
 constexpr core::duration deadline = 2s;
 constexpr core::duration first_timeout = 1s; ///< Half of the deadline.
 constexpr std::size_t most_attempts = 3;
-constexpr core::duration warm_up = 2s;
 constexpr core::duration longest_table_delay = 500ms;
-constexpr double step_from = 0.6;
 constexpr int slow_factor = 10;
 constexpr std::size_t latency_samples = 16;
 constexpr std::size_t probes_per_request = 3; ///< As published.
@@ -42,82 +39,6 @@
 
 auto const service = core::service_id{"desk"};
 
-struct request
-{
-    core::duration at{};
-    core::duration work{};
-    std::uint32_t instance = 0;
-};
-
-auto fault_time(run_options const& options) -> core::duration
-{
-    return warm_up + options.length / 4;
-}
-
-auto end_time(run_options const& options) -> core::duration
-{
-    return warm_up + options.length;
-}
-
-auto from_seconds(double value) -> core::duration
-{
-    return std::chrono::duration_cast<core::duration>(
-        std::chrono::duration<double>{value});
-}
-
-/** Returns the arrivals and service times of a run. */
-auto make_workload(run_options const& options) -> std::vector<request>
-{
-    auto engine = std::mt19937_64{options.seed};
-    auto const mean =
-        std::chrono::duration<double>(options.mean_service).count();
-    auto const full =
-        options.load * static_cast<double>(options.backends * slots) / mean;
-    auto exponential = std::exponential_distribution<double>{1.0};
-    auto normal = std::normal_distribution<double>{0.0, 1.0};
-    auto pick = std::uniform_int_distribution<std::uint32_t>{
-        0, static_cast<std::uint32_t>(options.instances - 1)};
-    auto result = std::vector<request>{};
-    auto at = core::duration{};
-    while (at < end_time(options))
-    {
-        auto const early =
-            options.what == scenario::load_step && at < fault_time(options);
-        auto const rate = early ? step_from * full : full;
-        at += from_seconds(exponential(engine) / rate);
-        auto const s = options.sigma;
-        auto const factor = options.lognormal
-                                ? std::exp(s * normal(engine) - s * s / 2.0)
-                                : exponential(engine);
-        result.push_back({at, from_seconds(mean * factor), pick(engine)});
-    }
-    return result;
-}
-
-auto quantile(std::vector<core::duration>& values, double q) -> double
-{
-    if (values.empty())
-    {
-        return 0.0;
-    }
-    auto const n = static_cast<double>(values.size());
-    auto const at =
-        std::min(static_cast<std::size_t>(q * n), values.size() - 1);
-    std::nth_element(
-        values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
-        values.end());
-    return std::chrono::duration<double, std::milli>(values[at]).count();
-}
-
-auto fill_quantiles(run_result& into, std::vector<core::duration>& values)
-    -> void
-{
-    into.answers = values.size();
-    into.p50_ms = quantile(values, 0.5);
-    into.p99_ms = quantile(values, 0.99);
-    into.p999_ms = quantile(values, 0.999);
-}
-
 enum class event_kind
 {
     reach,    ///< An attempt reaches its backend server.
@@ -631,17 +552,6 @@
     run_result result_;
 };
 
-/** Returns the slots that an omniscient queue uses at @p at. */
-auto usable_slots(run_options const& options, core::duration at) -> std::size_t
-{
-    auto const after = at >= fault_time(options);
-    auto const without = (after && (options.what == scenario::slow ||
-                                    options.what == scenario::frozen ||
-                                    options.what == scenario::leaving)) ||
-                         (!after && options.what == scenario::returning);
-    return (options.backends - (without ? 1 : 0)) * slots;
-}
-
 } // namespace
 
 auto parse_scenario(std::string_view text) -> std::optional<scenario>
@@ -675,34 +585,4 @@
     return simulation{options}.run();
 }
 
-auto run_omniscient(run_options const& options) -> run_result
-{
-    auto busy = std::priority_queue<
-        core::duration, std::vector<core::duration>, std::greater<>>{};
-    auto latencies = std::vector<core::duration>{};
-    for (auto const& it : make_workload(options))
-    {
-        auto start = it.at + one_way;
-        while (!busy.empty() && busy.top() <= start)
-        {
-            busy.pop();
-        }
-        // First come, first served: the request takes the slot that is free
-        // first, after the ones of the requests before it.
-        while (busy.size() >= usable_slots(options, start))
-        {
-            start = std::max(start, busy.top());
-            busy.pop();
-        }
-        busy.push(start + it.work);
-        if (it.at >= warm_up)
-        {
-            latencies.push_back(start + it.work + one_way - it.at);
-        }
-    }
-    auto result = run_result{};
-    fill_quantiles(result, latencies);
-    return result;
-}
-
 } // namespace godwitcleat::experiments
