--- a/programs/godwitcleatctl/config_command_func.cpp
+++ b/programs/godwitcleatctl/config_command_func.cpp
@@ -289,8 +289,7 @@
         1,
         [](cxxopts::OptionAdder add)
         {
-            add("author", "who makes the change (default: $USER)",
-                cxxopts::value<std::string>(), "NAME");
+            add_author(add);
             add("summary", "what the change is (default: list of changes)",
                 cxxopts::value<std::string>(), "TEXT");
             add("base", "publish only if this generation is in force",
--- a/programs/godwitcleatctl/config_command_func.hpp
+++ b/programs/godwitcleatctl/config_command_func.hpp
@@ -41,6 +41,9 @@
 /** Returns the lines `GENERATION AUTHOR: SUMMARY` of a conflict answer. */
 auto conflicting_changes(api_answer const& answer) -> std::vector<std::string>;
 
+/** Adds the option --author to a command. */
+auto add_author(cxxopts::OptionAdder add) -> void;
+
 /** Returns the option --author, or the name of the user who runs the tool. */
 auto author_of(command_context const& context) -> std::optional<std::string>;
 
--- a/programs/godwitcleatctl/document_func.cpp
+++ b/programs/godwitcleatctl/document_func.cpp
@@ -63,6 +63,12 @@
     return root.is_object() ? root.value("generation", std::uint64_t{0}) : 0;
 }
 
+auto add_author(cxxopts::OptionAdder add) -> void
+{
+    add("author", "who makes the change (default: $USER)",
+        cxxopts::value<std::string>(), "NAME");
+}
+
 auto author_of(command_context const& context) -> std::optional<std::string>
 {
     if (context.options.count("author") != 0)
--- a/programs/godwitcleatctl/drain_command_func.cpp
+++ b/programs/godwitcleatctl/drain_command_func.cpp
@@ -150,12 +150,6 @@
                   : report_input_error();
 }
 
-auto add_author(cxxopts::OptionAdder add) -> void
-{
-    add("author", "who makes the change (default: $USER)",
-        cxxopts::value<std::string>(), "NAME");
-}
-
 } // namespace
 
 auto drain_commands() -> std::vector<command>
--- a/programs/godwitcleatctl/view_command_func.cpp
+++ b/programs/godwitcleatctl/view_command_func.cpp
@@ -129,59 +129,44 @@
     return exit_status::done;
 }
 
-} // namespace
-
-auto view_commands() -> std::vector<command>
+// A command without arguments that shows one answer of the daemon.
+auto view_command(
+    std::string_view name, std::string_view summary, std::string_view examples,
+    std::string_view target, exit_status (*show)(std::string const& body))
+    -> command
 {
-    auto const services = command{
-        "services",
-        "",
-        "Lists the backend servers of all services.",
-        "  godwitcleatctl services\n",
-        0,
-        0,
-        {},
-        [](command_context& context)
-        {
-            return view(context, "/v1/services", show_services);
-        }};
-    auto const workers = command{
-        "workers",
+    return {
+        name,
         "",
-        "Lists all workers with state and committed resources.",
-        "  godwitcleatctl workers --json\n",
+        summary,
+        examples,
         0,
         0,
         {},
-        [](command_context& context)
+        [target, show](command_context& context)
         {
-            return view(context, "/v1/workers", show_workers);
+            return view(context, target, show);
         }};
-    auto const status = command{
-        "status",
-        "",
-        "Shows the daemon, its peers and the owners of shards.",
-        "  godwitcleatctl status --daemon 10.0.0.4:7001\n",
-        0,
-        0,
-        {},
-        [](command_context& context)
-        {
-            return view(context, "/v1/status", show_status);
-        }};
-    auto const metrics = command{
-        "metrics",
-        "",
-        "Shows the daemon's metrics as Prometheus text.",
-        "  godwitcleatctl metrics\n",
-        0,
-        0,
-        {},
-        [](command_context& context)
-        {
-            return view(context, "/v1/metrics", print_body);
-        }};
-    return {services, workers, status, metrics};
+}
+
+} // namespace
+
+auto view_commands() -> std::vector<command>
+{
+    return {
+        view_command(
+            "services", "Lists the backend servers of all services.",
+            "  godwitcleatctl services\n", "/v1/services", show_services),
+        view_command(
+            "workers", "Lists all workers with state and committed resources.",
+            "  godwitcleatctl workers --json\n", "/v1/workers", show_workers),
+        view_command(
+            "status", "Shows the daemon, its peers and the owners of shards.",
+            "  godwitcleatctl status --daemon 10.0.0.4:7001\n", "/v1/status",
+            show_status),
+        view_command(
+            "metrics", "Shows the daemon's metrics as Prometheus text.",
+            "  godwitcleatctl metrics\n", "/v1/metrics", print_body)};
 }
 
 } // namespace godwitcleat::ctl
