--- a/programs/godwitcleatd/daemon_status.cpp
+++ b/programs/godwitcleatd/daemon_status.cpp
@@ -28,7 +28,7 @@
     auto const view = config_.current();
     auto const has_config =
         view.head_revision.has_value() || view.document->number.value > 0;
-    auto const has_tables = !router_.tables().empty();
+    auto const has_tables = router_.has_tables();
     auto const has_waited = now_() - started_ >= longest_wait_for_tables;
     return gateway_.ready() && has_config && (has_tables || has_waited);
 }
