--- a/experiments/routing/main.cpp
+++ b/experiments/routing/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Compares routing policies; see docs/EXPERIMENTS.md. */
+#include "experiments/support/figures_func.hpp"
 #include "simulation_base.hpp"
 
 #include <cxxopts.hpp>
@@ -113,12 +114,10 @@
 /** Prints median, least and greatest of one figure. */
 auto print_spread(std::string_view name, std::vector<double> values) -> void
 {
-    std::sort(values.begin(), values.end());
-    auto const n = values.size();
-    auto const middle = (values[(n - 1) / 2] + values[n / 2]) / 2.0;
+    auto const it = experiments::spread_of(std::move(values));
     fmt::print(
-        "{:<12} {:>10.2f} {:>10.2f} {:>10.2f}\n", name, middle, values.front(),
-        values.back());
+        "{:<12} {:>10.2f} {:>10.2f} {:>10.2f}\n", name, it.median, it.least,
+        it.greatest);
 }
 
 auto print_summary(std::vector<row> const& rows) -> void
--- a/experiments/routing/simulation_base.cpp
+++ b/experiments/routing/simulation_base.cpp
@@ -1,6 +1,8 @@
 /** @file simulation_base.cpp Event queue that drives the router's decisions. */
 #include "simulation_base.hpp"
 
+#include "experiments/support/figures_func.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -59,12 +61,6 @@
     return warm_up + options.length;
 }
 
-auto from_seconds(double value) -> core::duration
-{
-    return std::chrono::duration_cast<core::duration>(
-        std::chrono::duration<double>{value});
-}
-
 /** Returns the arrivals and service times of a run. */
 auto make_workload(run_options const& options) -> std::vector<request>
 {
@@ -94,21 +90,6 @@
     return result;
 }
 
-auto quantile(std::vector<core::duration>& values, double q) -> double
-{
-    if (values.empty())
-    {
-        return 0.0;
-    }
-    auto const n = static_cast<double>(values.size());
-    auto const at =
-        std::min(static_cast<std::size_t>(q * n), values.size() - 1);
-    std::nth_element(
-        values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
-        values.end());
-    return std::chrono::duration<double, std::milli>(values[at]).count();
-}
-
 auto fill_quantiles(run_result& into, std::vector<core::duration>& values)
     -> void
 {
