Bound the queue that admission lets a service build

Requests that time out leave the count in flight while the backend server still runs them, and only answers in time enter the mean service time, so the estimate admits ever more. A margin alone (1.5 or 2 mean service times) does not prevent the collapse.

--- a/coordination/admission_base.cpp
+++ b/coordination/admission_base.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+admission::admission(admission_settings settings)
+    : settings_(settings)
+{
+}
+
 auto admission::note_answer(core::duration elapsed, queue_state queue) -> void
 {
     // An answer that waited for a slot took `1 + rounds` service times.
@@ -48,14 +53,30 @@
     {
         return false;
     }
+    if (is_full(queue))
+    {
+        return false;
+    }
     auto const wait = expected_wait(queue);
     if (wait <= core::duration::zero())
     {
         return true;
     }
-    auto const service =
-        core::duration{static_cast<core::duration::rep>(service_ns_)};
+    auto const service = core::duration{
+        static_cast<core::duration::rep>(settings_.margin * service_ns_)};
     return wait + service <= remaining;
 }
 
+auto admission::is_full(queue_state queue) const -> bool
+{
+    auto const slots = static_cast<double>(queue.slots);
+    auto const most =
+        slots +
+        std::max(settings_.queue_per_slot * slots, settings_.least_queue);
+    auto const share =
+        most / static_cast<double>(std::max<std::size_t>(queue.instances, 1));
+    return queue.slots > 0 && queue.in_flight >= most &&
+           queue.own_in_flight >= share;
+}
+
 } // namespace godwitcleat::coordination
--- a/coordination/gateway_base.cpp
+++ b/coordination/gateway_base.cpp
@@ -148,7 +148,9 @@
     auto queue_of(call const& it) const -> queue_state
     {
         auto const load = parts.routes.load(it.service);
-        return {load.in_flight, load.usable * it.slots};
+        return {
+            load.in_flight, load.usable * it.slots, load.own_in_flight,
+            load.instances};
     }
 
     auto record_event(
@@ -449,6 +451,16 @@
                 {
                     return remaining;
                 }
+                if (record.queue.is_full(queue))
+                {
+                    parts.counters.count("gateway_queue_full_total");
+                    return core::fail(
+                        core::error_kind::no_capacity,
+                        fmt::format(
+                            "service \"{}\" has {:.0f} requests in flight for "
+                            "{} slots; retry later or add runners",
+                            it.service.value, queue.in_flight, queue.slots));
+                }
                 return core::fail(
                     core::error_kind::no_capacity,
                     fmt::format(
--- a/coordination/router_base.cpp
+++ b/coordination/router_base.cpp
@@ -623,12 +623,14 @@
     auto const& state = found->second;
     auto const weights =
         peer_weights(state, self.now(), self.settings.peer_silence);
-    auto result = service_load{0, 0.0, to_duration(state.mean_ns)};
+    auto result = service_load{
+        0, 0.0, to_duration(state.mean_ns), 0.0, weights.size() + 1};
     for (auto const& it : state.backends)
     {
         if (is_open(it))
         {
             ++result.usable;
+            result.own_in_flight += it.in_flight;
             result.in_flight += it.in_flight + peers_in_flight(it, weights);
         }
     }
--- a/coordination/router_base.hpp
+++ b/coordination/router_base.hpp
@@ -134,6 +134,8 @@
     std::size_t usable = 0;        ///< Listed and not leaving.
     double in_flight = 0.0;        ///< Own and peers' at usable ones.
     core::duration mean_latency{}; ///< 0: no answer seen yet.
+    double own_in_flight = 0.0;    ///< The part of this instance.
+    std::size_t instances = 1;     ///< This one and peers that are heard.
 };
 
 /**
--- a/experiments/overload/limiter_base.cpp
+++ b/experiments/overload/limiter_base.cpp
@@ -4,12 +4,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <functional>
 #include <limits>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace godwitcleat::experiments
 {
@@ -36,10 +36,15 @@
     }
 };
 
-/** The gateway's admission. */
+/** The gateway's admission with the given settings. */
 class estimate_limiter : public limiter
 {
 public:
+    explicit estimate_limiter(coordination::admission_settings settings)
+        : queue_(settings)
+    {
+    }
+
     auto decide(admission_view const& view) -> verdict override
     {
         return queue_.admits(view.remaining, view.queue) ? verdict::admit
@@ -93,14 +98,30 @@
                    : verdict::hold;
     }
 
+    auto note_answer(core::duration elapsed, admission_view const& /*view*/)
+        -> void override
+    {
+        constexpr double weight = 0.02;
+        auto const ns = static_cast<double>(elapsed.count());
+        mean_ns_ = mean_ns_ <= 0.0 ? ns : mean_ns_ + weight * (ns - mean_ns_);
+    }
+
     [[nodiscard]] auto order() const -> hold_order override
     {
         return order_;
     }
 
+    [[nodiscard]] auto needed() const -> core::duration override
+    {
+        constexpr double margin = 1.5;
+        return core::duration{
+            static_cast<core::duration::rep>(margin * mean_ns_)};
+    }
+
 private:
     double factor_;
     hold_order order_;
+    double mean_ns_ = 0.0; ///< Of whole answers.
 };
 
 /**
@@ -165,7 +186,10 @@
     double least_ = std::numeric_limits<double>::infinity();
 };
 
-/** The limit follows the ratio of long-term to recent latency. */
+/**
+ * The limit follows the ratio of long-term to recent mean latency, as the
+ * published gradient algorithms do.
+ */
 class gradient_limiter : public limiter
 {
 public:
@@ -180,6 +204,8 @@
         constexpr auto window = 100ms;
         constexpr double tolerance = 1.5;
         constexpr double smoothing = 0.2;
+        constexpr double long_weight = 0.02;
+        constexpr double recovery = 0.95;
         sum_ += static_cast<double>(elapsed.count());
         ++answers_;
         used_ = std::max(used_, view.own_in_flight);
@@ -188,9 +214,12 @@
             return;
         }
         auto const mean = sum_ / answers_;
-        // The least mean rises slowly, so that a lasting change is learned.
-        least_ = std::min(least_ * 1.0005, mean);
-        auto const gradient = std::clamp(tolerance * least_ / mean, 0.5, 1.0);
+        long_ = long_ <= 0.0 ? mean : long_ + long_weight * (mean - long_);
+        if (long_ > 2.0 * mean)
+        {
+            long_ *= recovery;
+        }
+        auto const gradient = std::clamp(tolerance * long_ / mean, 0.5, 1.0);
         if (used_ >= limit_ / 2.0)
         {
             auto const next = limit_ * gradient + std::sqrt(limit_);
@@ -207,7 +236,7 @@
     double sum_ = 0.0;
     double answers_ = 0.0;
     double used_ = 0.0;
-    double least_ = std::numeric_limits<double>::max() / 2.0;
+    double long_ = 0.0;
 };
 
 /**
@@ -260,25 +289,41 @@
     core::duration least_ = core::duration::max();
 };
 
+using limiter_maker = std::function<std::unique_ptr<limiter>()>;
+
 struct entry
 {
     std::string_view name;
-    std::function<std::unique_ptr<limiter>()> make;
+    limiter_maker make;
 };
 
-auto known_limiters() -> std::vector<entry> const&
+auto estimate(coordination::admission_settings settings) -> limiter_maker
+{
+    return [settings]
+    {
+        return std::make_unique<estimate_limiter>(settings);
+    };
+}
+
+auto hold(hold_order order) -> limiter_maker
+{
+    return [order]
+    {
+        return std::make_unique<holding_limiter>(1.5, order);
+    };
+}
+
+auto known_limiters(coordination::admission_settings bounded)
+    -> std::vector<entry>
 {
-    static auto const result = std::vector<entry>{
+    return {
         {"none",
          []
          {
              return std::make_unique<no_limiter>();
          }},
-        {"estimate",
-         []
-         {
-             return std::make_unique<estimate_limiter>();
-         }},
+        {"estimate", estimate(coordination::unbounded_admission)},
+        {"bounded", estimate(bounded)},
         {"fixed",
          []
          {
@@ -299,24 +344,9 @@
          {
              return std::make_unique<codel_limiter>();
          }},
-        {"hold_oldest",
-         []
-         {
-             return std::make_unique<holding_limiter>(1.5, hold_order::oldest);
-         }},
-        {"hold_newest",
-         []
-         {
-             return std::make_unique<holding_limiter>(1.5, hold_order::newest);
-         }},
-        {"hold_deadline",
-         []
-         {
-             return std::make_unique<holding_limiter>(
-                 1.5, hold_order::deadline);
-         }},
-    };
-    return result;
+        {"hold_oldest", hold(hold_order::oldest)},
+        {"hold_newest", hold(hold_order::newest)},
+        {"hold_deadline", hold(hold_order::deadline)}};
 }
 
 } // namespace
@@ -333,28 +363,22 @@
     return hold_order::oldest;
 }
 
-auto limiter_names() -> std::vector<std::string_view>
+auto limiter::needed() const -> core::duration
 {
-    auto result = std::vector<std::string_view>{};
-    for (auto const& it : known_limiters())
-    {
-        result.push_back(it.name);
-    }
-    return result;
+    return {};
 }
 
-auto make_limiter(std::string_view name) -> std::unique_ptr<limiter>
+auto make_limiter(
+    std::string_view name, coordination::admission_settings bounded)
+    -> std::unique_ptr<limiter>
 {
-    for (auto const& it : known_limiters())
+    auto names = std::string{};
+    for (auto const& it : known_limiters(bounded))
     {
         if (it.name == name)
         {
             return it.make();
         }
-    }
-    auto names = std::string{};
-    for (auto const& it : known_limiters())
-    {
         names += fmt::format("{}{}", names.empty() ? "" : ", ", it.name);
     }
     core::fail(
--- a/experiments/overload/limiter_base.hpp
+++ b/experiments/overload/limiter_base.hpp
@@ -5,9 +5,7 @@
 #include "coordination/coordination.hpp"
 
 #include <memory>
-#include <optional>
 #include <string_view>
-#include <vector>
 
 namespace godwitcleat::experiments
 {
@@ -56,13 +54,18 @@
     virtual auto note_timeout(admission_view const& view) -> void;
 
     [[nodiscard]] virtual auto order() const -> hold_order;
-};
 
-/** Returns the names that make_limiter() knows. */
-auto limiter_names() -> std::vector<std::string_view>;
+    /** Returns the time below which a held request is refused. */
+    [[nodiscard]] virtual auto needed() const -> core::duration;
+};
 
-/** Returns a new limiter, or null with invalid_input. */
-auto make_limiter(std::string_view name) -> std::unique_ptr<limiter>;
+/**
+ * Returns a new limiter, or null with invalid_input.
+ * @param bounded settings of the limiter `bounded`.
+ */
+auto make_limiter(
+    std::string_view name, coordination::admission_settings bounded = {})
+    -> std::unique_ptr<limiter>;
 
 } // namespace godwitcleat::experiments
 
--- a/experiments/overload/main.cpp
+++ b/experiments/overload/main.cpp
@@ -34,7 +34,7 @@
     auto add = options.add_options();
     add("limiters", "names, separated by commas",
         cxxopts::value<std::vector<std::string>>()->default_value(
-            "none,estimate,fixed,aimd,gradient,codel,hold_newest,"
+            "none,estimate,bounded,fixed,aimd,gradient,codel,hold_newest,"
             "hold_deadline"));
     add("loads", "percent of all slots, separated by commas",
         cxxopts::value<std::vector<double>>()->default_value(
@@ -61,6 +61,10 @@
     add("no-backoff", "callers repeat after 10 ms");
     add("connections", "most per backend server and instance",
         cxxopts::value<std::uint32_t>()->default_value("9"));
+    add("queue-per-slot", "of the limiter `bounded`",
+        cxxopts::value<double>()->default_value("0.5"));
+    add("margin", "of the limiter `bounded`, in mean service times",
+        cxxopts::value<double>()->default_value("1.5"));
     add("shared", "two services use the same backend servers");
     add("length-s", "measured seconds, after 2 s of warm-up",
         cxxopts::value<int>()->default_value("8"));
@@ -111,6 +115,8 @@
     result.callers.fraction = args["repeat"].as<double>() / 100.0;
     result.callers.backoff = args.count("no-backoff") == 0;
     result.connections = args["connections"].as<std::uint32_t>();
+    result.bounded.queue_per_slot = args["queue-per-slot"].as<double>();
+    result.bounded.margin = args["margin"].as<double>();
     result.shared_servers = args.count("shared") > 0;
     result.length = std::chrono::seconds{args["length-s"].as<int>()};
     if (result.instances < 2 || result.backends < 2 || result.deadlines.empty())
--- a/experiments/overload/simulation_base.cpp
+++ b/experiments/overload/simulation_base.cpp
@@ -3,6 +3,7 @@
 
 #include "experiments/support/figures_func.hpp"
 #include "limiter_base.hpp"
+#include "workload_func.hpp"
 
 #include <fmt/format.h>
 
@@ -23,14 +24,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t slots = 8;
 constexpr std::uint64_t server_connections = 64;
 constexpr core::duration one_way = 1500us;
-constexpr core::duration warm_up = 2s;
 constexpr core::duration exchange_interval = 500ms;
-constexpr core::duration step_length = 3s;
 constexpr core::duration bucket = 100ms; ///< For the time to recover.
-constexpr double calm_load = 0.7;
 constexpr core::duration repeat_first = 100ms;
 constexpr core::duration repeat_at_once = 10ms;
 
@@ -41,119 +38,6 @@
 /// A lost backend server leaves the table when its lease has lapsed.
 constexpr core::duration loss_notice = 12300ms;
 
-struct request
-{
-    core::duration at{};
-    core::duration work{};
-    core::duration deadline{}; ///< Length.
-    std::uint32_t instance = 0;
-    std::uint32_t service = 0;
-    int repeats = 0; ///< That the caller will make.
-    bool idempotent = false;
-
-    /// State
-    std::size_t first = 0; ///< The caller's first try.
-    bool good = false;     ///< Of the first try: answered at last.
-    bool uncertain = false;
-    std::vector<core::backend_server_id> tried;
-};
-
-auto change_time(run_options const& options) -> core::duration
-{
-    return warm_up + options.length / 4;
-}
-
-auto end_time(run_options const& options) -> core::duration
-{
-    return warm_up + options.length;
-}
-
-auto service_count(run_options const& options) -> std::size_t
-{
-    return options.what == scenario::two_services ? 2 : 1;
-}
-
-/** Returns the slots that a service may count on. */
-auto capacity(run_options const& options) -> double
-{
-    auto const parts = static_cast<double>(service_count(options));
-    return static_cast<double>(options.backends * slots) / parts;
-}
-
-auto load_at(run_options const& options, std::size_t service, core::duration at)
-    -> double
-{
-    auto const from = change_time(options);
-    if (options.what == scenario::step)
-    {
-        return at >= from && at < from + step_length ? options.load : calm_load;
-    }
-    return service == 1 ? calm_load : options.load;
-}
-
-auto pick_deadline(run_options const& options, double at) -> core::duration
-{
-    for (auto const& it : options.deadlines)
-    {
-        at -= it.share;
-        if (at < 0.0)
-        {
-            return it.deadline;
-        }
-    }
-    return options.deadlines.back().deadline;
-}
-
-/** Returns the first tries of one service, the same for each limiter. */
-auto make_workload(run_options const& options, std::uint32_t service)
-    -> std::vector<request>
-{
-    auto engine = std::mt19937_64{options.seed * 2 + service};
-    auto const mean =
-        std::chrono::duration<double>(options.mean_service).count();
-    auto exponential = std::exponential_distribution<double>{1.0};
-    auto unit = std::uniform_real_distribution<double>{};
-    auto pick = std::uniform_int_distribution<std::uint32_t>{
-        0, static_cast<std::uint32_t>(options.instances - 1)};
-    auto result = std::vector<request>{};
-    auto at = core::duration{};
-    while (at < end_time(options))
-    {
-        auto const rate =
-            load_at(options, service, at) * capacity(options) / mean;
-        at += from_seconds(exponential(engine) / rate);
-        auto it = request{};
-        it.at = at;
-        it.work = from_seconds(mean * exponential(engine));
-        it.deadline = pick_deadline(options, unit(engine));
-        it.instance = pick(engine);
-        it.service = service;
-        it.idempotent = unit(engine) < options.idempotent;
-        it.repeats =
-            unit(engine) < options.callers.fraction ? options.callers.most : 0;
-        result.push_back(std::move(it));
-    }
-    return result;
-}
-
-auto merged_workload(run_options const& options) -> std::deque<request>
-{
-    auto result = std::deque<request>{};
-    for (std::uint32_t i = 0; i < service_count(options); ++i)
-    {
-        auto const part = make_workload(options, i);
-        result.insert(result.end(), part.begin(), part.end());
-    }
-    std::sort(
-        result.begin(), result.end(),
-        [](auto const& a, auto const& b) { return a.at < b.at; });
-    for (std::size_t i = 0; i < result.size(); ++i)
-    {
-        result[i].first = i;
-    }
-    return result;
-}
-
 enum class event_kind
 {
     repeat,   ///< A caller repeats a refused request.
@@ -241,7 +125,7 @@
 public:
     explicit simulation(run_options const& options)
         : options_(options)
-        , requests_(merged_workload(options))
+        , requests_(make_workload(options))
         , engine_(options.seed + 1'000'003)
         , tallies_(service_count(options))
     {
@@ -312,7 +196,8 @@
             {
                 auto& part = it.services.emplace_back();
                 part.id = service_name(k);
-                part.admission = make_limiter(options_.limiter);
+                part.admission =
+                    make_limiter(options_.limiter, options_.bounded);
             }
             push(below(exchange_interval), event_kind::exchange, i);
         }
@@ -386,7 +271,8 @@
         return {
             now_,
             it.at + it.deadline - now_,
-            {load.in_flight, load.usable * slots},
+            {load.in_flight, load.usable * slots, load.own_in_flight,
+             load.instances},
             part.in_flight,
             static_cast<double>(options_.instances)};
     }
@@ -500,6 +386,13 @@
         {
             auto const chosen = next_held(part);
             auto const id = *chosen;
+            auto const& it = requests_[id];
+            if (it.at + it.deadline - now_ < part.admission->needed())
+            {
+                part.held.erase(chosen);
+                refuse(id);
+                continue;
+            }
             if (part.admission->decide(view_of(requests_[id])) !=
                 verdict::admit)
             {
--- a/experiments/overload/simulation_base.hpp
+++ b/experiments/overload/simulation_base.hpp
@@ -54,6 +54,7 @@
     double idempotent = 0.5; ///< Fraction of the requests.
     std::vector<deadline_share> deadlines;
     caller_retries callers;
+    coordination::admission_settings bounded; ///< Of that limiter.
     std::uint32_t connections = 9; ///< Per instance and backend server.
     bool shared_servers = false;   ///< Two services use the same ones.
 };
