--- a/experiments/overload/main.cpp
+++ b/experiments/overload/main.cpp
@@ -232,6 +232,21 @@
     }
 }
 
+/** Returns pairs of milliseconds and percent. */
+auto deadlines_text(experiments::run_options const& options) -> std::string
+{
+    auto result = std::string{};
+    for (auto const& it : options.deadlines)
+    {
+        result += fmt::format(
+            "{}{}:{:.0f}", result.empty() ? "" : " ",
+            std::chrono::duration_cast<std::chrono::milliseconds>(it.deadline)
+                .count(),
+            it.share * 100.0);
+    }
+    return result;
+}
+
 auto append_csv(
     std::string const& path, std::string const& scenario,
     std::vector<row> const& rows) -> void
@@ -239,8 +254,9 @@
     auto out = std::ofstream{path, std::ios::app};
     if (out.tellp() == std::streampos{0})
     {
-        out << "limiter,scenario,load,instances,backends,mean_ms,backoff,seed,"
-               "service,offered,goodput,good_ratio,p50_ms,p99_ms,refused,late,"
+        out << "limiter,scenario,load,instances,backends,mean_ms,deadlines,"
+               "backoff,seed,service,offered,goodput,good_ratio,p50_ms,p99_ms,"
+               "refused,late,"
                "wasted,retries,repeats,recovery_ms\n";
     }
     for (auto const& [with, services] : rows)
@@ -249,15 +265,17 @@
         {
             auto const& it = services[k];
             out << fmt::format(
-                "{},{},{:.0f},{},{},{},{:d},{},{},{:.1f},{:.1f},{:.4f},{:.2f},"
+                "{},{},{:.0f},{},{},{},{},{:d},{},{},{:.1f},{:.1f},{:.4f},{:."
+                "2f},"
                 "{:.2f},{},{},{:.4f},{},{},{:.0f}\n",
                 with.limiter, scenario, with.load * 100, with.instances,
                 with.backends,
                 std::chrono::duration<double, std::milli>(with.mean_service)
                     .count(),
-                with.callers.backoff, with.seed, k, it.offered, it.goodput,
-                it.good_ratio, it.p50_ms, it.p99_ms, it.refused, it.late,
-                it.wasted, it.retries, it.repeats, it.recovery_ms);
+                deadlines_text(with), with.callers.backoff, with.seed, k,
+                it.offered, it.goodput, it.good_ratio, it.p50_ms, it.p99_ms,
+                it.refused, it.late, it.wasted, it.retries, it.repeats,
+                it.recovery_ms);
         }
     }
 }
--- a/experiments/overload/simulation_base.cpp
+++ b/experiments/overload/simulation_base.cpp
@@ -1,19 +1,18 @@
 /** @file simulation_base.cpp Event queue that drives the request path. */
 #include "simulation_base.hpp"
 
-#include "experiments/support/figures_func.hpp"
+#include "event_type.hpp"
 #include "limiter_base.hpp"
+#include "tally_func.hpp"
 #include "workload_func.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <deque>
 #include <memory>
 #include <queue>
 #include <random>
-#include <tuple>
 #include <utility>
 
 namespace godwitcleat::experiments
@@ -27,7 +26,6 @@
 constexpr std::uint64_t server_connections = 64;
 constexpr core::duration one_way = 1500us;
 constexpr core::duration exchange_interval = 500ms;
-constexpr core::duration bucket = 100ms; ///< For the time to recover.
 constexpr core::duration repeat_first = 100ms;
 constexpr core::duration repeat_at_once = 10ms;
 
@@ -38,35 +36,6 @@
 /// A lost backend server leaves the table when its lease has lapsed.
 constexpr core::duration loss_notice = 12300ms;
 
-enum class event_kind
-{
-    repeat,   ///< A caller repeats a refused request.
-    reach,    ///< An attempt reaches its backend server.
-    served,   ///< A backend server finishes an attempt.
-    answer,   ///< The answer reaches the instance.
-    refused,  ///< The refusal of a full backend server reaches it.
-    timeout,  ///< The instance gives up an attempt.
-    expire,   ///< A held request can wait no longer.
-    exchange, ///< An instance sends its counts.
-    counts,   ///< A peer's counts arrive.
-    loss,     ///< Half the backend servers stop.
-    table     ///< The instances learn of it.
-};
-
-struct event
-{
-    core::duration at{};
-    std::uint64_t order = 0; ///< Ties are handled in order of creation.
-    event_kind kind = event_kind::loss;
-    std::size_t a = 0;
-    std::size_t b = 0;
-
-    auto operator>(event const& other) const -> bool
-    {
-        return std::tie(at, order) > std::tie(other.at, other.order);
-    }
-};
-
 struct server
 {
     core::backend_server_id id;
@@ -108,18 +77,6 @@
     std::vector<protocol::backend_load> loads;
 };
 
-/** Counts of one service. */
-struct tally
-{
-    run_result result;
-    std::vector<core::duration> latencies;
-    std::vector<double> good_by_bucket; ///< By the time of the answer.
-    double first_tries = 0.0;
-    double good = 0.0;
-    double work = 0.0;
-    double used_work = 0.0;
-};
-
 class simulation
 {
 public:
@@ -173,7 +130,11 @@
         auto result = std::vector<run_result>{};
         for (std::size_t i = 0; i < tallies_.size(); ++i)
         {
-            result.push_back(summary(i));
+            auto const answered = std::count_if(
+                requests_.begin(), requests_.end(),
+                [i](auto const& it) { return it.good && it.service == i; });
+            result.push_back(summary(
+                options_, tallies_[i], i, static_cast<double>(answered)));
         }
         return result;
     }
@@ -596,67 +557,6 @@
         push(now_ + exchange_interval, event_kind::exchange, from);
     }
 
-    /** Returns the time to recover, -1 if it has not ended. */
-    auto recovery_ms(std::size_t service) const -> double
-    {
-        constexpr std::size_t lasting = 3; ///< Buckets.
-        constexpr double enough = 0.9;
-        if (options_.what != scenario::step &&
-            options_.what != scenario::half_lost)
-        {
-            return 0.0;
-        }
-        auto const& good = tallies_[service].good_by_bucket;
-        auto const change = change_time(options_);
-        auto const from =
-            options_.what == scenario::step ? change + step_length : change;
-        auto const begin = static_cast<std::size_t>(warm_up / bucket);
-        auto const at = static_cast<std::size_t>(change / bucket);
-        auto before = 0.0;
-        for (auto i = begin; i < at; ++i)
-        {
-            before += good[i] / static_cast<double>(at - begin);
-        }
-        auto const load = load_at(options_, service, 0s);
-        auto const possible = options_.what == scenario::half_lost
-                                  ? before * std::min(1.0, 0.5 / load)
-                                  : before;
-        auto const first = static_cast<std::size_t>(from / bucket);
-        auto const last = static_cast<std::size_t>(end_time(options_) / bucket);
-        auto run = std::size_t{0};
-        for (auto i = first; i < last; ++i)
-        {
-            run = good[i] >= enough * possible ? run + 1 : 0;
-            if (run == lasting)
-            {
-                return std::chrono::duration<double, std::milli>(bucket)
-                           .count() *
-                       static_cast<double>(i + 1 - lasting - first);
-            }
-        }
-        return -1.0;
-    }
-
-    auto summary(std::size_t service) -> run_result
-    {
-        auto& from = tallies_[service];
-        auto result = from.result;
-        auto const seconds =
-            std::chrono::duration<double>(options_.length).count();
-        result.offered = from.first_tries / seconds;
-        result.goodput = from.good / seconds;
-        auto const answered = std::count_if(
-            requests_.begin(), requests_.end(),
-            [&](auto const& it) { return it.good && it.service == service; });
-        result.good_ratio = static_cast<double>(answered) / from.first_tries;
-        result.p50_ms = quantile(from.latencies, 0.5);
-        result.p99_ms = quantile(from.latencies, 0.99);
-        result.wasted =
-            from.work > 0.0 ? 1.0 - from.used_work / from.work : 0.0;
-        result.recovery_ms = recovery_ms(service);
-        return result;
-    }
-
     run_options options_;
     std::deque<request> requests_; ///< First tries by time, then repeats.
     std::mt19937_64 engine_;
@@ -673,29 +573,6 @@
 
 } // namespace
 
-auto parse_scenario(std::string_view text) -> std::optional<scenario>
-{
-    constexpr std::array<std::pair<std::string_view, scenario>, 4> known{{
-        {"steady", scenario::steady},
-        {"step", scenario::step},
-        {"two_services", scenario::two_services},
-        {"half_lost", scenario::half_lost},
-    }};
-    for (auto const& [name, value] : known)
-    {
-        if (name == text)
-        {
-            return value;
-        }
-    }
-    return core::fail(
-        core::error_kind::invalid_input,
-        fmt::format(
-            "unknown scenario \"{}\"; use steady, step, two_services or "
-            "half_lost",
-            text));
-}
-
 auto run_overload(run_options const& options) -> std::vector<run_result>
 {
     return simulation{options}.run();
--- a/experiments/overload/workload_func.cpp
+++ b/experiments/overload/workload_func.cpp
@@ -3,7 +3,10 @@
 
 #include "experiments/support/figures_func.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <array>
 #include <random>
 #include <utility>
 
@@ -113,4 +116,27 @@
     return result;
 }
 
+auto parse_scenario(std::string_view text) -> std::optional<scenario>
+{
+    constexpr std::array<std::pair<std::string_view, scenario>, 4> known{{
+        {"steady", scenario::steady},
+        {"step", scenario::step},
+        {"two_services", scenario::two_services},
+        {"half_lost", scenario::half_lost},
+    }};
+    for (auto const& [name, value] : known)
+    {
+        if (name == text)
+        {
+            return value;
+        }
+    }
+    return core::fail(
+        core::error_kind::invalid_input,
+        fmt::format(
+            "unknown scenario \"{}\"; use steady, step, two_services or "
+            "half_lost",
+            text));
+}
+
 } // namespace godwitcleat::experiments
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -564,18 +564,6 @@
     EXPECT_EQ(network.gateway().in_flight(), 0U);
 }
 
-// Guards against admission that refuses without a queue, or that lets a queue
-// grow that no request can wait for.
-TEST(admission, refuses_only_behind_a_queue)
-{
-    auto queue = coordination::admission{};
-    queue.note_answer(20ms, {1.0, 8});
-    EXPECT_TRUE(queue.admits(1ms, {7.0, 8}));
-    EXPECT_FALSE(queue.admits(0ms, {0.0, 8}));
-    EXPECT_FALSE(queue.admits(30ms, {15.0, 8}));
-    EXPECT_TRUE(queue.admits(50ms, {15.0, 8}));
-}
-
 // Guards against connection lists in several fields, any case and blanks.
 TEST(request_policy, removes_all_named_fields)
 {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -187,6 +187,24 @@
     EXPECT_GT(test.chosen(50)[backend_name(0)], 10);
 }
 
+// Guards against a share of the queue that counts silent peers, or that mixes
+// up the own requests with those of the peers.
+TEST(router, load_tells_own_requests_and_instances)
+{
+    auto test = fixture{};
+    test.router.update_table(table_of(1, 1, 1, {false, false}));
+    auto const one = test.router.choose(service);
+    auto const loads =
+        std::vector<protocol::backend_load>{{backend_name(0), 5}};
+    test.router.update_peer(core::instance_id{"p"}, loads);
+    auto const load = test.router.load(service);
+    EXPECT_EQ(load.own_in_flight, 1.0);
+    EXPECT_NEAR(load.in_flight, 6.0, 1e-6);
+    EXPECT_EQ(load.instances, 2U);
+    test.clock.advance(3s);
+    EXPECT_EQ(test.router.load(service).instances, 1U);
+}
+
 // Guards against a slow server that keeps its share, and against one that is
 // never tried again.
 TEST(router, avoids_a_slow_server_until_the_estimate_is_old)
