--- a/experiments/routing/simulation_base.cpp
+++ b/experiments/routing/simulation_base.cpp
@@ -1,6 +1,7 @@
 /** @file simulation_base.cpp Event queue that drives the router's decisions. */
 #include "simulation_base.hpp"
 
+#include "experiments/support/figures_func.hpp"
 #include "workload_func.hpp"
 
 #include <fmt/format.h>
--- a/experiments/routing/workload_func.cpp
+++ b/experiments/routing/workload_func.cpp
@@ -1,6 +1,8 @@
 /** @file workload_func.cpp Requests of a run and figures of its answers. */
 #include "workload_func.hpp"
 
+#include "experiments/support/figures_func.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -13,27 +15,6 @@
 
 constexpr double step_from = 0.6;
 
-auto from_seconds(double value) -> core::duration
-{
-    return std::chrono::duration_cast<core::duration>(
-        std::chrono::duration<double>{value});
-}
-
-auto quantile(std::vector<core::duration>& values, double q) -> double
-{
-    if (values.empty())
-    {
-        return 0.0;
-    }
-    auto const n = static_cast<double>(values.size());
-    auto const at =
-        std::min(static_cast<std::size_t>(q * n), values.size() - 1);
-    std::nth_element(
-        values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
-        values.end());
-    return std::chrono::duration<double, std::milli>(values[at]).count();
-}
-
 } // namespace
 
 auto fault_time(run_options const& options) -> core::duration
