Send only the changed tasks in heartbeats, in msgpack

A report now names the answered report it builds on; report_reader rebuilds the whole list, so that the engine still sees whole reports. An owner without the base asks for a complete report and takes nothing from the partial one. The cluster of the history tests sends partial reports and compares each rebuilt list with the worker's.

--- a/coordination/control_base.cpp
+++ b/coordination/control_base.cpp
@@ -27,6 +27,39 @@
     return response;
 }
 
+constexpr std::string_view msgpack_type = "application/msgpack";
+
+auto is_msgpack(transport::http_request const& request) -> bool
+{
+    return request.headers.get("Content-Type") == msgpack_type;
+}
+
+auto parse_heartbeat(transport::http_request const& request)
+    -> std::optional<state::partial_report>
+{
+    if (is_msgpack(request))
+    {
+        return protocol::decode<state::partial_report>(request.body);
+    }
+    auto const report = protocol::worker_report_from_json(request.body);
+    return report ? std::optional{state::complete_report(*report)}
+                  : std::nullopt;
+}
+
+// Answers in the format of the heartbeat.
+auto heartbeat_response(state::heartbeat_reply const& reply, bool as_msgpack)
+    -> transport::http_response
+{
+    if (!as_msgpack)
+    {
+        return json_response(status_ok, protocol::to_json(reply));
+    }
+    auto response = transport::http_response{};
+    response.headers.set("Content-Type", msgpack_type);
+    response.body = protocol::encode(reply);
+    return response;
+}
+
 auto failure_response(core::failure const& reason) -> transport::http_response
 {
     return json_response(http_status(reason.kind), protocol::to_json(reason));
@@ -300,7 +333,7 @@
 {
     routes_["POST /v1/heartbeat"] = [this](auto const& request, auto reply)
     {
-        auto report = protocol::worker_report_from_json(request.body);
+        auto report = parse_heartbeat(request);
         if (!report)
         {
             reply(failure_response(core::last_reason()));
@@ -308,12 +341,12 @@
         }
         hooks_.heartbeat(
             std::move(*report),
-            [reply = std::move(reply)](heartbeat_result const& result)
+            [reply = std::move(reply),
+             as_msgpack = is_msgpack(request)](heartbeat_result const& result)
             {
                 if (result.reply)
                 {
-                    reply(json_response(
-                        status_ok, protocol::to_json(*result.reply)));
+                    reply(heartbeat_response(*result.reply, as_msgpack));
                     return;
                 }
                 auto body = json::parse(protocol::to_json(core::failure{
--- a/coordination/control_base.hpp
+++ b/coordination/control_base.hpp
@@ -63,7 +63,7 @@
     using done = std::function<void(bool)>;
 
     std::function<void(
-        state::worker_report, std::function<void(heartbeat_result)>)>
+        state::partial_report, std::function<void(heartbeat_result)>)>
         heartbeat;
     std::function<void(state::job_spec, done)> submit;
     std::function<void(core::job_id, std::string reason, done)> cancel;
--- a/coordination/shard_host_base.cpp
+++ b/coordination/shard_host_base.cpp
@@ -35,6 +35,7 @@
     core::epoch owner_epoch;
     mutable std::mutex mutex;
     std::optional<state::shard_engine> engine;
+    state::report_reader reports; ///< Of this ownership only.
     bool released = false;
     bool former_owner_stopped = false;
     core::time_point last_batch;
@@ -346,17 +347,25 @@
     }
 }
 
-auto shard_host::heartbeat(state::worker_report const& report)
+auto shard_host::heartbeat(state::partial_report const& report)
     -> std::optional<state::heartbeat_reply>
 {
     auto const shard =
-        state::shard_of(report.info.rack, settings_.engine.shard_count);
+        state::shard_of(report.rack, settings_.engine.shard_count);
     if (auto const entry = find(shard))
     {
         auto const lock = std::scoped_lock{entry->mutex};
         if (entry->engine)
         {
-            return entry->engine->heartbeat(report, hooks_.now());
+            auto const now = hooks_.now();
+            if (auto const complete = entry->reports.read(report, now))
+            {
+                return entry->engine->heartbeat(*complete, now);
+            }
+            auto reply = state::heartbeat_reply{};
+            reply.shard = shard;
+            reply.full_wanted = true;
+            return reply;
         }
     }
     fail_not_owner(shard);
--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -114,7 +114,7 @@
     auto tick() -> void;
 
     /** Returns the reply, or std::nullopt with not_owner. */
-    auto heartbeat(state::worker_report const& report)
+    auto heartbeat(state::partial_report const& report)
         -> std::optional<state::heartbeat_reply>;
 
     /** Fails with not_owner if the job's home shard is not owned here. */
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -238,7 +238,7 @@
         if (!result.reply)
         {
             auto const shard =
-                state::shard_of(report.info.rack, settings_.shards);
+                state::shard_of(report.rack, settings_.shards);
             if (auto const owner = peers_.owner_of(shard, now_()))
             {
                 result.owner = owner->control_address;
--- a/protocol/members_internal.hpp
+++ b/protocol/members_internal.hpp
@@ -150,6 +150,35 @@
     visit("tasks", value.tasks);
 }
 
+auto visit_members(is<state::worker_place> auto& value, auto&& visit) -> void
+{
+    visit("data_centre", value.data_centre);
+    visit("capacity", value.capacity);
+}
+
+auto visit_members(is<state::usage_sample> auto& value, auto&& visit) -> void
+{
+    visit("position", value.position);
+    visit("usage", value.usage);
+    visit("slowdown_milli", value.slowdown_milli);
+}
+
+auto visit_members(is<state::partial_report> auto& value, auto&& visit) -> void
+{
+    visit("worker", value.worker);
+    visit("rack", value.rack);
+    visit("highest_epoch", value.highest_epoch);
+    visit("boot", value.boot);
+    visit("sequence", value.sequence);
+    visit("base", value.base);
+    visit("hold_ms", value.hold_ms);
+    visit("sample_age_ms", value.sample_age_ms);
+    visit("samples", value.samples);
+    visit("removed", value.removed);
+    visit("changed", value.changed);
+    visit("place", value.place);
+}
+
 auto visit_members(is<state::worker_command> auto& value, auto&& visit) -> void
 {
     visit("kind", value.kind);
@@ -168,6 +197,7 @@
     visit("start_valid_ms", value.start_valid_ms);
     visit("next_heartbeat_ms", value.next_heartbeat_ms);
     visit("commands", value.commands);
+    visit("full_wanted", value.full_wanted);
 }
 
 auto visit_members(is<state::worker_view> auto& value, auto&& visit) -> void
--- a/protocol/msgpack_func.cpp
+++ b/protocol/msgpack_func.cpp
@@ -107,6 +107,16 @@
     return encode_value(value);
 }
 
+auto encode(state::partial_report const& value) -> std::string
+{
+    return encode_value(value);
+}
+
+auto encode(state::heartbeat_reply const& value) -> std::string
+{
+    return encode_value(value);
+}
+
 template <class Type>
 auto decode(std::string_view bytes) -> std::optional<Type>
 {
@@ -136,5 +146,7 @@
 template auto decode(std::string_view) -> std::optional<shard_snapshot>;
 template auto decode(std::string_view) -> std::optional<state::config_document>;
 template auto decode(std::string_view) -> std::optional<state::config_change>;
+template auto decode(std::string_view) -> std::optional<state::partial_report>;
+template auto decode(std::string_view) -> std::optional<state::heartbeat_reply>;
 
 } // namespace godwitcleat::protocol
--- a/protocol/msgpack_func.hpp
+++ b/protocol/msgpack_func.hpp
@@ -25,6 +25,8 @@
 auto encode(shard_snapshot const& value) -> std::string;
 auto encode(state::config_document const& value) -> std::string;
 auto encode(state::config_change const& value) -> std::string;
+auto encode(state::partial_report const& value) -> std::string;
+auto encode(state::heartbeat_reply const& value) -> std::string;
 
 /**
  * Decodes a value of type @p Type, one of those that encode() takes.
@@ -43,6 +45,10 @@
     -> std::optional<state::config_document>;
 extern template auto decode(std::string_view)
     -> std::optional<state::config_change>;
+extern template auto decode(std::string_view)
+    -> std::optional<state::partial_report>;
+extern template auto decode(std::string_view)
+    -> std::optional<state::heartbeat_reply>;
 
 } // namespace godwitcleat::protocol
 
--- a/standins/support/process_base.cpp
+++ b/standins/support/process_base.cpp
@@ -85,13 +85,14 @@
 
 auto worker_process::send(core::time_point now) -> void
 {
-    auto const report = worker_.make_report(now);
+    auto const report = writer_.write(worker_.make_report(now), now);
     handle_events();
     auto request = transport::http_request{};
     request.method = "POST";
     request.target = "/v1/heartbeat";
-    request.headers.set("Content-Type", "application/json");
-    request.body = protocol::to_json(report);
+    request.headers.set("Content-Type", "application/msgpack");
+    request.body = protocol::encode(report);
+    sent_base_ = report.base != 0;
     in_flight_ = true;
     next_send_ = now + worker_.heartbeat_interval();
     client_.send(
@@ -132,12 +133,17 @@
 auto worker_process::on_reply(std::uint64_t sequence, std::string_view body)
     -> void
 {
-    auto const reply = protocol::heartbeat_reply_from_json(body);
+    auto const reply = protocol::decode<state::heartbeat_reply>(body);
     if (!reply)
     {
         try_next(core::last_reason().message);
         return;
     }
+    if (reply->full_wanted)
+    {
+        send_complete();
+        return;
+    }
     if (!worker_.take_reply(sequence, *reply, clock_()))
     {
         auto const reason = core::last_reason().message;
@@ -145,10 +151,23 @@
         try_next(reason);
         return;
     }
+    writer_.answered(sequence);
     redirects_ = 0;
     handle_events();
 }
 
+// The owner does not hold the report that the latest one builds on.
+auto worker_process::send_complete() -> void
+{
+    if (!sent_base_)
+    {
+        try_next("a complete report was refused");
+        return;
+    }
+    writer_.restart();
+    next_send_ = clock_();
+}
+
 auto worker_process::follow(std::string_view body) -> void
 {
     auto const owner = owner_of(body);
@@ -159,6 +178,7 @@
     }
     log_.info("following the owner", {{"owner", to_string(*owner)}});
     target_ = *owner;
+    writer_.restart(); // The new owner holds no report.
     next_send_ = clock_();
 }
 
--- a/standins/support/process_base.hpp
+++ b/standins/support/process_base.hpp
@@ -49,6 +49,7 @@
         std::uint64_t sequence, transport::http_response const& response)
         -> void;
     auto on_reply(std::uint64_t sequence, std::string_view body) -> void;
+    auto send_complete() -> void;
     auto follow(std::string_view body) -> void;
     auto try_next(std::string_view reason) -> void;
     auto handle_events() -> void;
@@ -63,6 +64,8 @@
     std::mutex mutex_;                 ///< Guards the following members.
     std::vector<worker_event> events_; ///< Not handled yet.
     standin_worker worker_;
+    state::report_writer writer_;
+    bool sent_base_ = false; ///< The latest heartbeat has a base.
     std::map<state::attempt_key, runner> runners_;
     std::size_t next_daemon_ = 0;
     transport::endpoint target_;
--- a/state/engine_base.cpp
+++ b/state/engine_base.cpp
@@ -110,6 +110,19 @@
     return implementation_->heartbeat(report);
 }
 
+auto shard_engine::answer_again(
+    core::worker_id const& worker, std::uint64_t boot, std::uint64_t sequence,
+    core::time_point now) -> std::optional<heartbeat_reply>
+{
+    implementation_->now_ = now;
+    return implementation_->answer_again(worker, boot, sequence);
+}
+
+auto shard_engine::take_due_workers() -> std::set<core::worker_id>
+{
+    return std::exchange(implementation_->due_workers_, {});
+}
+
 auto shard_engine::handle(
     shard_request const& request, core::time_point now, answer on_answer)
     -> void
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -162,6 +163,24 @@
     auto heartbeat(worker_report const& report, core::time_point now)
         -> heartbeat_reply;
 
+    /**
+     * Answers the latest heartbeat of @p worker once more, with a lease from
+     * @p now and the commands that are due now. The heartbeat is not counted
+     * as a new one.
+     * @return std::nullopt if that heartbeat is not number @p sequence of
+     *         @p boot, or the worker's lease has lapsed since.
+     */
+    auto answer_again(
+        core::worker_id const& worker, std::uint64_t boot,
+        std::uint64_t sequence, core::time_point now)
+        -> std::optional<heartbeat_reply>;
+
+    /**
+     * Returns the workers for which a command has become due since the last
+     * call, perhaps with some that have none.
+     */
+    auto take_due_workers() -> std::set<core::worker_id>;
+
     /** Handles a request of another shard's owner. */
     auto
     handle(shard_request const& request, core::time_point now, answer on_answer)
--- a/state/engine_batch.cpp
+++ b/state/engine_batch.cpp
@@ -187,6 +187,8 @@
         (!start_allowed_at_ || *start_allowed_at_ < sent_at))
     {
         start_allowed_at_ = sent_at;
+        due_workers_.merge(waits_for_start_);
+        waits_for_start_.clear();
     }
     auto calls = std::vector<due_call>{};
     for (auto it : *changes)
@@ -263,6 +265,7 @@
         holds_.erase(key.job);
         tasks_[key] = {};
         tasks_of_[it->task.worker].insert(key);
+        due_workers_.insert(it->task.worker);
         event(
             "task_committed", key.job, it->task.worker,
             attempt_text(key.attempt));
@@ -270,6 +273,10 @@
     else if (auto const* it = std::get_if<end_task>(&value))
     {
         auto const* task = state_.find_task(it->key);
+        if (task != nullptr)
+        {
+            due_workers_.insert(task->worker);
+        }
         event(
             "task_ended", it->key.job,
             task != nullptr ? task->worker : core::worker_id{},
--- a/state/engine_interference.cpp
+++ b/state/engine_interference.cpp
@@ -35,6 +35,20 @@
            full_speed_percent;
 }
 
+// A heartbeat may repeat a measurement; counted twice, it would weigh more than
+// others. Ages are in whole milliseconds, so that the time of a repeated one
+// may differ by one.
+auto is_new_measurement(task_entry& entry, core::time_point measured_at) -> bool
+{
+    constexpr auto resolution = std::chrono::milliseconds{1};
+    if (entry.measured_at && measured_at - *entry.measured_at <= resolution)
+    {
+        return false;
+    }
+    entry.measured_at = measured_at;
+    return true;
+}
+
 auto load_of(task_report const& report, worker_entry const& worker) -> double
 {
     auto const whole = worker.info.capacity.cpu_milli;
@@ -93,6 +107,12 @@
         {
             continue;
         }
+        auto const entry = tasks_.find(key);
+        if (entry != tasks_.end() &&
+            !is_new_measurement(entry->second, measured_at))
+        {
+            continue;
+        }
         auto others = std::vector<measured_neighbour>{};
         for (auto const& [other, task_class] : *present)
         {
@@ -108,7 +128,6 @@
             }
         }
         auto const& own_class = present->at(key);
-        auto const entry = tasks_.find(key);
         if (entry != tasks_.end() && !is_throttled(entry->second))
         {
             interference_.observe_load(
--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -56,6 +56,8 @@
         disturbed_since; ///< Slowed above the limit since this measurement.
     std::optional<std::int64_t> throttle_percent; ///< Sent with each reply.
     core::time_point throttled_at;
+    std::optional<core::time_point>
+        measured_at; ///< Latest measurement that the model has learned from.
 };
 
 /** The tasks that ran on a worker from one time on. */
@@ -190,6 +192,13 @@
 
     // engine_workers.cpp: heartbeats, leases, starts and ends of tasks.
     auto heartbeat(worker_report const& report) -> heartbeat_reply;
+    auto answer_again(
+        core::worker_id const& name, std::uint64_t boot, std::uint64_t sequence)
+        -> std::optional<heartbeat_reply>;
+    auto empty_reply() const -> heartbeat_reply;
+    auto follow_reports(
+        worker_entry& worker, bool is_new_report, heartbeat_reply& reply)
+        -> void;
     auto is_unproved_boot(worker_report const& report) const -> bool;
     auto is_outdated(worker_report const& report) const -> bool;
     auto accept_report(worker_report const& report) -> worker_entry&;
@@ -201,8 +210,8 @@
         worker_entry& worker, task_report const& report, heartbeat_reply& reply)
         -> void;
     auto follow_missing(
-        worker_entry& worker, attempt_key const& key, heartbeat_reply& reply)
-        -> void;
+        worker_entry& worker, attempt_key const& key, bool is_new_report,
+        heartbeat_reply& reply) -> void;
     auto send_start(
         worker_entry& worker, hosted_task const& task, heartbeat_reply& reply)
         -> void;
@@ -340,6 +349,8 @@
     /// them are refused.
     std::map<attempt_key, core::time_point> forgotten_;
     std::vector<shard_request> outbox_;
+    std::set<core::worker_id> due_workers_;     ///< A command became due.
+    std::set<core::worker_id> waits_for_start_; ///< Until a reconfirm.
     interference_model interference_;
 };
 
--- a/state/engine_tasks.cpp
+++ b/state/engine_tasks.cpp
@@ -164,6 +164,7 @@
             attempt_text(key.attempt));
     }
     entry.wanted = kind;
+    due_workers_.insert(state_.find_task(key)->worker);
     auto const* known = state_.find_job(key.job);
     if (faults_.resume_without_end && kind == stop_kind::checkpoint &&
         known != nullptr && known->binding &&
--- a/state/engine_workers.cpp
+++ b/state/engine_workers.cpp
@@ -54,8 +54,7 @@
 
 } // namespace
 
-auto shard_engine::implementation::heartbeat(worker_report const& report)
-    -> heartbeat_reply
+auto shard_engine::implementation::empty_reply() const -> heartbeat_reply
 {
     auto reply = heartbeat_reply{};
     reply.shard = state_.shard();
@@ -70,6 +69,13 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             settings_.heartbeat_interval)
             .count();
+    return reply;
+}
+
+auto shard_engine::implementation::heartbeat(worker_report const& report)
+    -> heartbeat_reply
+{
+    auto reply = empty_reply();
     if (is_outdated(report))
     {
         // Epoch 0 makes the worker refuse this reply.
@@ -85,21 +91,7 @@
     }
     auto& worker = accept_report(report);
     learn(worker);
-    for (auto const& it : report.tasks)
-    {
-        follow_report(worker, it, reply);
-    }
-    auto const hosted = tasks_of_.find(report.info.worker);
-    if (hosted != tasks_of_.end())
-    {
-        for (auto const& key : hosted->second)
-        {
-            if (!worker.reports.contains(key))
-            {
-                follow_missing(worker, key, reply);
-            }
-        }
-    }
+    follow_reports(worker, true, reply);
     relieve(worker, reply);
     if (faults_.start_before_commit)
     {
@@ -108,6 +100,53 @@
     return reply;
 }
 
+// The list of the heartbeat may be older than a start that was sent since. So
+// only a new heartbeat may show that a start has failed. Disturbance is left to
+// heartbeats, because the ages of their measurements count from their receipt.
+auto shard_engine::implementation::answer_again(
+    core::worker_id const& name, std::uint64_t boot, std::uint64_t sequence)
+    -> std::optional<heartbeat_reply>
+{
+    auto const it = workers_.find(name);
+    if (it == workers_.end() || it->second.boot != boot ||
+        it->second.sequence != sequence || it->second.lapsed)
+    {
+        return core::fail(
+            core::error_kind::conflict,
+            fmt::format(
+                "heartbeat {} of {} is not its latest one or its lease has "
+                "lapsed; send another heartbeat",
+                sequence, name.value));
+    }
+    auto reply = empty_reply();
+    reply.owner_epoch = epoch_;
+    it->second.last_reply = now_;
+    follow_reports(it->second, false, reply);
+    return reply;
+}
+
+// Compares the worker's tasks with the committed ones.
+auto shard_engine::implementation::follow_reports(
+    worker_entry& worker, bool is_new_report, heartbeat_reply& reply) -> void
+{
+    for (auto const& [key, report] : worker.reports)
+    {
+        follow_report(worker, report, reply);
+    }
+    auto const hosted = tasks_of_.find(worker.info.worker);
+    if (hosted == tasks_of_.end())
+    {
+        return;
+    }
+    for (auto const& key : hosted->second)
+    {
+        if (!worker.reports.contains(key))
+        {
+            follow_missing(worker, key, is_new_report, reply);
+        }
+    }
+}
+
 // A heartbeat that was overtaken by a later one is not an inventory.
 auto shard_engine::implementation::is_outdated(
     worker_report const& report) const -> bool
@@ -268,8 +307,8 @@
 // A committed task that the worker does not report: it is not yet started, its
 // start was refused, or it is lost.
 auto shard_engine::implementation::follow_missing(
-    worker_entry& worker, attempt_key const& key, heartbeat_reply& reply)
-    -> void
+    worker_entry& worker, attempt_key const& key, bool is_new_report,
+    heartbeat_reply& reply) -> void
 {
     auto const* task = state_.find_task(key);
     if (task == nullptr || task->outcome || is_busy(key))
@@ -309,7 +348,8 @@
     // if it is received later. The worker sends the next one only after it, so
     // the second one after the validity decides.
     auto const valid = with_margin(settings_.start_validity, settings_);
-    if (!entry.start_sent || now_ - entry.start_sent_at < valid)
+    if (!is_new_report || !entry.start_sent ||
+        now_ - entry.start_sent_at < valid)
     {
         return;
     }
@@ -338,6 +378,7 @@
         {
             enqueue({reconfirm{}});
         }
+        waits_for_start_.insert(worker.info.worker);
         return;
     }
     if (!entry.start_sent)
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -9,6 +9,8 @@
 #include "state/job_type.hpp"
 #include "state/placement_func.hpp"
 #include "state/record_type.hpp"
+#include "state/report_base.hpp"
+#include "state/report_type.hpp"
 #include "state/shard_base.hpp"
 #include "state/shard_message_type.hpp"
 #include "state/worker_type.hpp"
--- a/state/worker_type.hpp
+++ b/state/worker_type.hpp
@@ -85,6 +85,7 @@
     std::int64_t start_valid_ms = 0; ///< Starts are refused after this.
     std::int64_t next_heartbeat_ms = 0;
     std::vector<worker_command> commands;
+    bool full_wanted = false; ///< Ignore the rest; send a full report at once.
 };
 
 auto to_string(task_phase value) -> std::string_view;
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -359,6 +359,9 @@
     expect_complete_description<state::worker_view>("worker_view");
     expect_complete_description<state::worker_report>("worker_report");
     expect_complete_description<state::task_report>("task_report");
+    expect_complete_description<state::partial_report>("partial_report");
+    expect_complete_description<state::worker_place>("worker_place");
+    expect_complete_description<state::usage_sample>("usage_sample");
     expect_complete_description<state::worker_command>("worker_command");
     expect_complete_description<state::heartbeat_reply>("heartbeat_reply");
     expect_complete_description<protocol::owned_shard>("owned_shard");
--- a/tests/standin_process_test.cpp
+++ b/tests/standin_process_test.cpp
@@ -125,8 +125,10 @@
         auto const lock = std::scoped_lock{mutex_};
         EXPECT_EQ(request.method, "POST");
         EXPECT_EQ(request.target, "/v1/heartbeat");
-        auto const report = protocol::worker_report_from_json(request.body);
-        EXPECT_TRUE(report) << core::last_reason().message;
+        EXPECT_EQ(request.headers.get("Content-Type"), "application/msgpack");
+        auto const partial =
+            protocol::decode<state::partial_report>(request.body);
+        EXPECT_TRUE(partial) << core::last_reason().message;
         ++heartbeats_;
         if (failing_)
         {
@@ -143,14 +145,20 @@
                     {"owner", owner_}}
                     .dump()};
         }
-        report_ = *report;
         auto reply = state::heartbeat_reply{};
+        auto report = reader_.read(*partial, core::system_clock()());
+        if (!report)
+        {
+            reply.full_wanted = true;
+            return {200, {}, protocol::encode(reply)};
+        }
+        report_ = *report;
         reply.owner_epoch = core::epoch{1};
         reply.lease_ms = long_lease_ms;
         reply.start_valid_ms = long_lease_ms;
         reply.next_heartbeat_ms = 10;
         reply.commands = std::exchange(commands_, {});
-        return {200, {}, protocol::to_json(reply)};
+        return {200, {}, protocol::encode(reply)};
     }
 
     std::mutex mutex_; ///< Guards the following members.
@@ -158,6 +166,7 @@
     std::string owner_;
     bool failing_ = false;
     std::size_t heartbeats_ = 0;
+    state::report_reader reader_;
     state::worker_report report_;
     std::optional<transport::http_server> server_;
 };
--- a/tests/support/shard_cluster_base.cpp
+++ b/tests/support/shard_cluster_base.cpp
@@ -157,6 +157,10 @@
     -> std::optional<history_violation>
 {
     constexpr auto drain_bound = 4s;
+    if (result.wrong_reports > 0)
+    {
+        return history_violation{"report", {}};
+    }
     if (auto found = find_overlap(result.history))
     {
         return found;
--- a/tests/support/shard_cluster_base.hpp
+++ b/tests/support/shard_cluster_base.hpp
@@ -70,6 +70,8 @@
     std::uint64_t starts = 0;
     std::uint64_t resumes = 0; ///< Starts from a checkpoint.
     std::uint64_t lapses = 0;  ///< Tasks stopped because a lease lapsed.
+    std::uint64_t rebuilt_reports = 0; ///< Heartbeats built on others.
+    std::uint64_t wrong_reports = 0;   ///< Rebuilt ones with another list.
 };
 
 /** Runs a schedule, heals everything and waits for the jobs. */
--- a/tests/support/shard_cluster_internal.hpp
+++ b/tests/support/shard_cluster_internal.hpp
@@ -35,6 +35,7 @@
     core::shard_id shard;
     core::epoch owner_epoch;
     std::unique_ptr<state::shard_engine> engine;
+    state::report_reader reports;
     bool alive = true; ///< False: dead or stepped down.
     core::time_point paused_until;
     core::time_point isolated_until; ///< Cut off from store and peers.
@@ -58,6 +59,7 @@
 {
     state::worker_info info;
     std::unique_ptr<standins::standin_worker> worker;
+    state::report_writer writer;
     std::uint64_t boot = 0;
     core::time_point cut_until;
     double clock_rate = 1.0;
@@ -100,7 +102,15 @@
     auto worker_tick_loop(std::size_t i) -> void;
     auto deliver_heartbeat(
         std::size_t i, owner_pointer const& to,
-        state::worker_report const& report) -> void;
+        state::partial_report const& report,
+        std::vector<state::task_report> const& tasks) -> void;
+    auto send_reply(
+        std::size_t i, std::uint64_t sequence,
+        state::heartbeat_reply const& reply) -> void;
+    auto check_rebuilt(
+        state::partial_report const& report,
+        state::worker_report const& rebuilt,
+        std::vector<state::task_report> const& tasks) -> void;
     auto choose_owner(core::shard_id shard) -> owner_pointer;
 
     auto take_over(std::size_t shard) -> void;
--- a/tests/support/shard_cluster_workers.cpp
+++ b/tests/support/shard_cluster_workers.cpp
@@ -63,6 +63,7 @@
     entry.worker = std::make_unique<standins::standin_worker>(
         settings,
         [this, i](standins::worker_event const& event) { observe(i, event); });
+    entry.writer.restart();
 }
 
 auto shard_cluster::kill_worker(std::size_t i) -> void
@@ -87,7 +88,8 @@
 auto shard_cluster::heartbeat_loop(std::size_t i) -> void
 {
     auto& entry = workers_[i];
-    auto const report = entry.worker->make_report(worker_time(entry));
+    auto const full = entry.worker->make_report(worker_time(entry));
+    auto const report = entry.writer.write(full, worker_time(entry));
     auto const shard = state::shard_of(entry.info.rack, options_.shards);
     auto const to = choose_owner(shard);
     auto const lost = now_ < entry.cut_until || chance(0.03) || !to;
@@ -97,21 +99,21 @@
             chance(0.05) ? random_ms(100, 3000) : random_ms(1, 5);
         after(
             delay,
-            [this, i, to, report]
+            [this, i, to, report, tasks = full.tasks]
             {
                 when_awake(
-                    to, [this, i, to, report]
-                    { deliver_heartbeat(i, to, report); });
+                    to, [this, i, to, report, tasks]
+                    { deliver_heartbeat(i, to, report, tasks); });
             });
         if (chance(0.02))
         {
             after(
                 random_ms(1, 2000),
-                [this, i, to, report]
+                [this, i, to, report, tasks = full.tasks]
                 {
                     when_awake(
-                        to, [this, i, to, report]
-                        { deliver_heartbeat(i, to, report); });
+                        to, [this, i, to, report, tasks]
+                        { deliver_heartbeat(i, to, report, tasks); });
                 });
         }
     }
@@ -134,10 +136,43 @@
 }
 
 auto shard_cluster::deliver_heartbeat(
-    std::size_t i, owner_pointer const& to, state::worker_report const& report)
+    std::size_t i, owner_pointer const& to, state::partial_report const& report,
+    std::vector<state::task_report> const& tasks) -> void
+{
+    auto const rebuilt = to->reports.read(report, now_);
+    if (!rebuilt)
+    {
+        auto reply = state::heartbeat_reply{};
+        reply.full_wanted = true;
+        send_reply(i, report.sequence, reply);
+        return;
+    }
+    check_rebuilt(report, *rebuilt, tasks);
+    send_reply(i, report.sequence, to->engine->heartbeat(*rebuilt, now_));
+}
+
+// A rebuilt list that differs from the worker's would be taken for the
+// inventory.
+auto shard_cluster::check_rebuilt(
+    state::partial_report const& report, state::worker_report const& rebuilt,
+    std::vector<state::task_report> const& tasks) -> void
+{
+    auto const is_equal = std::equal(
+        tasks.begin(), tasks.end(), rebuilt.tasks.begin(), rebuilt.tasks.end(),
+        [](auto const& left, auto const& right)
+        {
+            return left.key == right.key && left.phase == right.phase &&
+                   left.checkpoint == right.checkpoint &&
+                   left.endpoint == right.endpoint;
+        });
+    result_.rebuilt_reports += report.base != 0 ? 1 : 0;
+    result_.wrong_reports += is_equal ? 0 : 1;
+}
+
+auto shard_cluster::send_reply(
+    std::size_t i, std::uint64_t sequence, state::heartbeat_reply const& reply)
     -> void
 {
-    auto const reply = to->engine->heartbeat(report, now_);
     auto const boot = workers_[i].boot;
     if (now_ < workers_[i].cut_until || chance(0.03))
     {
@@ -146,13 +181,21 @@
     auto const delay = chance(0.05) ? random_ms(100, 5000) : random_ms(1, 5);
     after(
         delay,
-        [this, i, boot, report, reply]
+        [this, i, boot, sequence, reply]
         {
             auto& entry = workers_[i];
-            if (entry.boot == boot && now_ >= entry.cut_until)
+            if (entry.boot != boot || now_ < entry.cut_until)
+            {
+                return;
+            }
+            if (reply.full_wanted)
+            {
+                entry.writer.restart();
+            }
+            else if (entry.worker->take_reply(
+                         sequence, reply, worker_time(entry)))
             {
-                entry.worker->take_reply(
-                    report.sequence, reply, worker_time(entry));
+                entry.writer.answered(sequence);
             }
         });
 }
