Hold the reply to a heartbeat until a command is due

A worker asked each 500 ms, and a start waited up to that long. The owner now holds the reply up to 1 s, until a command is due, the worker's next heartbeat arrives or the shard is released. The engine lists the workers with new commands, so that no tick looks at all workers, and answers the same heartbeat again with a current lease. Such an answer never counts as a new heartbeat: one may be older than a start sent since, and would show it as failed.

Workers may now have two heartbeats open, so they take starts only from the reply to the latest one.

--- a/bench/micro/micro_bench.cpp
+++ b/bench/micro/micro_bench.cpp
@@ -174,6 +174,39 @@
     set_bytes(run, text);
 }
 
+auto encode_partial(benchmark::State& run, bench::report_content content)
+    -> void
+{
+    auto pair = bench::sample_pair(size_of(run), content);
+    for (auto _ : run)
+    {
+        ++pair.full.sequence;
+        benchmark::DoNotOptimize(
+            protocol::encode(pair.writer.write(pair.full, pair.next_at)));
+    }
+    set_bytes(run, protocol::encode(pair.next));
+}
+
+auto decode_partial(benchmark::State& run, bench::report_content content)
+    -> void
+{
+    auto const pair = bench::sample_pair(size_of(run), content);
+    auto const bytes = protocol::encode(pair.next);
+    auto reader = state::report_reader{};
+    reader.read(pair.first, pair.next_at);
+    for (auto _ : run)
+    {
+        auto const report = protocol::decode<state::partial_report>(bytes);
+        auto const rebuilt = reader.read(*report, pair.next_at);
+        if (!rebuilt)
+        {
+            run.SkipWithError("the report was not rebuilt");
+            break;
+        }
+    }
+    set_bytes(run, bytes);
+}
+
 auto encode_snapshot(benchmark::State& run) -> void
 {
     auto const snapshot = protocol::shard_snapshot{
@@ -199,6 +232,18 @@
 BENCHMARK(decode_record_batch)->Arg(1)->Arg(6)->Arg(64);
 BENCHMARK(encode_heartbeat)->Arg(5)->Arg(15)->Arg(50);
 BENCHMARK(decode_heartbeat)->Arg(5)->Arg(15)->Arg(50);
+BENCHMARK_CAPTURE(encode_partial, idle, bench::report_content::nothing)
+    ->Arg(15);
+BENCHMARK_CAPTURE(encode_partial, changed, bench::report_content::one_task)
+    ->Arg(15);
+BENCHMARK_CAPTURE(encode_partial, round, bench::report_content::measurements)
+    ->Arg(15);
+BENCHMARK_CAPTURE(decode_partial, idle, bench::report_content::nothing)
+    ->Arg(15);
+BENCHMARK_CAPTURE(decode_partial, changed, bench::report_content::one_task)
+    ->Arg(15);
+BENCHMARK_CAPTURE(decode_partial, round, bench::report_content::measurements)
+    ->Arg(15);
 BENCHMARK(encode_snapshot)->Arg(100)->Arg(1'000)->Arg(5'000);
 // NOLINTEND(*-avoid-non-const-global-variables,cert-err58-cpp)
 BENCHMARK_MAIN();
--- a/bench/slopes/measure_size_func.cpp
+++ b/bench/slopes/measure_size_func.cpp
@@ -116,7 +116,12 @@
         command.key = {command.spec.id, core::attempt_number{1}};
         reply.commands.push_back(std::move(command));
     }
-    return protocol::to_json(reply).size();
+    return protocol::encode(reply).size();
+}
+
+auto partial_bytes(std::size_t tasks, report_content content) -> std::size_t
+{
+    return protocol::encode(sample_pair(tasks, content).next).size();
 }
 
 auto update_bytes(std::size_t instances, std::size_t backends) -> std::size_t
@@ -180,9 +185,29 @@
             { return protocol::encode(sample_starts(n)).size(); }),
         sample("log batch", "ended task", {1, 16, 64}, end_bytes),
         sample(
-            "heartbeat", "task", {0, 5, 15, 50},
+            "heartbeat in JSON", "task", {0, 5, 15, 50},
             [](std::size_t n)
             { return protocol::to_json(sample_report(0, n)).size(); }),
+        sample(
+            "heartbeat, complete", "task", {0, 5, 15, 50},
+            [](std::size_t n)
+            {
+                return protocol::encode(
+                           sample_pair(n, report_content::nothing).first)
+                    .size();
+            }),
+        sample(
+            "heartbeat, no change", "task", {0, 5, 15, 50},
+            [](std::size_t n)
+            { return partial_bytes(n, report_content::nothing); }),
+        sample(
+            "heartbeat, one changed task", "task", {1, 5, 15, 50},
+            [](std::size_t n)
+            { return partial_bytes(n, report_content::one_task); }),
+        sample(
+            "heartbeat, measurements", "task", {0, 5, 15, 50},
+            [](std::size_t n)
+            { return partial_bytes(n, report_content::measurements); }),
         sample("heartbeat reply", "start", {0, 1, 8, 64}, reply_bytes),
         sample(
             "peer_update, 16 shards", "instance", {4, 7, 16},
--- a/bench/support/load_base.cpp
+++ b/bench/support/load_base.cpp
@@ -97,6 +97,31 @@
     return value;
 }
 
+auto sample_pair(std::size_t tasks, report_content content) -> report_pair
+{
+    auto const start = core::time_point{std::chrono::seconds{1}};
+    auto value = report_pair{};
+    value.full = sample_report(0, tasks);
+    value.first = value.writer.write(value.full, start);
+    value.writer.answered(value.full.sequence++);
+    value.next_at = start + std::chrono::seconds{1};
+    if (content == report_content::one_task && tasks > 0)
+    {
+        value.full.tasks.front().phase = state::task_phase::finished;
+    }
+    if (content == report_content::measurements)
+    {
+        value.next_at += state::report_limits{}.sample_interval;
+        for (auto& it : value.full.tasks)
+        {
+            it.usage.cpu_milli += 50;
+        }
+    }
+    value.next =
+        state::report_writer{value.writer}.write(value.full, value.next_at);
+    return value;
+}
+
 auto sample_data(shard_size const& size) -> state::shard_data
 {
     auto data = state::shard_data{};
--- a/bench/support/load_base.hpp
+++ b/bench/support/load_base.hpp
@@ -50,6 +50,27 @@
 /** Returns a view with 64 teams that have quotas and no other shards. */
 auto sample_view() -> state::cluster_view;
 
+/** What a heartbeat after the first one states. */
+enum class report_content
+{
+    nothing,     ///< No change.
+    one_task,    ///< A new phase of one task.
+    measurements ///< Other measurements of all tasks.
+};
+
+/** An answered heartbeat with all tasks, and the next one of the worker. */
+struct report_pair
+{
+    state::report_writer writer; ///< Has written the first one.
+    state::worker_report full;   ///< The next one in full.
+    state::partial_report first;
+    state::partial_report next;
+    core::time_point next_at;
+};
+
+/** Returns the heartbeats of a worker with @p tasks tasks. */
+auto sample_pair(std::size_t tasks, report_content content) -> report_pair;
+
 /** A shard engine whose workers have all sent one heartbeat. */
 class loaded_engine
 {
--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -10,6 +10,7 @@
 #include "coordination/etcd_store_base.hpp"
 #include "coordination/forwarding_base.hpp"
 #include "coordination/gateway_base.hpp"
+#include "coordination/held_replies_base.hpp"
 #include "coordination/instance_list_base.hpp"
 #include "coordination/key_func.hpp"
 #include "coordination/ownership_base.hpp"
--- a/coordination/shard_host_base.cpp
+++ b/coordination/shard_host_base.cpp
@@ -1,7 +1,5 @@
 /** @file shard_host_base.cpp The shards that this instance owns. */
-#include "coordination/shard_host_base.hpp"
-
-#include <fmt/format.h>
+#include "coordination/shard_host_internal.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,34 +14,8 @@
 // longer. Several heartbeats (500 ms) fit in.
 constexpr auto longest_table_wait = std::chrono::seconds{2};
 
-auto fail_not_owner(core::shard_id shard) -> void
-{
-    core::fail(
-        core::error_kind::not_owner,
-        fmt::format(
-            "shard {} is not owned by this instance; retry, the request is "
-            "forwarded once the owner is known",
-            shard.value));
-}
-
 } // namespace
 
-/** One owned shard. The engine is absent until the state has been loaded. */
-struct shard_host::shard_entry
-{
-    core::shard_id shard;
-    core::epoch owner_epoch;
-    mutable std::mutex mutex;
-    std::optional<state::shard_engine> engine;
-    state::report_reader reports; ///< Of this ownership only.
-    bool released = false;
-    bool former_owner_stopped = false;
-    core::time_point last_batch;
-    core::time_point loaded_at; ///< When the engine was made.
-    bool writing = false;       ///< A batch or a snapshot is being written.
-    protocol::endpoint_table table;
-};
-
 shard_host::shard_host(
     shard_host_settings settings, shard_host_hooks hooks,
     core::logger const& log)
@@ -142,10 +114,24 @@
         entry = std::exchange(it->second, nullptr);
         entries_.erase(it);
     }
-    auto const lock = std::scoped_lock{entry->mutex};
-    entry->released = true;
-    entry->engine.reset();
+    auto held = std::vector<held_reply>{};
+    {
+        auto const lock = std::scoped_lock{entry->mutex};
+        entry->released = true;
+        entry->engine.reset();
+        held = entry->held.take_all();
+    }
     log_.info("Shard is released.", {{"shard", shard.value}});
+    // The answers ask for the new owner, which the caller may be changing.
+    for (auto& it : held)
+    {
+        hooks_.post(
+            [shard, answer = std::move(it.answer)]
+            {
+                fail_not_owner(shard);
+                answer(std::nullopt);
+            });
+    }
 }
 
 auto shard_host::release_below(core::shard_id shard, core::epoch owner_epoch)
@@ -179,6 +165,7 @@
     auto requests = std::vector<state::shard_request>{};
     auto batch = std::optional<state::commit_batch>{};
     auto snapshot = std::optional<state::shard_data>{};
+    auto answers = std::vector<std::function<void()>>{};
     {
         auto const lock = std::scoped_lock{entry->mutex};
         if (!entry->engine)
@@ -194,6 +181,7 @@
         auto view = state::cluster_view{
             hooks_.config(), summaries, entry->former_owner_stopped};
         entry->engine->tick(now, view);
+        answers = end_holds(*entry, now);
         requests = entry->engine->take_requests();
         refresh_table(*entry);
         if (!entry->writing && hooks_.snapshot_due(entry->shard))
@@ -212,6 +200,7 @@
             entry->writing = true;
         }
     }
+    run_all(answers);
     send_requests(entry, std::move(requests));
     if (batch)
     {
@@ -316,18 +305,26 @@
         lost(entry);
         return;
     }
-    auto const lock = std::scoped_lock{entry->mutex};
-    entry->writing = false;
-    if (!entry->engine)
+    auto answers = std::vector<std::function<void()>>{};
     {
-        return;
-    }
-    if (result == append_result::committed)
-    {
-        entry->engine->batch_committed(sent_at);
-        return;
+        auto const lock = std::scoped_lock{entry->mutex};
+        entry->writing = false;
+        if (!entry->engine)
+        {
+            return;
+        }
+        if (result == append_result::committed)
+        {
+            entry->engine->batch_committed(sent_at);
+            answers = end_holds(*entry, hooks_.now());
+        }
+        else
+        {
+            entry->engine->batch_rejected(
+                state::batch_rejection::config_changed);
+        }
     }
-    entry->engine->batch_rejected(state::batch_rejection::config_changed);
+    run_all(answers);
 }
 
 auto shard_host::lost(entry_pointer const& entry) -> void
@@ -347,31 +344,6 @@
     }
 }
 
-auto shard_host::heartbeat(state::partial_report const& report)
-    -> std::optional<state::heartbeat_reply>
-{
-    auto const shard =
-        state::shard_of(report.rack, settings_.engine.shard_count);
-    if (auto const entry = find(shard))
-    {
-        auto const lock = std::scoped_lock{entry->mutex};
-        if (entry->engine)
-        {
-            auto const now = hooks_.now();
-            if (auto const complete = entry->reports.read(report, now))
-            {
-                return entry->engine->heartbeat(*complete, now);
-            }
-            auto reply = state::heartbeat_reply{};
-            reply.shard = shard;
-            reply.full_wanted = true;
-            return reply;
-        }
-    }
-    fail_not_owner(shard);
-    return std::nullopt;
-}
-
 auto shard_host::submit(state::job_spec spec, done on_done) -> void
 {
     auto const shard = state::shard_of(spec.id, settings_.engine.shard_count);
--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_COORDINATION_SHARD_HOST_BASE_HPP
 #define GODWITCLEAT_COORDINATION_SHARD_HOST_BASE_HPP
 
+#include "coordination/held_replies_base.hpp"
 #include "core/core.hpp"
 #include "protocol/protocol.hpp"
 #include "state/state.hpp"
@@ -80,6 +81,10 @@
 {
     state::engine_settings engine;
     core::duration batch_interval = std::chrono::milliseconds{64};
+    /// How long the reply to a heartbeat is held open at most. A start in it is
+    /// valid for 2 s from the sending of the heartbeat, so half of that is
+    /// left.
+    core::duration heartbeat_hold = std::chrono::seconds{1};
     state::engine_faults faults; ///< For tests only.
 };
 
@@ -113,9 +118,14 @@
     /** Advances all shards; call it each tick. */
     auto tick() -> void;
 
-    /** Returns the reply, or std::nullopt with not_owner. */
-    auto heartbeat(state::partial_report const& report)
-        -> std::optional<state::heartbeat_reply>;
+    /**
+     * Answers a heartbeat, or fails with not_owner. The answer is held as long
+     * as the report allows, at most for `heartbeat_hold`, until a command for
+     * the worker is due, its next heartbeat arrives or the shard is released.
+     */
+    auto
+    heartbeat(state::partial_report const& report, heartbeat_answer on_reply)
+        -> void;
 
     /** Fails with not_owner if the job's home shard is not owned here. */
     auto submit(state::job_spec spec, done on_done) -> void;
@@ -166,6 +176,17 @@
         entry_pointer const& entry, append_result result,
         core::time_point sent_at) -> void;
     auto refresh_table(shard_entry& entry) -> void;
+    auto reply_to(
+        shard_entry& entry, state::partial_report const& report,
+        core::time_point now) -> state::heartbeat_reply;
+    [[nodiscard]] auto hold_of(
+        state::partial_report const& report,
+        state::heartbeat_reply const& reply) const -> core::duration;
+    static auto
+    end_hold(shard_entry& entry, held_reply held, core::time_point now)
+        -> std::function<void()>;
+    static auto end_holds(shard_entry& entry, core::time_point now)
+        -> std::vector<std::function<void()>>;
 
     shard_host_settings settings_;
     shard_host_hooks hooks_;
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -32,6 +32,8 @@
     result.engine.heartbeat_interval = settings.heartbeat;
     result.engine.start_validity = settings.start_validity;
     result.engine.shard_count = settings.shards;
+    result.heartbeat_hold =
+        std::min(result.heartbeat_hold, settings.start_validity / 2);
     result.batch_interval =
         core::duration{std::chrono::seconds{settings.shards}} /
         most_writes_per_second;
@@ -228,91 +230,6 @@
         log_.with_prefix("gateway")};
 }
 
-auto entry_daemon::control_hooks() -> coordination::control_hooks
-{
-    auto hooks = coordination::control_hooks{};
-    hooks.heartbeat = [this](auto const& report, auto on_done)
-    {
-        auto result =
-            coordination::heartbeat_result{host_.heartbeat(report), {}};
-        if (!result.reply)
-        {
-            auto const shard =
-                state::shard_of(report.rack, settings_.shards);
-            if (auto const owner = peers_.owner_of(shard, now_()))
-            {
-                result.owner = owner->control_address;
-            }
-        }
-        on_done(std::move(result));
-    };
-    hooks.submit = [this](auto spec, auto on_done)
-    {
-        forwarding_.submit(std::move(spec), std::move(on_done));
-    };
-    hooks.cancel = [this](auto const& id, auto reason, auto on_done)
-    {
-        forwarding_.cancel(id, std::move(reason), std::move(on_done));
-    };
-    hooks.jobs = [this](auto const& wanted, auto on_done)
-    {
-        forwarding_.jobs(wanted, std::move(on_done));
-    };
-    hooks.workers = [this](auto on_done)
-    {
-        forwarding_.workers(std::move(on_done));
-    };
-    hooks.endpoints = [this]
-    {
-        auto result = std::vector<state::service_endpoint>{};
-        for (auto const& table : router_.tables())
-        {
-            result.insert(
-                result.end(), table.endpoints.begin(), table.endpoints.end());
-        }
-        return result;
-    };
-    hooks.config = [this]
-    {
-        return config_.current().document;
-    };
-    hooks.publish = [this](auto command, auto on_done)
-    {
-        config_.publish(
-            command.base, std::move(command.author), std::move(command.summary),
-            std::move(command.document), std::move(on_done));
-    };
-    hooks.status = [this]
-    {
-        return status();
-    };
-    hooks.metrics = [this]
-    {
-        return metrics_.text();
-    };
-    hooks.timeline = [this](auto after)
-    {
-        return events_.since(after);
-    };
-    return hooks;
-}
-
-auto entry_daemon::start() -> std::optional<bool>
-{
-    peers_.add_addresses(settings_.peers);
-    started_ = now_();
-    if (!listen())
-    {
-        return std::nullopt;
-    }
-    start_timers();
-    log_.info(
-        "Daemon is running.", {{"instance", settings_.name.value},
-                               {"boot_id", boot_id_},
-                               {"data_centre", settings_.data_centre.value}});
-    return true;
-}
-
 auto entry_daemon::listen() -> std::optional<bool>
 {
     auto limits = transport::http_server_limits{};
--- a/standins/support/process_base.cpp
+++ b/standins/support/process_base.cpp
@@ -21,8 +21,22 @@
 // after the end of its lease.
 constexpr auto tick_period = std::chrono::milliseconds{5};
 
-// Three heartbeats fit into a lease of 4 s, even if two get no answer.
-constexpr auto heartbeat_timeout = std::chrono::seconds{1};
+// How long a daemon may hold a reply open.
+constexpr auto reply_hold = std::chrono::milliseconds{1000};
+
+// A second more than the hold. Three heartbeats fit into a lease of 12 s, even
+// if two get no answer.
+constexpr auto heartbeat_timeout = std::chrono::seconds{2};
+
+// Least time between heartbeats that report changes, so that many short tasks
+// are reported together.
+constexpr auto change_gap = std::chrono::milliseconds{50};
+
+// One whose reply is held and one that reports a change.
+constexpr std::size_t most_in_flight = 2;
+
+// A daemon that asks for complete reports again and again is left.
+constexpr int most_refusals = 3;
 
 // Pause before the next daemon is tried, so that an outage of all daemons
 // causes few calls.
@@ -77,23 +91,36 @@
     auto const now = clock_();
     worker_.advance(now);
     handle_events();
-    if (!in_flight_ && now >= next_send_)
+    if (may_send(now))
     {
         send(now);
     }
 }
 
+auto worker_process::may_send(core::time_point now) const -> bool
+{
+    if (in_flight_ == 0 && now >= next_send_)
+    {
+        return true;
+    }
+    return in_flight_ < most_in_flight && reported_ != worker_.changes() &&
+           now >= sent_at_ + change_gap;
+}
+
 auto worker_process::send(core::time_point now) -> void
 {
-    auto const report = writer_.write(worker_.make_report(now), now);
+    auto report = writer_.write(worker_.make_report(now), now);
+    report.hold_ms = static_cast<std::uint32_t>(reply_hold.count());
+    reported_ = worker_.changes();
     handle_events();
     auto request = transport::http_request{};
     request.method = "POST";
     request.target = "/v1/heartbeat";
     request.headers.set("Content-Type", "application/msgpack");
     request.body = protocol::encode(report);
-    sent_base_ = report.base != 0;
-    in_flight_ = true;
+    ++in_flight_;
+    latest_ = report.sequence;
+    sent_at_ = now;
     next_send_ = now + worker_.heartbeat_interval();
     client_.send(
         target_, std::move(request), heartbeat_timeout,
@@ -105,7 +132,13 @@
     std::uint64_t sequence, transport::http_result result) -> void
 {
     auto const lock = std::scoped_lock{mutex_};
-    in_flight_ = false;
+    --in_flight_;
+    auto const is_reply =
+        result.response && result.response->status == status_ok;
+    if (!is_reply && sequence != latest_)
+    {
+        return; // The later heartbeat shows which daemon to ask.
+    }
     if (!result.response)
     {
         try_next(result.reason.message);
@@ -144,8 +177,13 @@
         send_complete();
         return;
     }
+    refusals_ = 0;
     if (!worker_.take_reply(sequence, *reply, clock_()))
     {
+        if (sequence != latest_)
+        {
+            return; // It was overtaken by the reply to a later heartbeat.
+        }
         auto const reason = core::last_reason().message;
         handle_events();
         try_next(reason);
@@ -153,18 +191,20 @@
     }
     writer_.answered(sequence);
     redirects_ = 0;
+    next_send_ = sent_at_ + worker_.heartbeat_interval();
     handle_events();
 }
 
 // The owner does not hold the report that the latest one builds on.
 auto worker_process::send_complete() -> void
 {
-    if (!sent_base_)
+    writer_.restart();
+    if (++refusals_ > most_refusals)
     {
-        try_next("a complete report was refused");
+        refusals_ = 0;
+        try_next("complete reports were refused");
         return;
     }
-    writer_.restart();
     next_send_ = clock_();
 }
 
--- a/standins/support/process_base.hpp
+++ b/standins/support/process_base.hpp
@@ -26,8 +26,9 @@
 };
 
 /**
- * Sends heartbeats, one at a time, to a daemon and follows it to the owner of
- * the rack's shard; opens a runner for each service task. Thread-safe.
+ * Sends heartbeats to a daemon and follows it to the owner of the rack's shard;
+ * opens a runner for each service task. While a reply is held open, a change of
+ * a task is reported by one more heartbeat. Thread-safe.
  */
 class worker_process
 {
@@ -42,6 +43,7 @@
 
 private:
     auto tick() -> void;
+    [[nodiscard]] auto may_send(core::time_point now) const -> bool;
     auto send(core::time_point now) -> void;
     auto on_result(std::uint64_t sequence, transport::http_result result)
         -> void;
@@ -65,12 +67,15 @@
     std::vector<worker_event> events_; ///< Not handled yet.
     standin_worker worker_;
     state::report_writer writer_;
-    bool sent_base_ = false; ///< The latest heartbeat has a base.
     std::map<state::attempt_key, runner> runners_;
     std::size_t next_daemon_ = 0;
     transport::endpoint target_;
-    int redirects_ = 0; ///< In a row.
-    bool in_flight_ = false;
+    int redirects_ = 0;          ///< In a row.
+    int refusals_ = 0;           ///< Reports without a base held, in a row.
+    std::size_t in_flight_ = 0;  ///< Heartbeats without a result.
+    std::uint64_t latest_ = 0;   ///< Number of the latest heartbeat.
+    std::uint64_t reported_ = 0; ///< Changes in the latest heartbeat.
+    core::time_point sent_at_;   ///< When the latest heartbeat was sent.
     core::time_point next_send_;
     transport::timer_handle timer_;
 };
--- a/standins/support/worker_base.cpp
+++ b/standins/support/worker_base.cpp
@@ -301,6 +301,7 @@
     state::attempt_key const& key, task& value, state::task_phase phase,
     worker_event_kind kind) -> void
 {
+    ++changes_;
     tell(kind, key, value);
     value.phase = phase;
     value.endpoint.clear();
@@ -427,17 +428,18 @@
     answered_ = sequence;
     sent_.erase(sent_.begin(), std::next(sent));
     highest_epoch_ = reply.owner_epoch;
-    if (reply.next_heartbeat_ms > 0)
-    {
-        interval_ = limited(reply.next_heartbeat_ms);
-    }
+    interval_ = limited(reply.next_heartbeat_ms);
     auto const lease_end = sent_at + limited(reply.lease_ms);
     if (lease_end > now)
     {
         lease_end_ = lease_held_ ? std::max(*lease_end_, lease_end) : lease_end;
         lease_held_ = true;
     }
-    auto const start_end = sent_at + limited(reply.start_valid_ms);
+    // A later heartbeat has reported that the task does not run here, so that
+    // the owner may already count the start as failed.
+    auto const start_end = sequence == sequence_
+                               ? sent_at + limited(reply.start_valid_ms)
+                               : sent_at;
     for (auto const& it : reply.commands)
     {
         obey(it, start_end);
@@ -477,6 +479,7 @@
     case state::worker_command_kind::checkpoint:
         if (value.phase == state::task_phase::running)
         {
+            ++changes_;
             value.phase = state::task_phase::checkpointing;
             value.checkpoint_end = now_ + settings_.checkpoint_delay;
         }
@@ -503,6 +506,7 @@
         script->work_ms = 0;
         script->fails = true;
     }
+    ++changes_;
     auto& value = tasks_[command.key];
     value.spec = command.spec;
     value.script = *script;
@@ -531,6 +535,7 @@
     auto const it = tasks_.find(key);
     if (it != tasks_.end() && is_active(it->second))
     {
+        ++changes_;
         it->second.endpoint = std::move(endpoint);
     }
 }
@@ -545,6 +550,11 @@
     return interval_;
 }
 
+auto standin_worker::changes() const -> std::uint64_t
+{
+    return changes_;
+}
+
 auto standin_worker::highest_epoch() const -> core::epoch
 {
     return highest_epoch_;
--- a/standins/support/worker_base.hpp
+++ b/standins/support/worker_base.hpp
@@ -97,7 +97,8 @@
      * Obeys the reply to the heartbeat number @p sequence.
      * @return false with stale_epoch if the epoch is lower than the highest
      *         seen, or with conflict if this or a later heartbeat has been
-     *         answered already; the reply is then ignored.
+     *         answered already; the reply is then ignored. Starts are taken
+     *         from the reply to the latest heartbeat only.
      */
     auto take_reply(
         std::uint64_t sequence, state::heartbeat_reply const& reply,
@@ -116,6 +117,9 @@
     /** Returns the time from one heartbeat to the next. */
     [[nodiscard]] auto heartbeat_interval() const -> core::duration;
 
+    /** Returns a number that grows with each change an owner must hear of. */
+    [[nodiscard]] auto changes() const -> std::uint64_t;
+
     [[nodiscard]] auto highest_epoch() const -> core::epoch;
 
     /** Returns what the running and checkpointing tasks need together. */
@@ -176,6 +180,7 @@
     bool lease_held_ = false;
     core::epoch highest_epoch_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t changes_ = 0;
     std::uint64_t answered_ = 0; ///< Highest heartbeat with a reply.
     std::map<std::uint64_t, core::time_point> sent_;
     core::duration interval_ = std::chrono::milliseconds{500};
--- a/state/report_base.hpp
+++ b/state/report_base.hpp
@@ -34,7 +34,8 @@
 class report_writer
 {
 public:
-    explicit report_writer(report_limits limits = {});
+    report_writer() = default;
+    explicit report_writer(report_limits limits);
 
     /** Returns what to send in place of @p full at @p now. */
     auto write(worker_report const& full, core::time_point now)
--- a/tests/shard_history_test.cpp
+++ b/tests/shard_history_test.cpp
@@ -103,6 +103,8 @@
 {
     auto starts = std::uint64_t{0};
     auto resumes = std::uint64_t{0};
+    auto rebuilt = std::uint64_t{0};
+    auto held = std::uint64_t{0};
     for (std::uint64_t seed = 1; seed <= 60; ++seed)
     {
         auto options = tests::cluster_options{};
@@ -114,9 +116,13 @@
         EXPECT_TRUE(result.unfinished.empty()) << result.unfinished.front();
         starts += result.starts;
         resumes += result.resumes;
+        rebuilt += result.rebuilt_reports;
+        held += result.held_replies;
     }
     EXPECT_GT(starts, 450U);
     EXPECT_GT(resumes, 10U);
+    EXPECT_GT(rebuilt, 5'000U);
+    EXPECT_GT(held, 1'000U);
 }
 
 // Guards against a lease that is shorter than a take-over: each killed owner
--- a/tests/support/shard_cluster_base.hpp
+++ b/tests/support/shard_cluster_base.hpp
@@ -71,6 +71,7 @@
     std::uint64_t resumes = 0; ///< Starts from a checkpoint.
     std::uint64_t lapses = 0;  ///< Tasks stopped because a lease lapsed.
     std::uint64_t rebuilt_reports = 0; ///< Heartbeats built on others.
+    std::uint64_t held_replies = 0;    ///< Heartbeats answered a second time.
     std::uint64_t wrong_reports = 0;   ///< Rebuilt ones with another list.
 };
 
--- a/tests/support/shard_cluster_internal.hpp
+++ b/tests/support/shard_cluster_internal.hpp
@@ -104,6 +104,9 @@
         std::size_t i, owner_pointer const& to,
         state::partial_report const& report,
         std::vector<state::task_report> const& tasks) -> void;
+    auto end_hold(
+        std::size_t i, owner_pointer const& to,
+        state::partial_report const& report) -> void;
     auto send_reply(
         std::size_t i, std::uint64_t sequence,
         state::heartbeat_reply const& reply) -> void;
--- a/tests/support/shard_cluster_workers.cpp
+++ b/tests/support/shard_cluster_workers.cpp
@@ -148,7 +148,31 @@
         return;
     }
     check_rebuilt(report, *rebuilt, tasks);
-    send_reply(i, report.sequence, to->engine->heartbeat(*rebuilt, now_));
+    auto const reply = to->engine->heartbeat(*rebuilt, now_);
+    if (!reply.commands.empty() || chance(0.5))
+    {
+        send_reply(i, report.sequence, reply);
+        return;
+    }
+    // The reply is held open.
+    after(
+        random_ms(1, 1000),
+        [this, i, to, report] {
+            when_awake(to, [this, i, to, report] { end_hold(i, to, report); });
+        });
+}
+
+auto shard_cluster::end_hold(
+    std::size_t i, owner_pointer const& to, state::partial_report const& report)
+    -> void
+{
+    auto const reply = to->engine->answer_again(
+        report.worker, report.boot, report.sequence, now_);
+    if (reply)
+    {
+        ++result_.held_replies;
+        send_reply(i, report.sequence, *reply);
+    }
 }
 
 // A rebuilt list that differs from the worker's would be taken for the
