--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -32,8 +32,10 @@
     result.engine.heartbeat_interval = settings.heartbeat;
     result.engine.start_validity = settings.start_validity;
     result.engine.shard_count = settings.shards;
-    result.heartbeat_hold =
-        std::min(result.heartbeat_hold, settings.start_validity / 2);
+    // Half of a start's validity is left, and a worker can lose three replies.
+    result.heartbeat_hold = std::min(
+        {result.heartbeat_hold, settings.start_validity / 2,
+         settings.lease / 4});
     result.batch_interval =
         core::duration{std::chrono::seconds{settings.shards}} /
         most_writes_per_second;
