--- a/experiments/placement/simulation_base.cpp
+++ b/experiments/placement/simulation_base.cpp
@@ -2,13 +2,12 @@
  */
 #include "simulation_base.hpp"
 
+#include "experiments/support/interference_base.hpp"
 #include "standins/support/worker_base.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 #include <map>
 #include <memory>
 #include <random>
@@ -22,11 +21,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t class_count = 5;
-constexpr std::size_t service_classes = 2; ///< The first ones.
-constexpr auto class_names = std::array<std::string_view, class_count>{
-    "desk", "lookup", "tally", "survey", "encode"};
-
 constexpr auto worker_capacity = core::resources{16000, 61440, 0};
 constexpr core::duration step = 100ms;
 constexpr std::uint32_t steps_per_s = 10;
@@ -38,31 +32,6 @@
 constexpr std::uint32_t wave_period_s = 180;
 constexpr std::uint32_t wave_length_s = 60;
 constexpr core::duration checkpoint_delay = 2s;
-constexpr double declared_factor = 4.0; ///< Greatest error, either way.
-constexpr double milli = 1000.0;
-
-// Greatest and least excess slowdown beside a neighbour that uses the whole
-// worker.
-constexpr double least_on_service = 0.1;
-constexpr double most_on_service = 6.0;
-constexpr double least_on_batch = 0.05;
-constexpr double most_on_batch = 0.8;
-constexpr double least_of_service = 0.05;
-constexpr double most_of_service = 0.3;
-
-// Errors of a report.
-constexpr double report_noise = 0.05;
-constexpr double outlier_share = 0.01;
-
-/** What the scheduler does not know of a job. */
-struct truth
-{
-    std::size_t task_class = 0;
-    std::int64_t cpu_milli = 0;
-    double work_s = 0;
-    std::int64_t throttle_percent = 100;
-    double slowdown = 1.0; ///< Latest, while it runs.
-};
 
 class simulation
 {
@@ -71,7 +40,6 @@
         : options_(options)
         , random_(options.seed)
     {
-        make_table();
         make_engine();
         make_workers();
     }
@@ -90,7 +58,7 @@
             is_measured_ = n >= options_.warm_up_s * steps_per_s;
             arrive(n);
             engine_->tick(now_(), view_);
-            commit();
+            commit_all(*engine_, now_());
             for (auto i = std::size_t{0}; i < workers_.size(); ++i)
             {
                 if ((n + i) % beat_steps == 0)
@@ -98,7 +66,7 @@
                     beat(*workers_[i]);
                 }
             }
-            commit();
+            commit_all(*engine_, now_());
             if (is_measured_ && n % beat_steps == 0)
             {
                 measure();
@@ -108,32 +76,6 @@
     }
 
 private:
-    auto uniform(double low, double high) -> double
-    {
-        return std::uniform_real_distribution<double>{low, high}(random_);
-    }
-
-    auto log_uniform(double low, double high) -> double
-    {
-        return std::exp(uniform(std::log(low), std::log(high)));
-    }
-
-    auto make_table() -> void
-    {
-        for (auto t = std::size_t{0}; t < class_count; ++t)
-        {
-            for (auto o = std::size_t{0}; o < class_count; ++o)
-            {
-                table_[t][o] =
-                    o < service_classes
-                        ? log_uniform(least_of_service, most_of_service)
-                    : t < service_classes
-                        ? log_uniform(least_on_service, most_on_service)
-                        : log_uniform(least_on_batch, most_on_batch);
-            }
-        }
-    }
-
     auto make_engine() -> void
     {
         auto settings = state::engine_settings{};
@@ -201,14 +143,14 @@
             settings.info.capacity = worker_capacity;
             settings.checkpoint_delay = checkpoint_delay;
             settings.usage_lag = std::chrono::milliseconds{
-                static_cast<std::int64_t>(uniform(2000, 10000))};
+                static_cast<std::int64_t>(uniform(random_, 2000, 10000))};
             // The failing workers are spread over the list.
             settings.fails_all_tasks =
                 options_.failing_workers > 0 &&
                 n % (options_.workers / options_.failing_workers) == 0;
             settings.interference = [this](auto const& task, auto const& others)
             {
-                return slowdown(task, others);
+                return world_.slowdown(task, others);
             };
             workers_.push_back(std::make_unique<standins::standin_worker>(
                 std::move(settings),
@@ -216,31 +158,6 @@
         }
     }
 
-    auto slowdown(
-        state::job_spec const& task,
-        std::vector<state::job_spec const*> const& others) -> double
-    {
-        auto const load_of = [](truth const& it)
-        {
-            return static_cast<double>(it.cpu_milli * it.throttle_percent) /
-                   100.0 / static_cast<double>(worker_capacity.cpu_milli);
-        };
-        auto& own = truths_.at(task.id);
-        auto total = load_of(own);
-        auto excess = 0.0;
-        for (auto const* it : others)
-        {
-            auto const& other = truths_.at(it->id);
-            total += load_of(other);
-            excess += table_[own.task_class][other.task_class] * load_of(other);
-        }
-        // Interference grows with the load of the worker; beyond its capacity
-        // the processors are shared.
-        own.slowdown = 1.0 + excess * (0.5 + 0.5 * std::min(total, 1.0)) +
-                       std::max(0.0, total - 1.0);
-        return own.slowdown;
-    }
-
     // Each runner is a service of its own, because their sizes differ.
     auto publish_services() -> void
     {
@@ -273,14 +190,9 @@
                 : service_classes + random_() % (class_count - service_classes);
         spec.task_class = class_names[it.task_class];
         it.cpu_milli = static_cast<std::int64_t>(
-            is_service ? uniform(1000, 4000) : log_uniform(700, 4500));
-        auto const error = log_uniform(1.0 / declared_factor, declared_factor);
-        spec.need.cpu_milli = std::clamp<std::int64_t>(
-            static_cast<std::int64_t>(
-                static_cast<double>(it.cpu_milli) * error),
-            250, 12000);
-        spec.need.memory_mb =
-            static_cast<std::int64_t>(uniform(500, 3000) * std::sqrt(error));
+            is_service ? uniform(random_, 1000, 4000)
+                       : log_uniform(random_, 700, 4500));
+        spec.need = draw_need(it, random_);
         if (is_service)
         {
             spec.service = core::service_id{fmt::format("{}", number)};
@@ -288,13 +200,13 @@
         }
         else
         {
-            it.work_s = log_uniform(20, 180);
-            spec.interruptible = uniform(0, 1) < 0.9;
+            it.work_s = log_uniform(random_, 20, 180);
+            spec.interruptible = uniform(random_, 0, 1) < 0.9;
             spec.command = fmt::format(
                 "work {} cpu {}", static_cast<std::int64_t>(it.work_s * milli),
                 it.cpu_milli);
         }
-        truths_[spec.id] = it;
+        world_.truths[spec.id] = it;
         return spec;
     }
 
@@ -316,46 +228,18 @@
         }
     }
 
-    auto commit() -> void
-    {
-        while (engine_->take_batch(now_()))
-        {
-            engine_->batch_committed(now_());
-        }
-    }
-
     auto beat(standins::standin_worker& worker) -> void
     {
         auto report = worker.make_report(now_());
-        for (auto& it : report.tasks)
-        {
-            auto const noise = std::normal_distribution<double>{
-                0.0, report_noise}(noise_random_);
-            it.slowdown = std::max(1.0, it.slowdown * (1.0 + noise));
-            if (std::uniform_real_distribution<double>{0, 1}(noise_random_) <
-                outlier_share)
-            {
-                it.slowdown *= 4.0;
-            }
-        }
+        add_noise(report, noise_random_);
         auto const reply = engine_->heartbeat(report, now_());
-        for (auto const& it : reply.commands)
-        {
-            if (it.kind == state::worker_command_kind::throttle)
-            {
-                truths_.at(it.key.job).throttle_percent = it.throttle_percent;
-            }
-            else if (it.kind == state::worker_command_kind::start)
-            {
-                truths_.at(it.key.job).throttle_percent = 100;
-            }
-        }
+        world_.follow(reply);
         worker.take_reply(report.sequence, reply, now_());
     }
 
     auto follow(standins::worker_event const& it) -> void
     {
-        auto const& value = truths_.at(it.spec.id);
+        auto const& value = world_.truths.at(it.spec.id);
         auto const cores = static_cast<double>(value.cpu_milli) / milli;
         if (it.spec.kind == state::job_kind::service)
         {
@@ -385,7 +269,7 @@
         {
             if (runs)
             {
-                slowdowns_.push_back(truths_.at(id).slowdown);
+                slowdowns_.push_back(world_.truths.at(id).slowdown);
             }
         }
     }
@@ -418,8 +302,8 @@
     // The jobs of a seed do not depend on the policy, so the noise of reports
     // has its own sequence.
     std::mt19937_64 noise_random_{options_.seed + 1'000'000};
-    std::array<std::array<double, class_count>, class_count> table_{};
-    std::map<core::job_id, truth> truths_;
+    interference_world world_{
+        random_, static_cast<double>(worker_capacity.cpu_milli)};
     std::map<core::job_id, bool> running_; ///< Services.
     std::vector<std::unique_ptr<standins::standin_worker>> workers_;
     std::unique_ptr<state::shard_engine> engine_;
