--- a/experiments/support/interference_base.hpp
+++ b/experiments/support/interference_base.hpp
@@ -56,11 +56,12 @@
     /** Follows the throttling that @p reply orders. */
     auto follow(state::heartbeat_reply const& reply) -> void;
 
+    /** Returns the share of a worker's processors that the task uses. */
+    [[nodiscard]] auto load_of(core::job_id const& id) const -> double;
+
     std::map<core::job_id, truth> truths;
 
 private:
-    [[nodiscard]] auto load_of(core::job_id const& id) const -> double;
-
     double capacity_milli_;
     cpu_function cpu_;
     std::array<std::array<double, class_count>, class_count> table_{};
