--- a/experiments/absence/main.cpp
+++ b/experiments/absence/main.cpp
@@ -34,10 +34,76 @@
     experiments::run_result result;
 };
 
+// The engine's behaviour before it had rules for absence.
+auto without_rules() -> state::absence_settings
+{
+    auto result = state::absence_settings{};
+    result.services_evict = false;
+    result.run_on = state::run_on_kind::none;
+    result.checkpoints_per_s = 0;
+    result.ramp_interval = 0s;
+    return result;
+}
+
 auto policies() -> std::vector<std::pair<std::string, state::engine_settings>>
 {
     auto result = std::vector<std::pair<std::string, state::engine_settings>>{};
-    result.emplace_back("today", state::engine_settings{});
+    auto const add = [&result](std::string const& name, auto edit)
+    {
+        auto settings = state::engine_settings{};
+        settings.absence = state::absence_settings{};
+        edit(settings.absence);
+        result.emplace_back(name, settings);
+    };
+    using state::run_on_kind;
+    add("none", [](auto& it) { it = without_rules(); });
+    add("batch_at_once",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_first = false;
+        });
+    add("evict",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_evict = true;
+        });
+    add("finishing",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_evict = true;
+            it.run_on = run_on_kind::finishing;
+        });
+    add("run_on",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_evict = true;
+            it.run_on = run_on_kind::all;
+        });
+    add("paced",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_evict = true;
+            it.checkpoints_per_s = 2;
+        });
+    add("ramp_1s",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_evict = true;
+            it.ramp_interval = 1s;
+        });
+    add("ramp_5s",
+        [](auto& it)
+        {
+            it = without_rules();
+            it.services_evict = true;
+            it.ramp_interval = 5s;
+        });
     return result;
 }
 
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -3,6 +3,7 @@
 #ifndef GODWITCLEAT_STATE_ENGINE_BASE_HPP
 #define GODWITCLEAT_STATE_ENGINE_BASE_HPP
 
+#include "state/absence_func.hpp"
 #include "state/config_type.hpp"
 #include "state/interference_base.hpp"
 #include "state/placement_func.hpp"
@@ -45,6 +46,7 @@
     std::uint32_t excluding_failures = 3; ///< In a row on one worker.
     std::uint32_t starts_per_tick = 64;
     std::uint32_t shard_count = 16;
+    absence_settings absence;
     relief_limits relief;
     core::duration relief_patience =
         std::chrono::seconds{3}; ///< A slowdown above the limit lasts so long.
--- a/state/engine_candidates.cpp
+++ b/state/engine_candidates.cpp
@@ -15,7 +15,10 @@
 {
     for (auto& it : usable)
     {
-        it.free = free_room(it.worker, it.capacity, spec.id);
+        auto const waits =
+            spec.priority == priority_class::batch && is_ramping(it.worker);
+        it.free = waits ? core::resources{}
+                        : free_room(it.worker, it.capacity, spec.id);
     }
     auto allowed = std::vector<placement_candidate>{};
     if (!avoided.empty())
@@ -104,6 +107,22 @@
            (faults_.ignore_drain || !is_drained_worker(worker.info.worker));
 }
 
+// Returns true if the worker has returned lately and may take no batch work
+// yet.
+auto shard_engine::implementation::is_ramping(core::worker_id const& name) const
+    -> bool
+{
+    auto const& worker = workers_.at(name);
+    auto const since = [this](auto const& time)
+    {
+        return time ? std::optional<core::duration>{now_ - *time}
+                    : std::nullopt;
+    };
+    return !may_ramp(
+        since(worker.returned_at), since(worker.batch_placed_at),
+        settings_.absence);
+}
+
 // Returns the room on a worker for job @p id: room that evictions free for
 // another job is not counted.
 auto shard_engine::implementation::free_room(
--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -95,6 +95,10 @@
     core::time_point excluded_until;
     std::deque<past_tasks> past;  ///< Oldest first.
     core::time_point relieved_at; ///< Latest throttling or eviction.
+    std::optional<core::time_point> drained_since; ///< While it is drained.
+    std::optional<core::time_point> returned_at;   ///< Latest end of a drain.
+    std::optional<core::time_point>
+        batch_placed_at; ///< Latest one since it returned.
 };
 
 /** The offer of a queued job that another shard may still claim. */
@@ -117,6 +121,9 @@
     std::optional<core::time_point> final_since;
     std::string waits;       ///< Why it is not placed.
     bool impossible = false; ///< Its needs exceed every known worker.
+    /// Shard that was asked to evict for this service runner.
+    std::optional<core::shard_id> evicting_host;
+    core::time_point evicting_until; ///< No other shard is asked before.
 };
 
 /** Room that is kept in memory for a task that is not yet committed. */
@@ -216,6 +223,10 @@
     auto follow_leases() -> void;
     auto follow_tasks() -> void;
     auto follow_task(hosted_task const& task, bool services_left) -> void;
+    auto follow_drains() -> void;
+    auto move_service(hosted_task const& task) -> void;
+    auto note_leaving(hosted_task const& task) -> void;
+    auto checkpoint_leaving() -> void;
     auto follow_over(hosted_task const& task) -> void;
     auto want_stop(attempt_key const& key, stop_kind kind) -> void;
     auto is_drained_worker(core::worker_id const& id) const -> bool;
@@ -277,9 +288,12 @@
     static auto describe_task(job_spec const& spec, placement_candidate& value)
         -> void;
     auto is_usable(worker_entry const& worker) const -> bool;
+    auto is_ramping(core::worker_id const& name) const -> bool;
     auto free_room(
         core::worker_id const& name, core::resources const& capacity,
         core::job_id const& id) const -> core::resources;
+    auto may_evict(job_spec const& spec) const -> bool;
+    auto hold_room(job_spec const& spec) -> void;
     auto evict_for(job_spec const& spec) -> bool;
     auto victims(core::worker_id const& worker) const
         -> std::vector<hosted_task const*>;
@@ -326,6 +340,8 @@
     std::map<core::team_id, core::resources> uses_; ///< During schedule().
     std::vector<core::resources> without_room_; ///< Needs, during schedule().
     std::uint32_t starts_left_ = 0;
+    std::vector<leaving_task> leaving_; ///< During follow_tasks().
+    core::time_point next_leaving_at_;  ///< Earliest next checkpoint.
     /// Candidates of this schedule(). Tasks and leases do not change during
     /// it; the free room does and is set for each job.
     std::optional<std::vector<placement_candidate>> usable_;
--- a/state/engine_offers.cpp
+++ b/state/engine_offers.cpp
@@ -81,8 +81,7 @@
     auto const worker = choose_worker(request.spec, {}, usable);
     if (!worker)
     {
-        if (request.spec.priority == priority_class::urgent &&
-            evict_for(request.spec))
+        if (may_evict(request.spec) && evict_for(request.spec))
         {
             return refusal("room is being made by evictions");
         }
@@ -406,6 +405,10 @@
 {
     auto const key = attempt_key{value.task.spec.id, value.task.attempt};
     reserved_[value.task.worker] += value.task.spec.need;
+    if (value.task.spec.priority == priority_class::batch)
+    {
+        workers_.at(value.task.worker).batch_placed_at = now_;
+    }
     reservations_.insert_or_assign(key, std::move(value));
 }
 
--- a/state/engine_schedule.cpp
+++ b/state/engine_schedule.cpp
@@ -195,11 +195,11 @@
         entry.waits = "the team's quota is used up";
         return false;
     }
-    auto const is_urgent = known.spec.priority == priority_class::urgent;
+    auto const evicts = may_evict(known.spec);
     auto const has_no_room = std::any_of(
         without_room_.begin(), without_room_.end(),
         [&need](auto const& it) { return it.fits_in(need); });
-    if (!is_urgent && has_no_room)
+    if (!evicts && has_no_room)
     {
         entry.waits = "no worker has room";
         return false;
@@ -210,7 +210,7 @@
         return true;
     }
     entry.waits = "no worker has room";
-    if (is_urgent)
+    if (evicts)
     {
         if (evict_for(known.spec))
         {
@@ -286,6 +286,11 @@
     auto const& need = known.spec.need;
     std::erase_if(
         entry.not_before, [this](auto const& it) { return now_ >= it.second; });
+    // Room that several shards make for one runner would evict work for
+    // nothing. An urgent job cannot wait for one shard's answer.
+    auto const is_bound = without_room && entry.evicting_host &&
+                          now_ < entry.evicting_until &&
+                          known.spec.priority != priority_class::urgent;
     auto const id_hash = core::stable_hash(known.spec.id.value);
     auto* best = static_cast<shard_summary*>(nullptr);
     auto best_rank = std::uint64_t{0};
@@ -300,6 +305,7 @@
         auto const rank = core::combine_hash(id_hash, it.shard.value);
         if (has_room && it.shard != state_.shard() &&
             !entry.not_before.contains(it.shard) &&
+            (!is_bound || it.shard == *entry.evicting_host) &&
             (best == nullptr || rank < best_rank))
         {
             best = &it;
@@ -311,6 +317,11 @@
         return false;
     }
     subtract_from(*best, need);
+    if (without_room)
+    {
+        entry.evicting_host = best->shard;
+        entry.evicting_until = now_ + settings_.eviction_hold;
+    }
     auto const attempt = known.last_attempt.next();
     entry.offer =
         open_offer{attempt, best->shard, now_ + settings_.reservation};
@@ -358,6 +369,33 @@
     return result;
 }
 
+auto shard_engine::implementation::may_evict(job_spec const& spec) const -> bool
+{
+    return spec.priority == priority_class::urgent ||
+           (spec.priority == priority_class::service &&
+            settings_.absence.services_evict);
+}
+
+// Keeps room for a job that will be placed soon, and makes it if there is none.
+auto shard_engine::implementation::hold_room(job_spec const& spec) -> void
+{
+    if (holds_.contains(spec.id))
+    {
+        return;
+    }
+    if (!usable_)
+    {
+        usable_ = usable_workers();
+    }
+    if (auto const worker = choose_worker(spec, {}, *usable_))
+    {
+        holds_[spec.id] =
+            room_hold{*worker, spec.need, now_ + settings_.eviction_hold};
+        return;
+    }
+    evict_for(spec);
+}
+
 // Requests evictions on the worker where the fewest tasks must leave. Returns
 // true if room for @p spec is being made.
 auto shard_engine::implementation::evict_for(job_spec const& spec) -> bool
--- a/state/engine_tasks.cpp
+++ b/state/engine_tasks.cpp
@@ -53,17 +53,22 @@
 
 auto shard_engine::implementation::follow_tasks() -> void
 {
+    follow_drains();
+    leaving_.clear();
     // Batch work on drained workers is stopped after the services there have
     // been told to stop, so that services find room first.
     auto const& all = state_.data().tasks;
-    auto const services_left = std::any_of(
-        all.begin(), all.end(),
-        [this](auto const& it)
-        {
-            return it.second.spec.kind == job_kind::service &&
-                   !it.second.outcome && is_drained_worker(it.second.worker) &&
-                   !is_stop_due(it.second);
-        });
+    auto const services_left =
+        settings_.absence.services_first &&
+        std::any_of(
+            all.begin(), all.end(),
+            [this](auto const& it)
+            {
+                return it.second.spec.kind == job_kind::service &&
+                       !it.second.outcome &&
+                       is_drained_worker(it.second.worker) &&
+                       !is_stop_due(it.second);
+            });
     for (auto const& [key, task] : all)
     {
         if (task.outcome)
@@ -75,6 +80,72 @@
             follow_task(task, services_left);
         }
     }
+    usable_.reset();
+    checkpoint_leaving();
+}
+
+// Notes when workers were drained and when they returned.
+auto shard_engine::implementation::follow_drains() -> void
+{
+    for (auto& [id, worker] : workers_)
+    {
+        auto const is_drained = is_drained_worker(id);
+        if (is_drained && !worker.drained_since)
+        {
+            worker.drained_since = now_;
+        }
+        else if (!is_drained && worker.drained_since)
+        {
+            worker.drained_since.reset();
+            worker.returned_at = now_;
+            worker.batch_placed_at.reset();
+        }
+    }
+}
+
+auto shard_engine::implementation::note_leaving(hosted_task const& task) -> void
+{
+    auto const key = key_of(task);
+    auto const& entry = tasks_[key];
+    if (entry.wanted != stop_kind::none)
+    {
+        return;
+    }
+    auto value = leaving_task{};
+    value.key = key;
+    auto const worker = workers_.find(task.worker);
+    if (worker != workers_.end() && worker->second.drained_since)
+    {
+        value.drained_for = now_ - *worker->second.drained_since;
+    }
+    auto const left = task.spec.expected_run_ms - entry.progress;
+    if (left > 0)
+    {
+        value.remaining = std::chrono::milliseconds{left};
+    }
+    leaving_.push_back(std::move(value));
+}
+
+auto shard_engine::implementation::checkpoint_leaving() -> void
+{
+    auto const rate = settings_.absence.checkpoints_per_s;
+    auto const gap = rate == 0 ? core::duration{0}
+                               : core::duration{std::chrono::seconds{1}} / rate;
+    if (leaving_.empty() || (rate > 0 && now_ < next_leaving_at_))
+    {
+        return;
+    }
+    next_leaving_at_ =
+        std::max(next_leaving_at_, now_ - std::chrono::seconds{1});
+    auto const most =
+        rate == 0
+            ? leaving_.size()
+            : static_cast<std::size_t>((now_ - next_leaving_at_) / gap) + 1;
+    for (auto const& key : choose_leaving(leaving_, settings_.absence, most))
+    {
+        next_leaving_at_ += gap;
+        want_stop(key, stop_kind::checkpoint);
+    }
 }
 
 auto shard_engine::implementation::follow_task(
@@ -98,18 +169,31 @@
     }
     else if (is_drained && !faults_.ignore_drain)
     {
-        auto const is_service = task.spec.kind == job_kind::service;
-        if (task.spec.interruptible && (is_service || !services_left))
+        if (task.spec.kind == job_kind::service)
         {
-            want_stop(key, stop_kind::checkpoint);
+            move_service(task);
         }
-        else if (is_service)
+        else if (task.spec.interruptible && !services_left)
         {
-            want_stop(key, stop_kind::stop);
+            note_leaving(task);
         }
     }
 }
 
+// Stops a runner on a drained worker. Room elsewhere is made while it still
+// answers requests; that is possible only if this shard will place it.
+auto shard_engine::implementation::move_service(hosted_task const& task) -> void
+{
+    if (task.home == state_.shard() && settings_.absence.services_evict &&
+        tasks_[key_of(task)].phase == task_phase::running)
+    {
+        hold_room(task.spec);
+    }
+    want_stop(
+        key_of(task),
+        task.spec.interruptible ? stop_kind::checkpoint : stop_kind::stop);
+}
+
 // Reports the end of a task to its home until it is stored there.
 auto shard_engine::implementation::follow_over(hosted_task const& task) -> void
 {
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -3,6 +3,7 @@
 #ifndef GODWITCLEAT_STATE_STATE_HPP
 #define GODWITCLEAT_STATE_STATE_HPP
 
+#include "state/absence_func.hpp"
 #include "state/config_type.hpp"
 #include "state/engine_base.hpp"
 #include "state/interference_base.hpp"
