--- a/experiments/absence/main.cpp
+++ b/experiments/absence/main.cpp
@@ -171,7 +171,7 @@
         "absence", "Takes a data centre out and brings it back, with the shard "
                    "engine and modelled workers."};
     auto add = options.add_options();
-    add("policy", "name of a policy, or all",
+    add("policy", "names of policies, separated by commas, or all",
         cxxopts::value<std::string>()->default_value("all"));
     add("fleet", "small or large",
         cxxopts::value<std::string>()->default_value("small"));
@@ -183,6 +183,13 @@
         cxxopts::value<double>()->default_value("0.9"));
     add("checkpoint-ms", "time to write a checkpoint",
         cxxopts::value<std::int64_t>()->default_value("1000"));
+    add("start-factor",
+        "processors of a task in its first 5 s, times its usual "
+        "ones",
+        cxxopts::value<double>()->default_value("2"));
+    add("notice",
+        "seconds from the drain until the instances are off; 0: never",
+        cxxopts::value<std::uint32_t>()->default_value("0"));
     add("csv", "append one line for each seed and policy to this file",
         cxxopts::value<std::string>());
     add("help", "print this text");
@@ -276,6 +283,8 @@
     }
     auto options = experiments::run_options{};
     options.instances = *fleet;
+    options.start_factor = args["start-factor"].as<double>();
+    options.notice_s = args["notice"].as<std::uint32_t>();
     options.load = args["load"].as<double>();
     options.checkpoint_delay =
         std::chrono::milliseconds{args["checkpoint-ms"].as<std::int64_t>()};
@@ -286,7 +295,9 @@
     auto results = std::vector<std::pair<std::string, std::vector<row>>>{};
     for (auto const& [name, settings] : policies())
     {
-        if (wanted != "all" && wanted != name)
+        if (wanted != "all" &&
+            fmt::format(",{},", wanted).find(fmt::format(",{},", name)) ==
+                std::string::npos)
         {
             continue;
         }
--- a/experiments/absence/simulation_base.cpp
+++ b/experiments/absence/simulation_base.cpp
@@ -36,7 +36,6 @@
 
 // A task loads its data in its first seconds and then uses more processors.
 constexpr core::duration start_length = 5s;
-constexpr double start_factor = 2.0;
 
 // Means of the distributions in make_batch(), for the arrival rate.
 constexpr double mean_need_milli = 2762;
@@ -384,11 +383,21 @@
         auto const is_new = it != batches_.end() &&
                             now_() - it->second.started_at < start_length;
         return static_cast<double>(value.cpu_milli) *
-               (is_new ? start_factor : 1.0);
+               (is_new ? options_.start_factor : 1.0);
+    }
+
+    [[nodiscard]] auto is_off(std::size_t worker) const -> bool
+    {
+        return options_.notice_s > 0 && is_out(worker) &&
+               now_() - *out_at_ >= std::chrono::seconds{options_.notice_s};
     }
 
     auto beat(std::size_t index) -> void
     {
+        if (is_off(index))
+        {
+            return;
+        }
         auto& worker = *workers_[index];
         auto report = worker.make_report(now_());
         for (auto const& it : report.tasks)
@@ -459,7 +468,7 @@
         }
         else if (it.kind == kind::started)
         {
-            follow_start(found->second);
+            follow_start(it, found->second);
         }
         else
         {
@@ -479,8 +488,15 @@
         }
     }
 
-    auto follow_start(batch_entry& entry) -> void
+    auto follow_start(standins::worker_event const& it, batch_entry& entry)
+        -> void
     {
+        if (phase_ && it.progress < entry.best)
+        {
+            result_.phases[*phase_].lost_work +=
+                static_cast<double>(world_.truths.at(it.spec.id).cpu_milli) /
+                milli * static_cast<double>(entry.best - it.progress) / milli;
+        }
         entry.started_at = now_();
         entry.checkpointed = false;
         if (entry.evicted_at)
--- a/experiments/absence/simulation_base.hpp
+++ b/experiments/absence/simulation_base.hpp
@@ -38,6 +38,11 @@
     double load = 0.9;         ///< Share of the room that batch jobs ask for.
     double urgent_rate = 0.25; ///< Urgent jobs per second.
     core::duration checkpoint_delay = std::chrono::milliseconds{1000};
+    /// A task that loads its data in its first 5 s uses so many times its
+    /// processors.
+    double start_factor = 2.0;
+    /// Seconds from the drain until the instances are off; 0: they stay on.
+    std::uint32_t notice_s = 0;
     std::uint32_t warm_up_s = 150;
     std::uint32_t before_s = 120;
     std::uint32_t out_s = 240;
@@ -59,7 +64,7 @@
 {
     double work_per_min = 0;     ///< Core seconds of batch work, new only.
     std::uint64_t evictions = 0; ///< Checkpoints that were written.
-    double lost_work = 0;        ///< Core seconds that evictions cost.
+    double lost_work = 0;        ///< Core seconds paused or to be repeated.
     double mean_slowdown = 1.0;  ///< Of services.
     double p99_slowdown = 1.0;   ///< Of services, over time and runners.
     double urgent_p99_s = 0;     ///< Submit to start.
--- a/state/absence_func.hpp
+++ b/state/absence_func.hpp
@@ -26,7 +26,7 @@
 {
     /// Services that wait for room evict interruptible batch work, and room
     /// for a runner on a drained worker is made while it still serves.
-    bool services_evict = false;
+    bool services_evict = true;
     /// Batch work leaves after the services there have been told to stop.
     bool services_first = true;
     run_on_kind run_on = run_on_kind::none;
