--- a/experiments/absence/main.cpp
+++ b/experiments/absence/main.cpp
@@ -183,6 +183,8 @@
         cxxopts::value<double>()->default_value("0.9"));
     add("checkpoint-ms", "time to write a checkpoint",
         cxxopts::value<std::int64_t>()->default_value("1000"));
+    add("shards", "number of shards",
+        cxxopts::value<std::uint32_t>()->default_value("1"));
     add("start-factor",
         "processors of a task in its first 5 s, times its usual "
         "ones",
@@ -284,6 +286,7 @@
     auto options = experiments::run_options{};
     options.instances = *fleet;
     options.start_factor = args["start-factor"].as<double>();
+    options.shards = args["shards"].as<std::uint32_t>();
     options.notice_s = args["notice"].as<std::uint32_t>();
     options.load = args["load"].as<double>();
     options.checkpoint_delay =
--- a/experiments/absence/simulation_base.cpp
+++ b/experiments/absence/simulation_base.cpp
@@ -2,8 +2,10 @@
  */
 #include "simulation_base.hpp"
 
+#include "cluster_base.hpp"
 #include "experiments/support/interference_base.hpp"
 #include "standins/support/worker_base.hpp"
+#include "workload_base.hpp"
 
 #include <fmt/format.h>
 
@@ -28,19 +30,12 @@
 constexpr std::uint32_t beat_steps = 5;
 constexpr std::uint32_t publish_step = 10; ///< All workers are known by then.
 constexpr std::uint32_t batch_from_s = 10; ///< Services are placed by then.
-constexpr std::uint32_t teams = 16;
-constexpr double team_quota = 0.12; ///< Share of all processors.
-constexpr double desk_quota = 0.5;  ///< Of services and urgent jobs.
 constexpr double urgent_limit_s = 2.4;
 constexpr double percentile = 0.99;
 
 // A task loads its data in its first seconds and then uses more processors.
 constexpr core::duration start_length = 5s;
 
-// Means of the distributions in make_batch(), for the arrival rate.
-constexpr double mean_need_milli = 2762;
-constexpr double mean_run_s = 84; ///< With a usual slowdown.
-
 constexpr std::uint32_t return_window_s = 60;
 constexpr std::uint32_t regain_window_s = 10;
 constexpr double regain_share = 0.9;
@@ -72,6 +67,12 @@
     return std::chrono::duration<double>(value).count();
 }
 
+auto with_retention(state::engine_settings settings) -> state::engine_settings
+{
+    settings.retention = 60s;
+    return settings;
+}
+
 // Jain's index: 1 if all teams did the same work, 1/N if one did all.
 auto jain(std::map<core::team_id, double> const& work) -> double
 {
@@ -113,27 +114,23 @@
 class simulation
 {
 public:
-    simulation(run_options const& options, state::engine_settings settings)
+    simulation(
+        run_options const& options, state::engine_settings const& settings)
         : options_(options)
         , fleet_(options.instances)
         , random_(options.seed)
+        , cluster_(
+              options.shards, with_retention(settings),
+              [this](auto const& it)
+              { result_.throttles += it.kind == "throttle_requested" ? 1 : 0; },
+              clock_.reader())
     {
-        settings.shard_count = 1;
-        settings.retention = 60s;
-        auto hooks = state::engine_hooks{};
-        hooks.on_event = [this](core::timeline_event const& it)
-        {
-            result_.throttles += it.kind == "throttle_requested" ? 1 : 0;
-        };
-        engine_ = std::make_unique<state::shard_engine>(
-            core::epoch{1}, state::shard_state{core::shard_id{0}}, settings,
-            std::move(hooks), now_());
         make_workers();
     }
 
     auto run() -> run_result
     {
-        view_.config = std::make_shared<state::config_document>();
+        config_ = std::make_shared<state::config_document>();
         auto const out_from = options_.warm_up_s + options_.before_s;
         auto const out_to = out_from + options_.out_s;
         for (auto n = 0U; n < (out_to + options_.after_s) * steps_per_s; ++n)
@@ -141,7 +138,8 @@
             clock_.advance(step);
             if (n == publish_step)
             {
-                publish_services();
+                config_ = std::make_shared<state::config_document>(
+                    workload_.make_document());
             }
             if (n == options_.warm_up_s * steps_per_s)
             {
@@ -164,8 +162,8 @@
     auto advance(std::uint32_t n) -> void
     {
         arrive(n / steps_per_s);
-        engine_->tick(now_(), view_);
-        commit_all(*engine_, now_());
+        cluster_.tick(config_, n % beat_steps == 0);
+        cluster_.settle();
         for (auto i = std::size_t{0}; i < workers_.size(); ++i)
         {
             if ((n + i) % beat_steps == 0)
@@ -173,7 +171,7 @@
                 beat(i);
             }
         }
-        commit_all(*engine_, now_());
+        cluster_.settle();
         follow_services();
         if (phase_ && n % beat_steps == 0)
         {
@@ -207,107 +205,14 @@
         }
     }
 
-    // Each runner is a service of its own, because their sizes differ.
-    auto publish_services() -> void
+    auto submit(state::job_spec const& spec) -> void
     {
-        auto document = std::make_shared<state::config_document>();
-        document->number = core::generation{1};
-        auto const cpu = fleet_.capacity.cpu_milli * fleet_.workers;
-        auto const memory = fleet_.capacity.memory_mb * fleet_.workers;
-        auto const add_team = [&](std::string const& name, double share)
-        {
-            auto team = state::team_config{};
-            team.team = core::team_id{name};
-            team.quota.cpu_milli =
-                static_cast<std::int64_t>(share * static_cast<double>(cpu));
-            team.quota.memory_mb =
-                static_cast<std::int64_t>(share * static_cast<double>(memory));
-            document->teams[team.team] = team;
-        };
-        add_team("desk", desk_quota);
-        for (auto n = 0U; n < teams; ++n)
-        {
-            add_team(fmt::format("team-{}", n), team_quota);
-        }
-        auto need = std::int64_t{0};
-        for (auto n = 0U; n < fleet_.services; ++n)
-        {
-            auto service = make_service(n);
-            need += service.need.cpu_milli;
-            document->services[service.service] = std::move(service);
-        }
-        view_.config = std::move(document);
-        batch_rate_ = options_.load * static_cast<double>(cpu - need) /
-                      (mean_need_milli * fleet_.scale * mean_run_s);
-    }
-
-    auto make_service(std::uint32_t number) -> state::service_config
-    {
-        auto it = truth{};
-        it.task_class = number % service_classes;
-        it.cpu_milli = static_cast<std::int64_t>(
-            uniform(random_, 1000, 4000) * fleet_.scale);
-        auto service = state::service_config{};
-        service.service = core::service_id{fmt::format("{}", number)};
-        service.team = core::team_id{"desk"};
-        service.need = draw_need(it, random_, fleet_.scale);
-        service.task_class = class_names[it.task_class];
-        service.command = fmt::format("serve cpu {}", it.cpu_milli);
-        world_.truths[state::runner_ids(service).front()] = it;
-        return service;
-    }
-
-    auto make_batch() -> state::job_spec
-    {
-        auto it = truth{};
-        it.task_class =
-            service_classes + random_() % (class_count - service_classes);
-        it.cpu_milli = static_cast<std::int64_t>(
-            log_uniform(random_, 700, 4500) * fleet_.scale);
-        it.work_s = log_uniform(random_, 20, 180);
-        auto spec = state::job_spec{};
-        spec.id = core::job_id{fmt::format("batch/{}", jobs_++)};
-        // Demand differs by up to 4 times from team to team.
-        auto const team = std::discrete_distribution<int>{
-            1, 2, 3, 4, 1, 2, 3, 4, 1, 2, 3, 4, 1, 2, 3, 4}(random_);
-        spec.team = core::team_id{fmt::format("team-{}", team)};
-        spec.need = draw_need(it, random_, fleet_.scale);
-        spec.interruptible = uniform(random_, 0, 1) < 0.9;
-        spec.expected_run_ms = static_cast<std::int64_t>(
-            it.work_s * milli * log_uniform(random_, 0.25, 4));
-        add(spec, it);
-        return spec;
-    }
-
-    auto make_urgent() -> state::job_spec
-    {
-        auto it = truth{};
-        it.task_class = service_classes;
-        it.cpu_milli = static_cast<std::int64_t>(1500 * fleet_.scale);
-        it.work_s = 5;
-        auto spec = state::job_spec{};
-        spec.id = core::job_id{fmt::format("urgent/{}", jobs_++)};
-        spec.team = core::team_id{"desk"};
-        spec.priority = state::priority_class::urgent;
-        spec.interruptible = false;
-        spec.need.cpu_milli = static_cast<std::int64_t>(2000 * fleet_.scale);
-        spec.need.memory_mb = static_cast<std::int64_t>(1000 * fleet_.scale);
-        add(spec, it);
-        return spec;
-    }
-
-    auto add(state::job_spec& spec, truth const& it) -> void
-    {
-        spec.task_class = class_names[it.task_class];
-        spec.command = fmt::format(
-            "work {} cpu {}", static_cast<std::int64_t>(it.work_s * milli),
-            it.cpu_milli);
-        world_.truths[spec.id] = it;
         auto entry = batch_entry{};
         entry.spec = spec;
         entry.submitted = now_();
         entry.submitted_in = phase_.value_or(phase_count);
         batches_[spec.id] = entry;
+        cluster_.submit(spec);
     }
 
     auto arrive(std::uint32_t second) -> void
@@ -320,13 +225,13 @@
         {
             return std::poisson_distribution<int>{rate / steps_per_s}(random_);
         };
-        for (auto count = draw(batch_rate_); count > 0; --count)
+        for (auto count = draw(workload_.batch_rate()); count > 0; --count)
         {
-            engine_->submit(make_batch(), [](bool) {});
+            submit(workload_.make_batch());
         }
         for (auto count = draw(options_.urgent_rate); count > 0; --count)
         {
-            engine_->submit(make_urgent(), [](bool) {});
+            submit(workload_.make_urgent());
         }
     }
 
@@ -361,10 +266,10 @@
     template <class Edit>
     auto publish(Edit edit) -> void
     {
-        auto document = std::make_shared<state::config_document>(*view_.config);
+        auto document = std::make_shared<state::config_document>(*config_);
         document->number = document->number.next();
         edit(*document);
-        view_.config = std::move(document);
+        config_ = std::move(document);
     }
 
     [[nodiscard]] auto is_service(core::job_id const& id) const -> bool
@@ -409,7 +314,7 @@
             }
         }
         add_noise(report, noise_random_);
-        auto const reply = engine_->heartbeat(report, now_());
+        auto const reply = cluster_.heartbeat(report);
         world_.follow(reply);
         worker.take_reply(report.sequence, reply, now_());
     }
@@ -580,12 +485,7 @@
 
     auto measure_queue(samples& to) -> void
     {
-        auto queued = 0;
-        for (auto const& [id, it] : engine_->state().data().jobs)
-        {
-            queued += it.phase == state::job_phase::queued ? 1 : 0;
-        }
-        to.queue.push_back(queued);
+        to.queue.push_back(static_cast<double>(cluster_.queued()));
     }
 
     auto measure_returned() -> void
@@ -692,12 +592,11 @@
         {
             return cpu_of(id, value);
         }};
+    workload workload_{options_, random_, world_};
+    engine_cluster cluster_;
     std::vector<state::worker_info> infos_;
     std::vector<std::unique_ptr<standins::standin_worker>> workers_;
-    std::unique_ptr<state::shard_engine> engine_;
-    state::cluster_view view_;
-    double batch_rate_ = 0; ///< Jobs per second.
-    std::uint32_t jobs_ = 0;
+    state::config_pointer config_;
     std::map<core::job_id, batch_entry> batches_;     ///< With urgent jobs.
     std::map<core::job_id, core::worker_id> running_; ///< Services.
     std::map<core::worker_id, std::set<core::job_id>> tasks_on_;
--- a/experiments/absence/simulation_base.hpp
+++ b/experiments/absence/simulation_base.hpp
@@ -35,6 +35,7 @@
 {
     fleet instances;
     std::uint64_t seed = 1;
+    std::uint32_t shards = 1;
     double load = 0.9;         ///< Share of the room that batch jobs ask for.
     double urgent_rate = 0.25; ///< Urgent jobs per second.
     core::duration checkpoint_delay = std::chrono::milliseconds{1000};
