--- a/coordination/shard_host_base.hpp
+++ b/coordination/shard_host_base.hpp
@@ -176,6 +176,9 @@
         entry_pointer const& entry, append_result result,
         core::time_point sent_at) -> void;
     auto refresh_table(shard_entry& entry) -> void;
+    auto take_heartbeat(
+        shard_entry& entry, state::partial_report const& report,
+        heartbeat_answer on_reply) -> std::vector<std::function<void()>>;
     auto reply_to(
         shard_entry& entry, state::partial_report const& report,
         core::time_point now) -> state::heartbeat_reply;
--- a/coordination/shard_host_heartbeats.cpp
+++ b/coordination/shard_host_heartbeats.cpp
@@ -2,6 +2,7 @@
 #include "coordination/shard_host_internal.hpp"
 
 #include <algorithm>
+#include <mutex>
 #include <utility>
 
 namespace godwitcleat::coordination
@@ -12,44 +13,48 @@
 {
     auto const shard =
         state::shard_of(report.rack, settings_.engine.shard_count);
-    auto const entry = find(shard);
-    auto answers = std::vector<std::function<void()>>{};
-    auto is_served = false;
-    if (entry)
+    if (auto const entry = find(shard))
     {
-        auto const lock = std::scoped_lock{entry->mutex};
+        auto lock = std::unique_lock{entry->mutex};
         if (entry->engine)
         {
-            is_served = true;
-            auto const now = hooks_.now();
-            if (auto former = entry->held.take_before(
-                    report.worker, report.boot, report.sequence))
-            {
-                answers.push_back(end_hold(*entry, std::move(*former), now));
-            }
-            auto reply = reply_to(*entry, report, now);
-            auto const hold = hold_of(report, reply);
-            if (hold > core::duration{0})
-            {
-                entry->held.add(
-                    {report.worker, report.boot, report.sequence, now + hold,
-                     std::move(on_reply)});
-            }
-            else
-            {
-                answers.emplace_back(
-                    [reply = std::move(reply), answer = std::move(on_reply)]
-                    { answer(reply); });
-            }
+            auto const calls =
+                take_heartbeat(*entry, report, std::move(on_reply));
+            lock.unlock();
+            run_all(calls);
+            return;
         }
     }
-    if (!is_served)
+    fail_not_owner(shard);
+    on_reply(std::nullopt);
+}
+
+// Returns the calls that answer this heartbeat, unless its reply is held, and
+// the earlier one whose reply was held.
+auto shard_host::take_heartbeat(
+    shard_entry& entry, state::partial_report const& report,
+    heartbeat_answer on_reply) -> std::vector<std::function<void()>>
+{
+    auto result = std::vector<std::function<void()>>{};
+    auto const now = hooks_.now();
+    auto former =
+        entry.held.take_before(report.worker, report.boot, report.sequence);
+    if (former)
+    {
+        result.push_back(end_hold(entry, std::move(*former), now));
+    }
+    auto reply = reply_to(entry, report, now);
+    auto const hold = hold_of(report, reply);
+    if (hold > core::duration{0})
     {
-        fail_not_owner(shard);
-        on_reply(std::nullopt);
-        return;
+        entry.held.add(
+            {report.worker, report.boot, report.sequence, now + hold,
+             std::move(on_reply)});
+        return result;
     }
-    run_all(answers);
+    result.emplace_back([reply = std::move(reply), answer = std::move(on_reply)]
+                        { answer(reply); });
+    return result;
 }
 
 auto shard_host::reply_to(
