--- a/tests/standin_worker_test.cpp
+++ b/tests/standin_worker_test.cpp
@@ -253,6 +253,19 @@
     EXPECT_EQ(events.size(), 1U);
 }
 
+// Guards against a start that the owner counts as failed already, because a
+// later heartbeat has shown that the task does not run.
+TEST_F(standin_worker, takes_starts_from_the_latest_reply_only)
+{
+    auto const reply = reply_of({start_of(key_of("a"), "work 1000")});
+    auto const earlier = worker.make_report(now).sequence;
+    auto const later = worker.make_report(now).sequence;
+    EXPECT_TRUE(worker.take_reply(earlier, reply, now));
+    EXPECT_TRUE(times(worker_event_kind::started).empty());
+    EXPECT_TRUE(worker.take_reply(later, reply, now));
+    EXPECT_EQ(times(worker_event_kind::started).size(), 1U);
+}
+
 // Guards against a task that runs twice because its start is repeated, or
 // because an old reply arrives after the task was forgotten.
 TEST_F(standin_worker, starts_an_attempt_once)
