--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -36,6 +36,11 @@
     result.heartbeat_hold = std::min(
         {result.heartbeat_hold, settings.start_validity / 2,
          settings.lease / 4});
+    // Holds end at ticks; a shorter hold would last longer than it may.
+    if (result.heartbeat_hold < settings.tick)
+    {
+        result.heartbeat_hold = core::duration{0};
+    }
     result.batch_interval =
         core::duration{std::chrono::seconds{settings.shards}} /
         most_writes_per_second;
