--- a/scripts/plot.py
+++ b/scripts/plot.py
@@ -8,6 +8,7 @@
 Lines are medians over the seeds; bands reach from the least to the greatest.
 """
 import csv
+import itertools
 import pathlib
 import statistics
 import sys
@@ -46,7 +47,9 @@
 
 def draw_lines(axes, groups, names):
     """Draws one line for each name over the load."""
-    for name in names:
+    # Lines often lie on one another; dashes leave the lower one visible.
+    styles = itertools.cycle(["-", "--", "-.", ":"])
+    for at, (name, style) in enumerate(zip(names, styles)):
         points = sorted(
             (float(load), values)
             for (line, load), values in groups.items()
@@ -58,6 +61,8 @@
         axes.plot(
             loads,
             [statistics.median(v) for _, v in points],
+            style,
+            color=f"C{at}",
             marker="o",
             markersize=3,
             label=name,
@@ -66,14 +71,16 @@
             loads,
             [v[0] for _, v in points],
             [v[-1] for _, v in points],
+            color=f"C{at}",
             alpha=0.15,
+            linewidth=0,
         )
     axes.set_xlabel("load, % of all slots")
     axes.grid(alpha=0.3)
 
 
 def plot_overload(rows, out):
-    names = ["none", "estimate", "bounded", "fixed", "gradient", "hold_newest"]
+    names = ["none", "estimate", "hold_deadline", "gradient", "bounded"]
     titles = {
         "200:100": "all deadlines 200 ms",
         "2000:50 500:30 200:20": "deadlines 2 s, 500 ms and 200 ms",
@@ -93,7 +100,7 @@
         axes.set_title(title)
     panels[0].set_ylabel("good answers per second")
     panels[0].set_ylim(bottom=0)
-    panels[1].legend(fontsize=8)
+    panels[1].legend(*panels[0].get_legend_handles_labels(), fontsize=8)
     save(figure, out / "overload_goodput.svg")
 
 
