--- a/coordination/admission_base.hpp
+++ b/coordination/admission_base.hpp
@@ -27,7 +27,8 @@
     /// mean service time counts only the answers that came in time.
     double queue_per_slot = 0.5;
     /// Requests that may wait in any case. The queue of a service with few
-    /// slots varies more: with 8 slots, 4 waiting are usual at 80% load.
+    /// slots varies more: at 80% load of 8 slots, at least 4 requests wait in
+    /// 19% of the time (Erlang C), which 0.5 per slot would refuse.
     double least_queue = 16.0;
     /// Mean service times that must be left after the wait.
     double margin = 1.5;
