--- a/protocol/members_internal.hpp
+++ b/protocol/members_internal.hpp
@@ -335,6 +335,7 @@
 {
     visit("worker", value.worker);
     visit("reason", value.reason);
+    visit("makes_room", value.makes_room);
 }
 
 auto visit_members(is<state::claim_request> auto& value, auto&& visit) -> void
--- a/state/engine_batch.cpp
+++ b/state/engine_batch.cpp
@@ -236,6 +236,7 @@
         auto& entry = home_[it->job];
         entry.offer.reset();
         entry.waits.clear();
+        entry.evicting_host.reset();
         entry.running = false;
         entry.heard_at = now_;
         holds_.erase(it->job);
--- a/state/engine_internal.hpp
+++ b/state/engine_internal.hpp
@@ -121,7 +121,7 @@
     std::optional<core::time_point> final_since;
     std::string waits;       ///< Why it is not placed.
     bool impossible = false; ///< Its needs exceed every known worker.
-    /// Shard that was asked to evict for this service runner.
+    /// Shard that evicts for this job.
     std::optional<core::shard_id> evicting_host;
     core::time_point evicting_until; ///< No other shard is asked before.
 };
@@ -274,6 +274,7 @@
     auto place_job(job const& known) -> bool;
     auto place_here(job const& known, std::set<core::worker_id> const& avoided)
         -> bool;
+    auto is_room_made(home_entry const& entry) const -> bool;
     auto offer_elsewhere(job const& known, bool without_room) -> bool;
     auto choose_worker(
         job_spec const& spec, std::set<core::worker_id> const& avoided,
--- a/state/engine_offers.cpp
+++ b/state/engine_offers.cpp
@@ -31,7 +31,7 @@
 
 auto refusal(std::string reason) -> offer_reply
 {
-    return {std::nullopt, std::move(reason)};
+    return {std::nullopt, std::move(reason), false};
 }
 
 } // namespace
@@ -63,7 +63,7 @@
     auto const known = reservations_.find(request.key);
     if (known != reservations_.end())
     {
-        return {known->second.task.worker, {}};
+        return {known->second.task.worker, {}, false};
     }
     auto const declined = state_.data().declined.find(request.key.job);
     if (state_.find_task(request.key) != nullptr || is_busy(request.key) ||
@@ -83,7 +83,9 @@
     {
         if (may_evict(request.spec) && evict_for(request.spec))
         {
-            return refusal("room is being made by evictions");
+            auto result = refusal("room is being made by evictions");
+            result.makes_room = true;
+            return result;
         }
         return refusal("no worker has room");
     }
@@ -99,7 +101,7 @@
     outbox_.emplace_back(
         claim_request{request.home, state_.shard(), request.key, *worker});
     reserve(std::move(value));
-    return {worker, {}};
+    return {worker, {}, false};
 }
 
 auto shard_engine::implementation::on_claim(
@@ -321,7 +323,16 @@
         return;
     }
     entry.offer.reset();
-    entry.not_before[request.host] = now_ + settings_.message_retry;
+    auto const makes_room = it && it->makes_room;
+    entry.not_before[request.host] =
+        now_ + (makes_room ? settings_.room_retry : settings_.message_retry);
+    if (makes_room && !is_room_made(entry))
+    {
+        auto const is_urgent = request.spec.priority == priority_class::urgent;
+        entry.evicting_host = request.host;
+        entry.evicting_until = now_ + (is_urgent ? settings_.urgent_room_wait
+                                                 : settings_.eviction_hold);
+    }
     entry.waits = it ? it->reason : "the offer was not answered";
 }
 
--- a/state/engine_schedule.cpp
+++ b/state/engine_schedule.cpp
@@ -212,7 +212,7 @@
     entry.waits = "no worker has room";
     if (evicts)
     {
-        if (evict_for(known.spec))
+        if (!is_room_made(entry) && evict_for(known.spec))
         {
             entry.waits = "room is being made by evictions";
             return false;
@@ -277,6 +277,14 @@
     }
 }
 
+// Returns true if another shard evicts for the job. Room that several shards
+// make for one job would evict work for nothing.
+auto shard_engine::implementation::is_room_made(home_entry const& entry) const
+    -> bool
+{
+    return entry.evicting_host && now_ < entry.evicting_until;
+}
+
 // Offers the job to one other shard; @p without_room also tries shards that
 // would have to evict for it.
 auto shard_engine::implementation::offer_elsewhere(
@@ -286,11 +294,7 @@
     auto const& need = known.spec.need;
     std::erase_if(
         entry.not_before, [this](auto const& it) { return now_ >= it.second; });
-    // Room that several shards make for one runner would evict work for
-    // nothing. An urgent job cannot wait for one shard's answer.
-    auto const is_bound = without_room && entry.evicting_host &&
-                          now_ < entry.evicting_until &&
-                          known.spec.priority != priority_class::urgent;
+    auto const is_bound = is_room_made(entry);
     auto const id_hash = core::stable_hash(known.spec.id.value);
     auto* best = static_cast<shard_summary*>(nullptr);
     auto best_rank = std::uint64_t{0};
@@ -317,11 +321,6 @@
         return false;
     }
     subtract_from(*best, need);
-    if (without_room)
-    {
-        entry.evicting_host = best->shard;
-        entry.evicting_until = now_ + settings_.eviction_hold;
-    }
     auto const attempt = known.last_attempt.next();
     entry.offer =
         open_offer{attempt, best->shard, now_ + settings_.reservation};
--- a/state/shard_message_type.hpp
+++ b/state/shard_message_type.hpp
@@ -26,7 +26,8 @@
 struct offer_reply
 {
     std::optional<core::worker_id> worker;
-    std::string reason; ///< Why it was refused.
+    std::string reason;      ///< Why it was refused.
+    bool makes_room = false; ///< Evictions make room for the job.
 };
 
 /** Host to home: asks for the right to start the attempt. */
