--- a/experiments/absence/simulation_base.cpp
+++ b/experiments/absence/simulation_base.cpp
@@ -4,6 +4,7 @@
 
 #include "cluster_base.hpp"
 #include "experiments/support/interference_base.hpp"
+#include "sample_func.hpp"
 #include "standins/support/worker_base.hpp"
 #include "workload_base.hpp"
 
@@ -40,28 +41,6 @@
 constexpr std::uint32_t regain_window_s = 10;
 constexpr double regain_share = 0.9;
 
-auto quantile(std::vector<double>& values, double share) -> double
-{
-    if (values.empty())
-    {
-        return 0;
-    }
-    std::sort(values.begin(), values.end());
-    auto const n =
-        static_cast<std::size_t>(share * static_cast<double>(values.size()));
-    return values[std::min(n, values.size() - 1)];
-}
-
-auto mean(std::vector<double> const& values) -> double
-{
-    auto sum = 0.0;
-    for (auto const it : values)
-    {
-        sum += it;
-    }
-    return values.empty() ? 0 : sum / static_cast<double>(values.size());
-}
-
 auto seconds(core::duration value) -> double
 {
     return std::chrono::duration<double>(value).count();
@@ -73,21 +52,6 @@
     return settings;
 }
 
-// Jain's index: 1 if all teams did the same work, 1/N if one did all.
-auto jain(std::map<core::team_id, double> const& work) -> double
-{
-    auto sum = 0.0;
-    auto squares = 0.0;
-    for (auto const& [team, value] : work)
-    {
-        sum += value;
-        squares += value * value;
-    }
-    return squares > 0
-               ? sum * sum / (squares * static_cast<double>(work.size()))
-               : 1.0;
-}
-
 /** What is collected during a phase. */
 struct samples
 {
@@ -614,21 +578,6 @@
 
 } // namespace
 
-auto parse_fleet(std::string_view text) -> std::optional<fleet>
-{
-    if (text == "small")
-    {
-        return fleet{4, 50, 6, {16000, 61440, 0}, 50, 1.0};
-    }
-    if (text == "large")
-    {
-        return fleet{3, 65, 11, {64000, 256000, 0}, 65, 4.0};
-    }
-    return core::fail(
-        core::error_kind::invalid_input,
-        fmt::format("\"{}\" is no fleet; use small or large", text));
-}
-
 auto run_absence(
     run_options const& options, state::engine_settings const& settings)
     -> run_result
--- a/experiments/absence/workload_base.cpp
+++ b/experiments/absence/workload_base.cpp
@@ -136,4 +136,19 @@
     world_.truths[spec.id] = it;
 }
 
+auto parse_fleet(std::string_view text) -> std::optional<fleet>
+{
+    if (text == "small")
+    {
+        return fleet{4, 50, 6, {16000, 61440, 0}, 50, 1.0};
+    }
+    if (text == "large")
+    {
+        return fleet{3, 65, 11, {64000, 256000, 0}, 65, 4.0};
+    }
+    return core::fail(
+        core::error_kind::invalid_input,
+        fmt::format("\"{}\" is no fleet; use small or large", text));
+}
+
 } // namespace godwitcleat::experiments
