--- a/experiments/absence/cluster_base.cpp
+++ b/experiments/absence/cluster_base.cpp
@@ -11,7 +11,8 @@
 
 engine_cluster::engine_cluster(
     std::uint32_t shards, state::engine_settings settings,
-    std::function<void(core::timeline_event const&)> on_event, core::clock now)
+    std::function<void(core::timeline_event const&)> const& on_event,
+    core::clock now)
     : now_(std::move(now))
 {
     settings.shard_count = shards;
--- a/experiments/absence/cluster_base.hpp
+++ b/experiments/absence/cluster_base.hpp
@@ -23,7 +23,7 @@
 public:
     engine_cluster(
         std::uint32_t shards, state::engine_settings settings,
-        std::function<void(core::timeline_event const&)> on_event,
+        std::function<void(core::timeline_event const&)> const& on_event,
         core::clock now);
 
     auto submit(state::job_spec spec) -> void;
--- a/state/engine_base.hpp
+++ b/state/engine_base.hpp
@@ -39,9 +39,9 @@
     core::duration eviction_hold =
         std::chrono::seconds{10}; ///< Room is kept for urgent work.
     /// An urgent job asks another shard to evict after so long.
-    core::duration urgent_room_wait = std::chrono::seconds{2};
+    core::duration urgent_room_wait = std::chrono::seconds{3};
     /// Offers to a shard that makes room are repeated after so long.
-    core::duration room_retry = std::chrono::milliseconds{200};
+    core::duration room_retry = std::chrono::milliseconds{100};
     core::duration retention = std::chrono::minutes{60};
     core::duration exclusion_first = std::chrono::seconds{30};
     core::duration exclusion_most = std::chrono::minutes{10};
