Share the main function of the experiments with the stand-ins

Cause: four experiments parsed options, printed the help and reported wrong options in the same 20 lines each. run_main does it for all now.

Ruled out: one table and CSV writer for all; their columns differ too much.

--- a/experiments/absence/main.cpp
+++ b/experiments/absence/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp Compares drain policies; see docs/EXPERIMENTS.md. */
 #include "simulation_base.hpp"
+#include "standins/support/main_func.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -165,7 +166,7 @@
     return result;
 }
 
-auto parse_options(int argc, char** argv) -> cxxopts::ParseResult
+auto make_options() -> cxxopts::Options
 {
     auto options = cxxopts::Options{
         "absence", "Takes a data centre out and brings it back, with the shard "
@@ -195,12 +196,7 @@
     add("csv", "append one line for each seed and policy to this file",
         cxxopts::value<std::string>());
     add("help", "print this text");
-    auto result = options.parse(argc, argv);
-    if (result.count("help") > 0)
-    {
-        fmt::print("{}", options.help());
-    }
-    return result;
+    return options;
 }
 
 // Returns the median, the least and the greatest value.
@@ -280,7 +276,7 @@
         experiments::parse_fleet(args["fleet"].as<std::string>());
     if (!fleet)
     {
-        fmt::print(stderr, "absence: {}\n", core::last_reason().message);
+        fmt::print(stderr, "{}\n", core::last_reason().message);
         return 2;
     }
     auto options = experiments::run_options{};
@@ -328,16 +324,8 @@
 
 } // namespace
 
-auto main(int argc, char** argv) -> int
+auto main(int count, char** arguments) -> int
 {
-    try
-    {
-        auto const args = parse_options(argc, argv);
-        return args.count("help") > 0 ? 0 : run(args);
-    }
-    catch (cxxopts::exceptions::exception const& error)
-    {
-        fmt::print(stderr, "absence: {}; see --help\n", error.what());
-        return 2;
-    }
+    return godwitcleat::standins::run_main(
+        count, arguments, make_options(), {}, run);
 }
--- a/experiments/overload/main.cpp
+++ b/experiments/overload/main.cpp
@@ -2,6 +2,7 @@
 #include "experiments/support/figures_func.hpp"
 #include "limiter_base.hpp"
 #include "simulation_base.hpp"
+#include "standins/support/main_func.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -26,7 +27,7 @@
     std::vector<experiments::run_result> services;
 };
 
-auto parse_options(int argc, char** argv) -> cxxopts::ParseResult
+auto make_options() -> cxxopts::Options
 {
     auto options = cxxopts::Options{
         "overload", "Drives admission, retry budget and router of several "
@@ -73,12 +74,7 @@
     add("csv", "append one line for each run to this file",
         cxxopts::value<std::string>());
     add("help", "print this text");
-    auto result = options.parse(argc, argv);
-    if (result.count("help") > 0)
-    {
-        fmt::print("{}", options.help());
-    }
-    return result;
+    return options;
 }
 
 auto to_deadlines(std::vector<double> const& pairs)
@@ -285,7 +281,7 @@
     auto rows = make_rows(args);
     if (!rows || rows->empty())
     {
-        fmt::print(stderr, "overload: {}\n", core::last_reason().message);
+        fmt::print(stderr, "{}\n", core::last_reason().message);
         return 2;
     }
     run_all(*rows, args["threads"].as<std::size_t>());
@@ -301,16 +297,8 @@
 
 } // namespace
 
-auto main(int argc, char** argv) -> int
+auto main(int count, char** arguments) -> int
 {
-    try
-    {
-        auto const args = parse_options(argc, argv);
-        return args.count("help") > 0 ? 0 : run(args);
-    }
-    catch (cxxopts::exceptions::exception const& error)
-    {
-        fmt::print(stderr, "overload: {}; see --help\n", error.what());
-        return 2;
-    }
+    return godwitcleat::standins::run_main(
+        count, arguments, make_options(), {}, run);
 }
--- a/experiments/placement/main.cpp
+++ b/experiments/placement/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp Compares placement policies; see docs/EXPERIMENTS.md. */
 #include "simulation_base.hpp"
+#include "standins/support/main_func.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -23,7 +24,7 @@
     experiments::run_result result;
 };
 
-auto parse_options(int argc, char** argv) -> cxxopts::ParseResult
+auto make_options() -> cxxopts::Options
 {
     auto options = cxxopts::Options{
         "placement", "Drives the shard engine against modelled workers whose "
@@ -44,12 +45,7 @@
     add("csv", "append one line for each seed to this file",
         cxxopts::value<std::string>());
     add("help", "print this text");
-    auto result = options.parse(argc, argv);
-    if (result.count("help") > 0)
-    {
-        fmt::print("{}", options.help());
-    }
-    return result;
+    return options;
 }
 
 template <class Read>
@@ -112,7 +108,7 @@
                   : std::nullopt;
     if (!relief)
     {
-        fmt::print(stderr, "placement: {}\n", core::last_reason().message);
+        fmt::print(stderr, "{}\n", core::last_reason().message);
         return 2;
     }
     auto options = experiments::run_options{};
@@ -139,16 +135,8 @@
 
 } // namespace
 
-auto main(int argc, char** argv) -> int
+auto main(int count, char** arguments) -> int
 {
-    try
-    {
-        auto const args = parse_options(argc, argv);
-        return args.count("help") > 0 ? 0 : run(args);
-    }
-    catch (cxxopts::exceptions::exception const& error)
-    {
-        fmt::print(stderr, "placement: {}; see --help\n", error.what());
-        return 2;
-    }
+    return godwitcleat::standins::run_main(
+        count, arguments, make_options(), {}, run);
 }
--- a/experiments/routing/main.cpp
+++ b/experiments/routing/main.cpp
@@ -1,6 +1,7 @@
 /** @file main.cpp Compares routing policies; see docs/EXPERIMENTS.md. */
 #include "experiments/support/figures_func.hpp"
 #include "simulation_base.hpp"
+#include "standins/support/main_func.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -25,7 +26,7 @@
     experiments::run_result bound;
 };
 
-auto parse_options(int argc, char** argv) -> cxxopts::ParseResult
+auto make_options() -> cxxopts::Options
 {
     auto options = cxxopts::Options{
         "routing", "Drives the router of several entry instances against "
@@ -64,12 +65,7 @@
     add("csv", "append one line for each seed to this file",
         cxxopts::value<std::string>());
     add("help", "print this text");
-    auto result = options.parse(argc, argv);
-    if (result.count("help") > 0)
-    {
-        fmt::print("{}", options.help());
-    }
-    return result;
+    return options;
 }
 
 auto to_run_options(cxxopts::ParseResult const& args)
@@ -181,7 +177,7 @@
     auto options = to_run_options(args);
     if (!options)
     {
-        fmt::print(stderr, "routing: {}\n", core::last_reason().message);
+        fmt::print(stderr, "{}\n", core::last_reason().message);
         return 2;
     }
     auto rows = std::vector<row>{};
@@ -204,16 +200,8 @@
 
 } // namespace
 
-auto main(int argc, char** argv) -> int
+auto main(int count, char** arguments) -> int
 {
-    try
-    {
-        auto const args = parse_options(argc, argv);
-        return args.count("help") > 0 ? 0 : run(args);
-    }
-    catch (cxxopts::exceptions::exception const& error)
-    {
-        fmt::print(stderr, "routing: {}; see --help\n", error.what());
-        return 2;
-    }
+    return godwitcleat::standins::run_main(
+        count, arguments, make_options(), {}, run);
 }
