Warn when a drained data centre or worker is unknown

Cause: a mistyped name was accepted in silence, and the operator would have taken the data centre for drained.

Ruled out: refusing it. The list of workers lacks shards without an owner, and a drain must not wait for them; a name without a worker may also be drained before its workers arrive.

A warning for new drains only was tried first: a repeated drain whose first answer was lost would have missed it.

--- a/programs/godwitcleatctl/drain_command_func.cpp
+++ b/programs/godwitcleatctl/drain_command_func.cpp
@@ -1,11 +1,14 @@
 /** @file drain_command_func.cpp The commands drain and undrain. */
 #include "config_command_func.hpp"
 #include "output_func.hpp"
+#include "protocol/protocol.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <optional>
 #include <thread>
 
 namespace godwitcleat::ctl
@@ -87,6 +90,34 @@
     return exit_status::done;
 }
 
+// The document may name what has no worker now, because the list of workers
+// lacks shards without an owner. So a wrong name is a warning, after the drain.
+auto warn_if_unknown(command_context& context, drain_target const& target)
+    -> void
+{
+    auto const answer = context.client.get("/v1/workers");
+    auto const workers = answer.status == exit_status::done
+                             ? protocol::workers_from_json(answer.body)
+                             : std::nullopt;
+    auto const is_known =
+        !workers ||
+        std::any_of(
+            workers->begin(), workers->end(),
+            [&target](auto const& it)
+            {
+                return target.name == (target.kind == "worker"
+                                           ? it.info.worker.value
+                                           : it.info.data_centre.value);
+            });
+    if (!is_known)
+    {
+        print_error(fmt::format(
+            "warning: no worker of {} {} is known; compare the name with "
+            "godwitcleatctl workers",
+            target.kind, target.name));
+    }
+}
+
 auto report_same_change(drain_target const& target, core::generation generation)
     -> exit_status
 {
@@ -146,8 +177,16 @@
         return exit_status::usage;
     }
     auto const author = author_of(context);
-    return author ? publish_target(context, target, *author)
-                  : report_input_error();
+    if (!author)
+    {
+        return report_input_error();
+    }
+    auto const status = publish_target(context, target, *author);
+    if (drain && status == exit_status::done)
+    {
+        warn_if_unknown(context, target);
+    }
+    return status;
 }
 
 } // namespace
--- a/tests/processes_test.sh
+++ b/tests/processes_test.sh
@@ -5,8 +5,8 @@
 # that run twice or get lost, overcommitted workers, POST requests that run
 # twice, false not-run refusals, mixed-up answers, planned stops that interrupt
 # requests, starts in a drained data centre, starts of finished jobs, and
-# changes that racing operators lose. Waits poll a condition; only the faults have fixed
-# lengths.
+# changes that racing operators lose. Waits poll a condition; only the faults
+# have fixed lengths.
 set -eu
 build=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.."
@@ -34,7 +34,7 @@
 within() {
     local limit=$1 end=$((SECONDS + $1))
     shift
-    until "$@" >/dev/null 2>&1; do
+    until "$@" >"$RUN_DIR/within.log" 2>&1; do
         [ "$SECONDS" -lt "$end" ] || fail "not true within $limit s: $*"
         sleep 0.2
     done
@@ -133,6 +133,11 @@
 store_fault '{"lose_replies": 8}'
 for i in 1 2 3 4 5 6; do submit "haul-$i" 8000 3000; done
 
+step "A drain of an unknown worker is accepted with a warning"
+within 60 "$ctl" drain worker no-such --author test
+grep -q "no worker of worker no-such" "$RUN_DIR/within.log" || fail "no warning"
+within 60 "$ctl" undrain worker no-such --author test
+
 step "Drain data centre dc-1 and bring it back"
 within 60 has_started haul-6
 mark_finished
