Forget the lists of workers that are silent for 10 min

Cause: report_reader kept the last lists of every worker until the shard changed its owner; replaced workers come back under new names, so they added up.

Ruled out: dropping a list when its lease lapses. The reader knows no leases, and a worker that returns would need a complete report more often.

Checked: forgets_silent_workers fails without the rule (5 lists in place of 1, by its construction) and passes with it; report_test 10 of 10.

--- a/state/report_base.cpp
+++ b/state/report_base.cpp
@@ -26,6 +26,10 @@
 
 constexpr double milli = 1000.0;
 
+// Replaced workers have new names; their lists would stay for ever. Longer than
+// any lease, so that a worker that returns has no task left to build on.
+constexpr auto longest_silence = std::chrono::minutes{10};
+
 auto is_active(task_report const& report) -> bool
 {
     return report.phase == task_phase::running ||
@@ -223,7 +227,9 @@
                 "held; send a complete one",
                 report.sequence, report.worker.value, report.base));
     }
+    forget_silent(now);
     auto& held = workers_[report.worker];
+    held.heard_at = now;
     auto result = worker_report{};
     result.info = {report.worker, report.rack, {}, {}};
     auto const place = report.place.value_or(
@@ -345,6 +351,18 @@
     held.lists[report.sequence] = std::move(tasks);
 }
 
+auto report_reader::forget_silent(core::time_point now) -> void
+{
+    if (now < next_check_)
+    {
+        return;
+    }
+    next_check_ = now + longest_silence;
+    std::erase_if(
+        workers_, [now](auto const& it)
+        { return now - it.second.heard_at > longest_silence; });
+}
+
 auto report_reader::held_lists() const -> std::size_t
 {
     auto result = std::size_t{0};
--- a/state/report_base.hpp
+++ b/state/report_base.hpp
@@ -83,7 +83,8 @@
     /**
      * Returns the complete heartbeat that @p report, received at @p now, stands
      * for; std::nullopt with conflict if its base is not held. The report is
-     * then no inventory, and the worker must send a complete one.
+     * then no inventory, and the worker must send a complete one. Lists of
+     * workers that were silent for 10 min are dropped.
      */
     auto read(partial_report const& report, core::time_point now)
         -> std::optional<worker_report>;
@@ -105,6 +106,7 @@
         std::uint64_t boot = 0;
         worker_info info;
         std::map<std::uint64_t, task_map> lists; ///< By heartbeat.
+        core::time_point heard_at;
     };
 
     [[nodiscard]] auto base_of(partial_report const& report) const
@@ -118,8 +120,10 @@
     static auto
     keep(partial_report const& report, task_map tasks, held_worker& held)
         -> void;
+    auto forget_silent(core::time_point now) -> void;
 
     std::map<core::worker_id, held_worker> workers_;
+    core::time_point next_check_; ///< For silent workers.
 };
 
 /** Returns @p report as a partial one that names all tasks. */
--- a/tests/report_test.cpp
+++ b/tests/report_test.cpp
@@ -99,6 +99,21 @@
 
 } // namespace
 
+// Guards against lists of replaced workers that are held for ever.
+TEST(report_reader, forgets_silent_workers)
+{
+    auto reader = report_reader{};
+    auto now = core::time_point{1s};
+    for (auto n = 0; n < 5; ++n)
+    {
+        auto worker = fake_worker{1};
+        worker.report.info.worker = core::worker_id{fmt::format("w-{}", n)};
+        EXPECT_TRUE(reader.read(worker.send(now), now));
+        now += 21min;
+    }
+    EXPECT_EQ(reader.held_lists(), 1U);
+}
+
 // Guards against heartbeats that grow with the number of tasks.
 TEST_F(partial_reports, name_changed_tasks_only)
 {
