--- a/experiments/absence/main.cpp
+++ b/experiments/absence/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Compares drain policies; see docs/EXPERIMENTS.md. */
+#include "experiments/support/figures_func.hpp"
 #include "simulation_base.hpp"
 #include "standins/support/main_func.hpp"
 
@@ -9,8 +10,8 @@
 #include <cstdio>
 #include <fstream>
 #include <functional>
-#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -207,11 +208,9 @@
     {
         values.push_back(which.read(it.result));
     }
-    std::sort(values.begin(), values.end());
-    auto const n = values.size();
-    auto const median = (values[(n - 1) / 2] + values[n / 2]) / 2;
+    auto const it = experiments::spread_of(std::move(values));
     return fmt::format(
-        "{:.2f} ({:.2f}-{:.2f})", median, values.front(), values.back());
+        "{:.2f} ({:.2f}-{:.2f})", it.median, it.least, it.greatest);
 }
 
 // Prints one line for each figure and one column for each policy.
--- a/experiments/absence/workload_base.cpp
+++ b/experiments/absence/workload_base.cpp
@@ -1,6 +1,8 @@
 /** @file workload_base.cpp Services, batch jobs and urgent jobs of one seed. */
 #include "workload_base.hpp"
 
+#include "experiments/support/choice_func.hpp"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -138,17 +140,10 @@
 
 auto parse_fleet(std::string_view text) -> std::optional<fleet>
 {
-    if (text == "small")
-    {
-        return fleet{4, 50, 6, {16000, 61440, 0}, 50, 1.0};
-    }
-    if (text == "large")
-    {
-        return fleet{3, 65, 11, {64000, 256000, 0}, 65, 4.0};
-    }
-    return core::fail(
-        core::error_kind::invalid_input,
-        fmt::format("\"{}\" is no fleet; use small or large", text));
+    return parse_choice<fleet>(
+        "fleet", text,
+        {{"small", {4, 50, 6, {16000, 61440, 0}, 50, 1.0}},
+         {"large", {3, 65, 11, {64000, 256000, 0}, 65, 4.0}}});
 }
 
 } // namespace godwitcleat::experiments
--- a/experiments/overload/workload_func.cpp
+++ b/experiments/overload/workload_func.cpp
@@ -1,12 +1,12 @@
 /** @file workload_func.cpp Requests of callers in a run. */
 #include "workload_func.hpp"
 
+#include "experiments/support/choice_func.hpp"
 #include "experiments/support/figures_func.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <random>
 #include <utility>
 
@@ -118,25 +118,12 @@
 
 auto parse_scenario(std::string_view text) -> std::optional<scenario>
 {
-    constexpr std::array<std::pair<std::string_view, scenario>, 4> known{{
-        {"steady", scenario::steady},
-        {"step", scenario::step},
-        {"two_services", scenario::two_services},
-        {"half_lost", scenario::half_lost},
-    }};
-    for (auto const& [name, value] : known)
-    {
-        if (name == text)
-        {
-            return value;
-        }
-    }
-    return core::fail(
-        core::error_kind::invalid_input,
-        fmt::format(
-            "unknown scenario \"{}\"; use steady, step, two_services or "
-            "half_lost",
-            text));
+    return parse_choice<scenario>(
+        "scenario", text,
+        {{"steady", scenario::steady},
+         {"step", scenario::step},
+         {"two_services", scenario::two_services},
+         {"half_lost", scenario::half_lost}});
 }
 
 } // namespace godwitcleat::experiments
--- a/experiments/placement/main.cpp
+++ b/experiments/placement/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Compares placement policies; see docs/EXPERIMENTS.md. */
+#include "experiments/support/figures_func.hpp"
 #include "simulation_base.hpp"
 #include "standins/support/main_func.hpp"
 
@@ -9,6 +10,7 @@
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -57,12 +59,9 @@
     {
         values.push_back(static_cast<double>(read(it.result)));
     }
-    std::sort(values.begin(), values.end());
-    auto const n = values.size();
-    auto const median = (values[(n - 1) / 2] + values[n / 2]) / 2;
+    auto const it = experiments::spread_of(std::move(values));
     fmt::print(
-        "{} {:.3f} ({:.3f}-{:.3f})\n", name, median, values.front(),
-        values.back());
+        "{} {:.3f} ({:.3f}-{:.3f})\n", name, it.median, it.least, it.greatest);
 }
 
 auto print_summary(std::vector<row> const& rows) -> void
--- a/experiments/placement/simulation_base.cpp
+++ b/experiments/placement/simulation_base.cpp
@@ -2,6 +2,7 @@
  */
 #include "simulation_base.hpp"
 
+#include "experiments/support/choice_func.hpp"
 #include "experiments/support/interference_base.hpp"
 #include "standins/support/worker_base.hpp"
 
@@ -318,40 +319,22 @@
 
 auto parse_placement(std::string_view text) -> std::optional<placement_kind>
 {
-    static auto const all = std::map<std::string_view, placement_kind>{
-        {"first_fit", placement_kind::first_fit},
-        {"best_fit", placement_kind::best_fit},
-        {"spread", placement_kind::spread},
-        {"unlearned", placement_kind::unlearned},
-        {"learned", placement_kind::learned}};
-    auto const it = all.find(text);
-    if (it == all.end())
-    {
-        return core::fail(
-            core::error_kind::invalid_input,
-            fmt::format(
-                "\"{}\" is no policy; use first_fit, best_fit, spread, "
-                "unlearned or learned",
-                text));
-    }
-    return it->second;
+    return parse_choice<placement_kind>(
+        "policy", text,
+        {{"first_fit", placement_kind::first_fit},
+         {"best_fit", placement_kind::best_fit},
+         {"spread", placement_kind::spread},
+         {"unlearned", placement_kind::unlearned},
+         {"learned", placement_kind::learned}});
 }
 
 auto parse_relief(std::string_view text) -> std::optional<relief_kind>
 {
-    static auto const all = std::map<std::string_view, relief_kind>{
-        {"none", relief_kind::none},
-        {"largest", relief_kind::largest},
-        {"worst", relief_kind::worst}};
-    auto const it = all.find(text);
-    if (it == all.end())
-    {
-        return core::fail(
-            core::error_kind::invalid_input,
-            fmt::format(
-                "\"{}\" is no relief; use none, largest or worst", text));
-    }
-    return it->second;
+    return parse_choice<relief_kind>(
+        "relief", text,
+        {{"none", relief_kind::none},
+         {"largest", relief_kind::largest},
+         {"worst", relief_kind::worst}});
 }
 
 auto run_placement(run_options const& options) -> run_result
--- a/experiments/routing/simulation_base.cpp
+++ b/experiments/routing/simulation_base.cpp
@@ -1,6 +1,7 @@
 /** @file simulation_base.cpp Event queue that drives the router's decisions. */
 #include "simulation_base.hpp"
 
+#include "experiments/support/choice_func.hpp"
 #include "experiments/support/figures_func.hpp"
 #include "workload_func.hpp"
 
@@ -557,28 +558,15 @@
 
 auto parse_scenario(std::string_view text) -> std::optional<scenario>
 {
-    constexpr std::array<std::pair<std::string_view, scenario>, 7> known{{
-        {"steady", scenario::steady},
-        {"slow", scenario::slow},
-        {"frozen", scenario::frozen},
-        {"leaving", scenario::leaving},
-        {"returning", scenario::returning},
-        {"instance_lost", scenario::instance_lost},
-        {"load_step", scenario::load_step},
-    }};
-    for (auto const& [name, value] : known)
-    {
-        if (name == text)
-        {
-            return value;
-        }
-    }
-    return core::fail(
-        core::error_kind::invalid_input,
-        fmt::format(
-            "unknown scenario \"{}\"; use steady, slow, frozen, leaving, "
-            "returning, instance_lost or load_step",
-            text));
+    return parse_choice<scenario>(
+        "scenario", text,
+        {{"steady", scenario::steady},
+         {"slow", scenario::slow},
+         {"frozen", scenario::frozen},
+         {"leaving", scenario::leaving},
+         {"returning", scenario::returning},
+         {"instance_lost", scenario::instance_lost},
+         {"load_step", scenario::load_step}});
 }
 
 auto run_routers(run_options const& options) -> run_result
