--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -32,6 +32,7 @@
         read_outside();
         read_scheduler();
         read_gateway();
+        read_hosted();
         read_limits();
         check_sections();
         check_times();
@@ -228,6 +229,48 @@
             });
     }
 
+    auto read_hosted() -> void
+    {
+        known_.emplace("hosted");
+        auto const given = std::any_of(
+            file_.sections.begin(), file_.sections.end(),
+            [](auto const& it) { return it.name == "hosted"; });
+        if (!given)
+        {
+            return;
+        }
+        in_section(
+            "hosted",
+            [this](core::ini_reader& reader)
+            {
+                auto& it = settings_.hosted.emplace();
+                it.readiness = required_address(reader, "readiness");
+                read_ms(
+                    reader, "lease_limit_ms", it.lease_limit, 1000, 600'000);
+                read_ms(
+                    reader, "owner_lease_ms", it.owner_lease, 1000, 600'000);
+                read_ms(
+                    reader, "start_validity_ms", it.start_validity, 100,
+                    60'000);
+                read_ms(reader, "stop_ms", it.stop_time, 1, 60'000);
+                read_ms(reader, "commit_delay_ms", it.commit_delay, 0, 10'000);
+                read_ms(reader, "look_gap_ms", it.look_gap, 0, 10'000);
+                read_ms(reader, "retention_ms", it.retention, 1000, 86'400'000);
+                check_hosted(reader, it);
+            });
+    }
+
+    static auto
+    check_hosted(core::ini_reader& reader, hosted_settings const& it) -> void
+    {
+        if (it.start_validity >= it.lease_limit)
+        {
+            reader.problem(
+                "start_validity_ms",
+                "is not below lease_limit_ms; make it at most half of it");
+        }
+    }
+
     auto read_limits() -> void
     {
         in_section(
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -16,6 +16,21 @@
 namespace godwitcleat::coordination
 {
 
+/** Settings of a daemon on a hosting platform that calls its workers. */
+struct hosted_settings
+{
+    transport::endpoint readiness; ///< Listens here for the balancer.
+    core::duration lease_limit = std::chrono::milliseconds{6000};
+    core::duration owner_lease = std::chrono::milliseconds{3000};
+    core::duration start_validity = std::chrono::milliseconds{1500};
+    core::duration stop_time = std::chrono::milliseconds{900};
+    core::duration commit_delay = std::chrono::milliseconds{300};
+    core::duration look_gap = std::chrono::milliseconds{40};
+    core::duration retention = std::chrono::milliseconds{180'000};
+
+    auto operator==(hosted_settings const&) const -> bool = default;
+};
+
 /** Checked settings of one daemon; docs/configuration.md lists the keys. */
 struct daemon_settings
 {
@@ -49,6 +64,8 @@
 
     core::log_level level = core::log_level::info;
 
+    std::optional<hosted_settings> hosted; ///< Set if [hosted] is given.
+
     std::size_t threads = 2;
     std::size_t timeline_events = 20'000;
     core::duration drain_delay = std::chrono::seconds{2};
--- /dev/null
+++ b/coordination/dispatch_host_base.cpp
@@ -0,0 +1,713 @@
+/** @file dispatch_host_base.cpp Runs the dispatcher on the owning instance. */
+#include "coordination/dispatch_host_base.hpp"
+
+#include "coordination/guarded_internal.hpp"
+
+#include <fmt/format.h>
+
+#include <mutex>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+namespace
+{
+
+auto unix_ms() -> std::int64_t
+{
+    constexpr auto us_per_ms = 1000;
+    return core::wall_clock_us() / us_per_ms;
+}
+
+auto error_answer(core::failure const& reason) -> protocol::job_answer
+{
+    auto answer = protocol::job_answer{};
+    answer.error = reason.kind;
+    answer.message = reason.message;
+    return answer;
+}
+
+} // namespace
+
+struct dispatch_host::implementation
+    : guarded_base<dispatch_host::implementation>
+{
+    implementation(
+        dispatch_host_parts given, protocol::owner_record self,
+        dispatch_host_settings figures)
+        : parts(std::move(given))
+        , log(parts.log.with_prefix("dispatch"))
+        , settings(std::move(figures))
+        , term(
+              parts.target, parts.loop, parts.clock,
+              parts.log.with_prefix("term"), settings.key_prefix,
+              std::move(self), settings.term,
+              {[this](core::epoch number) { acquired(number); },
+               [this](std::string_view cause)
+               {
+                   lost(cause);
+               }})
+    {
+    }
+
+    auto acquired(core::epoch number) -> void;
+    auto load_jobs(core::epoch number) -> void;
+    auto load_progress(core::epoch number) -> void;
+    auto load_workers(core::epoch number) -> void;
+    auto load_again(core::epoch number) -> void;
+    auto activate(core::epoch number) -> void;
+    auto lost(std::string_view cause) -> void;
+    auto pump() -> void;
+    auto request_pump() -> void;
+    auto send_hold(state::hold_order order) -> void;
+    auto send_order(state::run_order order) -> void;
+    auto write(state::dispatch_batch const& batch) -> void;
+    auto written(core::epoch number, write_result result) -> void;
+    auto report_counts(core::time_point now) -> void;
+    auto submit(protocol::job_call call, reply on_answer) -> void;
+    auto finish_leaving() -> void;
+    auto log_event(std::string_view message, core::fields values) -> void
+    {
+        log.info(message, values);
+    }
+
+    template <class Task>
+    auto later(core::duration delay, Task task) -> transport::timer_handle
+    {
+        return parts.loop.after(
+            delay,
+            [weak = weak_from_this(), task]
+            {
+                auto const it = weak.lock();
+                if (it && !it->closed)
+                {
+                    task(*it);
+                }
+            });
+    }
+
+    dispatch_host_parts parts;
+    core::logger log;
+    dispatch_host_settings settings;
+
+    mutable std::recursive_mutex mutex; ///< Replies may call back at once.
+    std::optional<state::dispatcher> dispatcher;
+    core::epoch active_term; ///< Of `dispatcher` or of the load.
+    state::dispatch_snapshot loading;
+    state::queue_table_pointer queues;
+    std::vector<state::listed_worker> workers;
+    bool workers_given = false;
+    std::set<core::data_centre_id> drained;
+    bool writing = false;
+    std::optional<core::time_point> refused_since;
+    core::time_point write_after;
+    bool pump_requested = false;
+    core::time_point next_tick;
+    core::time_point next_counts;
+    bool leaving = false;
+    std::function<void()> on_left;
+    transport::timer_handle load_timer;
+    transport::timer_handle pump_timer;
+    term_keeper term;
+};
+
+auto dispatch_host::implementation::acquired(core::epoch number) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        dispatcher.reset();
+        active_term = number;
+        loading = {};
+        writing = false;
+        refused_since.reset();
+        workers_given = false;
+    }
+    parts.on_owning(true);
+    load_jobs(number);
+}
+
+auto dispatch_host::implementation::load_again(core::epoch number) -> void
+{
+    log.warn(
+        "Jobs were not loaded; reading again.",
+        {{"reason", core::last_reason().message}});
+    load_timer = later(
+        settings.store_retry,
+        [number](auto& self)
+        {
+            if (self.active_term == number)
+            {
+                self.load_jobs(number);
+            }
+        });
+}
+
+auto dispatch_host::implementation::load_jobs(core::epoch number) -> void
+{
+    auto const prefix = settings.key_prefix + "job/";
+    parts.target.range(
+        prefix, prefix_end(prefix), 0,
+        guarded(
+            [number](auto& self, auto answer)
+            {
+                if (!answer)
+                {
+                    return self.load_again(number);
+                }
+                auto jobs = std::vector<state::plan_record>{};
+                for (auto const& it : answer->entries)
+                {
+                    auto record =
+                        protocol::decode<state::plan_record>(it.value);
+                    if (!record)
+                    {
+                        self.log.error(
+                            "A stored job cannot be read.", {{"key", it.key}});
+                        continue;
+                    }
+                    jobs.push_back(std::move(*record));
+                }
+                {
+                    auto const lock = std::scoped_lock{self.mutex};
+                    self.loading.jobs = std::move(jobs);
+                }
+                self.load_progress(number);
+            }));
+}
+
+auto dispatch_host::implementation::load_progress(core::epoch number) -> void
+{
+    auto const prefix = settings.key_prefix + "progress/";
+    parts.target.range(
+        prefix, prefix_end(prefix), 0,
+        guarded(
+            [number, n = prefix.size()](auto& self, auto answer)
+            {
+                if (!answer)
+                {
+                    return self.load_again(number);
+                }
+                auto progress = std::vector<
+                    std::pair<core::job_id, state::plan_progress>>{};
+                for (auto const& it : answer->entries)
+                {
+                    auto value =
+                        protocol::decode<state::plan_progress>(it.value);
+                    if (!value)
+                    {
+                        self.log.error(
+                            "Stored progress cannot be read.",
+                            {{"key", it.key}});
+                        continue;
+                    }
+                    progress.emplace_back(
+                        core::job_id{it.key.substr(n)}, std::move(*value));
+                }
+                {
+                    auto const lock = std::scoped_lock{self.mutex};
+                    self.loading.progress = std::move(progress);
+                }
+                self.load_workers(number);
+            }));
+}
+
+auto dispatch_host::implementation::load_workers(core::epoch number) -> void
+{
+    parts.target.range(
+        settings.key_prefix + "workers", "", 1,
+        guarded(
+            [number](auto& self, auto answer)
+            {
+                if (!answer)
+                {
+                    return self.load_again(number);
+                }
+                if (!answer->entries.empty())
+                {
+                    auto known =
+                        protocol::decode<std::vector<state::listed_worker>>(
+                            answer->entries.front().value);
+                    if (!known)
+                    {
+                        self.log.error("Stored workers cannot be read.");
+                    }
+                    auto const lock = std::scoped_lock{self.mutex};
+                    self.loading.workers =
+                        known.value_or(std::vector<state::listed_worker>{});
+                }
+                self.activate(number);
+            }));
+}
+
+auto dispatch_host::implementation::activate(core::epoch number) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (active_term != number || leaving)
+        {
+            return;
+        }
+        auto hooks = state::dispatch_hooks{};
+        hooks.on_event = [this](auto message, auto values)
+        {
+            log_event(message, values);
+        };
+        hooks.unix_ms = unix_ms;
+        auto const now = parts.clock();
+        log.info(
+            "Jobs are loaded.", {{"term", number.value},
+                                 {"jobs", loading.jobs.size()},
+                                 {"workers", loading.workers.size()}});
+        dispatcher.emplace(
+            number, std::exchange(loading, {}), settings.dispatch,
+            std::move(hooks), now);
+        if (queues)
+        {
+            dispatcher->set_queues(queues);
+        }
+        dispatcher->set_drained(drained);
+        if (workers_given)
+        {
+            dispatcher->set_workers(workers, now);
+        }
+    }
+    pump();
+}
+
+auto dispatch_host::implementation::lost(std::string_view cause) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        core::fail(
+            core::error_kind::unknown_outcome,
+            fmt::format("the owner has changed ({}); ask again", cause));
+        dispatcher.reset();
+        active_term = {};
+        workers_given = false;
+    }
+    parts.on_owning(false);
+}
+
+auto dispatch_host::implementation::request_pump() -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (std::exchange(pump_requested, true))
+        {
+            return;
+        }
+    }
+    parts.loop.post(
+        [weak = weak_from_this()]
+        {
+            auto const self = weak.lock();
+            if (self && !self->closed)
+            {
+                self->pump();
+            }
+        });
+}
+
+auto dispatch_host::implementation::pump() -> void
+{
+    auto holds = std::vector<state::hold_order>{};
+    auto orders = std::vector<state::run_order>{};
+    auto batch = std::optional<state::dispatch_batch>{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        pump_requested = false;
+        if (!dispatcher)
+        {
+            return;
+        }
+        auto const now = parts.clock();
+        if (now >= next_tick)
+        {
+            next_tick = now + settings.tick_interval;
+            dispatcher->tick(now);
+            report_counts(now);
+        }
+        if (!leaving && term.is_valid())
+        {
+            holds = dispatcher->take_holds(now);
+            orders = dispatcher->take_orders(now);
+        }
+        if (!writing && now >= write_after)
+        {
+            batch = dispatcher->take_batch(now);
+            writing = batch.has_value();
+        }
+    }
+    for (auto& it : orders)
+    {
+        send_order(std::move(it));
+    }
+    for (auto& it : holds)
+    {
+        send_hold(std::move(it));
+    }
+    if (batch)
+    {
+        write(*batch);
+    }
+    else if (leaving)
+    {
+        finish_leaving();
+    }
+}
+
+auto dispatch_host::implementation::send_hold(state::hold_order order) -> void
+{
+    parts.metrics.count("worker_holds");
+    auto const number = active_term;
+    auto const& hold = parts.link.hold;
+    hold(
+        order, guarded(
+                   [order, number](auto& self, hold_answer answer)
+                   {
+                       auto owned = true;
+                       {
+                           auto const lock = std::scoped_lock{self.mutex};
+                           if (!self.dispatcher || self.active_term != number)
+                           {
+                               return;
+                           }
+                           owned = self.dispatcher->hold_answered(
+                               order, answer.result, answer.lists,
+                               self.parts.clock());
+                       }
+                       if (!owned)
+                       {
+                           self.log.warn(
+                               "A worker obeys another owner.",
+                               {{"worker", order.worker.value},
+                                {"token", order.token.value}});
+                       }
+                       self.request_pump();
+                   }));
+}
+
+auto dispatch_host::implementation::send_order(state::run_order order) -> void
+{
+    parts.metrics.count(
+        order.kind == state::run_order_kind::start ? "worker_starts"
+                                                   : "worker_orders");
+    auto const number = active_term;
+    parts.link.order(
+        order, guarded(
+                   [order, number](auto& self, run_answer answer)
+                   {
+                       {
+                           auto const lock = std::scoped_lock{self.mutex};
+                           if (!self.dispatcher || self.active_term != number)
+                           {
+                               return;
+                           }
+                           self.dispatcher->order_answered(
+                               order, answer.result, answer.clock_ms,
+                               self.parts.clock());
+                       }
+                       if (answer.result != state::order_result::accepted)
+                       {
+                           self.request_pump();
+                       }
+                   }));
+}
+
+auto dispatch_host::implementation::write(state::dispatch_batch const& batch)
+    -> void
+{
+    auto const& prefix = settings.key_prefix;
+    auto writes = std::vector<store_write>{};
+    for (auto const& it : batch.accepted)
+    {
+        writes.push_back(
+            {prefix + "job/" + it.plan.id.value, protocol::encode(it), "", {}});
+    }
+    for (auto const& [id, it] : batch.progress)
+    {
+        writes.push_back(
+            {prefix + "progress/" + id.value, protocol::encode(it), "", {}});
+    }
+    for (auto const& id : batch.forgotten)
+    {
+        writes.push_back({prefix + "job/" + id.value, std::nullopt, "", {}});
+        writes.push_back(
+            {prefix + "progress/" + id.value, std::nullopt, "", {}});
+    }
+    if (batch.workers)
+    {
+        writes.push_back(
+            {prefix + "workers", protocol::encode(*batch.workers), "", {}});
+    }
+    parts.metrics.count("store_batches");
+    term.write(
+        std::move(writes),
+        guarded([number = active_term](auto& self, write_result result)
+                { self.written(number, result); }));
+}
+
+auto dispatch_host::implementation::written(
+    core::epoch number, write_result result) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (!dispatcher || active_term != number)
+        {
+            return;
+        }
+        writing = false;
+        auto const now = parts.clock();
+        if (result == write_result::stored)
+        {
+            refused_since.reset();
+            dispatcher->batch_committed(now);
+        }
+        else if (result == write_result::not_stored)
+        {
+            refused_since = refused_since.value_or(now);
+            write_after = now + settings.store_retry;
+            dispatcher->batch_rejected();
+            if (now - *refused_since >= settings.refuse_after)
+            {
+                dispatcher->reject_unstored(
+                    "the store refuses writes; retry in a second");
+            }
+        }
+    }
+    request_pump();
+}
+
+auto dispatch_host::implementation::report_counts(core::time_point now) -> void
+{
+    if (now < next_counts)
+    {
+        return;
+    }
+    next_counts = now + settings.count_interval;
+    auto const it = dispatcher->counts(now);
+    auto const set = [this](std::string_view name, auto value)
+    {
+        parts.metrics.set(name, static_cast<double>(value));
+    };
+    set("dispatch_jobs_open", it.jobs_open);
+    set("dispatch_tasks_ready", it.tasks_ready);
+    set("dispatch_tasks_bound", it.tasks_bound);
+    set("dispatch_workers_live", it.workers_live);
+    set("dispatch_workers_suspended", it.workers_suspended);
+    set("dispatch_starts", it.starts);
+    set("dispatch_starts_rejected", it.starts_rejected);
+    set("dispatch_starts_unknown", it.starts_unknown);
+    set("dispatch_ends_done", it.ends_done);
+    set("dispatch_ends_failed", it.ends_failed);
+    set("dispatch_ends_other", it.ends_other);
+    set("dispatch_runs_lost", it.runs_lost);
+    set("dispatch_evictions", it.evictions);
+    set("dispatch_jobs_accepted", it.jobs_accepted);
+    set("dispatch_jobs_refused", it.jobs_refused);
+    set("dispatch_jobs_completed", it.jobs_completed);
+    log.info(
+        "Sizes.", {{"jobs_open", it.jobs_open},
+                   {"tasks_ready", it.tasks_ready},
+                   {"tasks_bound", it.tasks_bound},
+                   {"workers_live", it.workers_live},
+                   {"starts", it.starts},
+                   {"rejected", it.starts_rejected},
+                   {"unknown", it.starts_unknown},
+                   {"done", it.ends_done},
+                   {"failed", it.ends_failed},
+                   {"other", it.ends_other},
+                   {"lost", it.runs_lost},
+                   {"evicted", it.evictions}});
+}
+
+auto dispatch_host::implementation::submit(
+    protocol::job_call call, reply on_answer) -> void
+{
+    if (!call.plan)
+    {
+        core::fail(
+            core::error_kind::invalid_input, "the submit has no job; add one");
+        return on_answer(error_answer(core::last_reason()));
+    }
+    dispatcher->submit(
+        std::move(*call.plan), parts.clock(),
+        [on_answer = std::move(on_answer)](bool stored)
+        {
+            on_answer(
+                stored ? protocol::job_answer{}
+                       : error_answer(core::last_reason()));
+        });
+}
+
+auto dispatch_host::implementation::finish_leaving() -> void
+{
+    auto call = std::function<void()>{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (writing)
+        {
+            return;
+        }
+        core::fail(
+            core::error_kind::unknown_outcome, "the owner leaves; ask again");
+        dispatcher.reset();
+        active_term = {};
+        call = std::exchange(on_left, nullptr);
+    }
+    if (call)
+    {
+        parts.on_owning(false);
+        term.leave(std::move(call));
+    }
+}
+
+dispatch_host::dispatch_host(
+    dispatch_host_parts parts, protocol::owner_record self,
+    dispatch_host_settings settings)
+    : implementation_(std::make_shared<implementation>(
+          std::move(parts), std::move(self), std::move(settings)))
+{
+}
+
+dispatch_host::~dispatch_host()
+{
+    implementation_->closed = true;
+}
+
+auto dispatch_host::start() -> void
+{
+    auto& it = *implementation_;
+    it.pump_timer = it.parts.loop.every(
+        it.settings.pump_interval,
+        [weak = implementation_->weak_from_this()]
+        {
+            auto const self = weak.lock();
+            if (self && !self->closed)
+            {
+                self->pump();
+            }
+        });
+    it.term.start();
+}
+
+auto dispatch_host::leave(std::function<void()> on_done) -> void
+{
+    auto& it = *implementation_;
+    auto active = false;
+    {
+        auto const lock = std::scoped_lock{it.mutex};
+        it.leaving = true;
+        active = it.dispatcher.has_value();
+        if (active)
+        {
+            it.on_left = std::move(on_done);
+        }
+    }
+    if (!active)
+    {
+        return it.term.leave(std::move(on_done));
+    }
+    it.request_pump();
+}
+
+auto dispatch_host::set_queues(state::queue_table_pointer queues) -> void
+{
+    auto& it = *implementation_;
+    auto const lock = std::scoped_lock{it.mutex};
+    it.queues = std::move(queues);
+    if (it.dispatcher)
+    {
+        it.dispatcher->set_queues(it.queues);
+    }
+}
+
+auto dispatch_host::set_workers(std::vector<state::listed_worker> workers)
+    -> void
+{
+    auto& it = *implementation_;
+    {
+        auto const lock = std::scoped_lock{it.mutex};
+        it.workers = std::move(workers);
+        it.workers_given = true;
+        if (it.dispatcher)
+        {
+            it.dispatcher->set_workers(it.workers, it.parts.clock());
+        }
+    }
+    it.request_pump();
+}
+
+auto dispatch_host::set_drained(std::set<core::data_centre_id> data_centres)
+    -> void
+{
+    auto& it = *implementation_;
+    auto const lock = std::scoped_lock{it.mutex};
+    it.drained = std::move(data_centres);
+    if (it.dispatcher)
+    {
+        it.dispatcher->set_drained(it.drained);
+    }
+}
+
+auto dispatch_host::call(protocol::job_call call, reply on_answer) -> void
+{
+    auto& it = *implementation_;
+    auto const lock = std::unique_lock{it.mutex};
+    if (!it.dispatcher || it.leaving)
+    {
+        core::fail(
+            core::error_kind::not_owner,
+            "this instance does not own the jobs; ask the owner");
+        return on_answer(error_answer(core::last_reason()));
+    }
+    auto answer = protocol::job_answer{};
+    switch (call.kind)
+    {
+    case protocol::job_call_kind::submit:
+        it.submit(std::move(call), std::move(on_answer));
+        it.request_pump();
+        return;
+    case protocol::job_call_kind::cancel:
+        it.dispatcher->cancel(
+            call.job, it.parts.clock(),
+            [on_answer = std::move(on_answer)](bool stored)
+            {
+                on_answer(
+                    stored ? protocol::job_answer{}
+                           : error_answer(core::last_reason()));
+            });
+        it.request_pump();
+        return;
+    case protocol::job_call_kind::phase:
+        if (auto const phase = it.dispatcher->phase(call.job))
+        {
+            answer.phase = *phase;
+        }
+        else
+        {
+            answer.error = core::error_kind::not_found;
+            answer.message =
+                fmt::format("job {} does not exist", call.job.value);
+        }
+        break;
+    case protocol::job_call_kind::count:
+        answer.waiting = it.dispatcher->pending(call.queue);
+        break;
+    }
+    on_answer(std::move(answer));
+}
+
+auto dispatch_host::owner() const -> std::optional<protocol::owner_record>
+{
+    return implementation_->term.owner();
+}
+
+auto dispatch_host::is_active() const -> bool
+{
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->dispatcher.has_value();
+}
+
+} // namespace godwitcleat::coordination
--- /dev/null
+++ b/coordination/job_router_base.cpp
@@ -0,0 +1,153 @@
+/** @file job_router_base.cpp Brings calls about jobs to their owner. */
+#include "coordination/job_router_base.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+/** One call until it has an answer. */
+struct job_router::attempt
+{
+    protocol::job_call call;
+    dispatch_host::reply on_answer;
+    core::time_point begun;
+    core::time_point deadline;
+    bool maybe_done = false; ///< An earlier try may have taken effect.
+    std::string payload;     ///< Encoded call; empty: not encoded yet.
+    transport::timer_handle timer;
+};
+
+job_router::job_router(
+    dispatch_host& host, frame_call call_peer, transport::reactor& loop,
+    core::clock clock, core::logger log, job_router_settings settings)
+    : host_(host)
+    , call_peer_(std::move(call_peer))
+    , loop_(loop)
+    , clock_(std::move(clock))
+    , log_(std::move(log))
+    , settings_(settings)
+{
+}
+
+auto job_router::route(
+    protocol::job_call call, core::duration budget,
+    dispatch_host::reply on_answer) -> void
+{
+    auto const it = std::make_shared<attempt>();
+    it->call = std::move(call);
+    it->on_answer = std::move(on_answer);
+    it->begun = clock_();
+    it->deadline = it->begun + budget;
+    try_once(it);
+}
+
+auto job_router::try_once(std::shared_ptr<attempt> const& it) -> void
+{
+    if (host_.is_active())
+    {
+        // A copy, because the call may have to be sent again.
+        return host_.call(
+            it->call,
+            [this, it](auto answer) { answered(it, std::move(answer)); });
+    }
+    auto const owner = host_.owner();
+    auto const where =
+        owner ? transport::parse_endpoint(owner->address) : std::nullopt;
+    if (!where)
+    {
+        return retry(it);
+    }
+    call_owner(it, *where);
+}
+
+auto job_router::call_owner(
+    std::shared_ptr<attempt> const& it, transport::endpoint const& where)
+    -> void
+{
+    if (it->payload.empty())
+    {
+        it->payload = protocol::encode(it->call);
+    }
+    auto const left = it->deadline - clock_();
+    call_peer_(
+        where, it->payload, std::min(settings_.call_timeout, left),
+        [this, it](std::optional<std::string> payload)
+        {
+            if (!payload)
+            {
+                it->maybe_done =
+                    it->maybe_done ||
+                    core::last_reason().kind != core::error_kind::unavailable;
+                return retry(it);
+            }
+            auto answer = protocol::decode<protocol::job_answer>(*payload);
+            if (!answer)
+            {
+                it->maybe_done = true;
+                return retry(it);
+            }
+            answered(it, std::move(*answer));
+        });
+}
+
+auto job_router::answered(
+    std::shared_ptr<attempt> const& it, protocol::job_answer answer) -> void
+{
+    if (answer.error == core::error_kind::not_owner)
+    {
+        return retry(it);
+    }
+    if (answer.error == core::error_kind::unknown_outcome)
+    {
+        it->maybe_done = true;
+        return retry(it);
+    }
+    if (answer.error == core::error_kind::unavailable && it->maybe_done)
+    {
+        answer.error = core::error_kind::unknown_outcome;
+    }
+    it->on_answer(std::move(answer));
+}
+
+auto job_router::retry(std::shared_ptr<attempt> const& it) -> void
+{
+    auto const now = clock_();
+    auto const refuses = now - it->begun >= settings_.refuse_after;
+    if (refuses || now + settings_.retry >= it->deadline)
+    {
+        auto answer = protocol::job_answer{};
+        answer.error = it->maybe_done ? core::error_kind::unknown_outcome
+                                      : core::error_kind::unavailable;
+        answer.message = "the owner of the jobs cannot be reached; retry";
+        it->on_answer(std::move(answer));
+        return;
+    }
+    it->timer = loop_.after(
+        settings_.retry,
+        [this, it]
+        {
+            it->timer = {}; // Its task holds the attempt.
+            try_once(it);
+        });
+}
+
+auto job_router::handle_frame(std::string payload, transport::frame_reply reply)
+    -> void
+{
+    auto call = protocol::decode<protocol::job_call>(payload);
+    if (!call)
+    {
+        auto answer = protocol::job_answer{};
+        answer.error = core::error_kind::invalid_input;
+        answer.message = core::last_reason().message;
+        return reply(protocol::encode(answer));
+    }
+    host_.call(
+        std::move(*call), [reply = std::move(reply)](auto const& answer)
+        { reply(protocol::encode(answer)); });
+}
+
+} // namespace godwitcleat::coordination
--- /dev/null
+++ b/coordination/job_router_base.hpp
@@ -0,0 +1,79 @@
+/** @file job_router_base.hpp Brings calls about jobs to their owner. */
+#ifndef GODWITCLEAT_COORDINATION_JOB_ROUTER_BASE_HPP
+#define GODWITCLEAT_COORDINATION_JOB_ROUTER_BASE_HPP
+
+#include "coordination/dispatch_host_base.hpp"
+#include "core/core.hpp"
+#include "protocol/protocol.hpp"
+#include "transport/transport.hpp"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace godwitcleat::coordination
+{
+
+/** Sends a frame, as transport::frame_client::call does. */
+using frame_call = std::function<void(
+    transport::endpoint const&, std::string, core::duration,
+    std::function<void(std::optional<std::string>)>)>;
+
+/** Times of the calls to the owner. */
+struct job_router_settings
+{
+    /** Longest time of one call to the owner. */
+    core::duration call_timeout = std::chrono::milliseconds{1500};
+    /** Pause before the owner is asked again, for example in a take-over. */
+    core::duration retry = std::chrono::milliseconds{100};
+    /** A call that reached no owner for this long is refused. */
+    core::duration refuse_after = std::chrono::milliseconds{600};
+};
+
+/**
+ * Answers calls about jobs on any instance: here if it owns the jobs, else
+ * through the owner's peer port. All calls may be repeated, because a job has
+ * the id that its caller chose. Thread-safe.
+ */
+class job_router
+{
+public:
+    job_router(
+        dispatch_host& host, frame_call call_peer, transport::reactor& loop,
+        core::clock clock, core::logger log, job_router_settings settings);
+
+    /**
+     * Answers @p call within @p budget. Errors besides those of the owner:
+     * unavailable (certainly not done) and unknown_outcome.
+     */
+    auto route(
+        protocol::job_call call, core::duration budget,
+        dispatch_host::reply on_answer) -> void;
+
+    /** Answers a call that another instance sent to the peer port. */
+    auto handle_frame(std::string payload, transport::frame_reply reply)
+        -> void;
+
+private:
+    struct attempt;
+
+    auto try_once(std::shared_ptr<attempt> const& it) -> void;
+    auto call_owner(
+        std::shared_ptr<attempt> const& it, transport::endpoint const& where)
+        -> void;
+    auto
+    answered(std::shared_ptr<attempt> const& it, protocol::job_answer answer)
+        -> void;
+    auto retry(std::shared_ptr<attempt> const& it) -> void;
+
+    dispatch_host& host_;
+    frame_call call_peer_;
+    transport::reactor& loop_;
+    core::clock clock_;
+    core::logger log_;
+    job_router_settings settings_;
+};
+
+} // namespace godwitcleat::coordination
+
+#endif
--- a/coordination/store_func.cpp
+++ b/coordination/store_func.cpp
@@ -4,6 +4,16 @@
 namespace godwitcleat::coordination
 {
 
+auto store::watch(
+    std::string /*prefix*/, std::int64_t /*after*/, core::duration /*wait*/,
+    handler<store_changes> on_done) -> void
+{
+    core::fail(
+        core::error_kind::unavailable,
+        "This store has no watches; read the range again.");
+    on_done(std::nullopt);
+}
+
 auto prefix_end(std::string prefix) -> std::string
 {
     constexpr unsigned char highest = 0xff;
--- a/coordination/store_type.hpp
+++ b/coordination/store_type.hpp
@@ -74,6 +74,14 @@
     bool more = false;      ///< The limit cut the range.
 };
 
+/** What has changed under a prefix since a revision. */
+struct store_changes
+{
+    std::vector<store_entry> written;
+    std::vector<std::string> removed;
+    std::int64_t revision = 0; ///< Watch on from here.
+};
+
 /**
  * The platform's store. Calls return at once; the handler is called exactly
  * once on some thread. Without a result it finds core::last_reason():
@@ -110,7 +118,16 @@
     commit(store_transaction transaction, handler<store_commit> on_done)
         -> void = 0;
 
-    /** Grants a lease of @p time_to_live, rounded up to seconds. */
+    /**
+     * Waits up to @p wait for changes under @p prefix above revision @p after.
+     * Fails with not_found if the store has dropped that history; the range
+     * must then be read again.
+     */
+    virtual auto watch(
+        std::string prefix, std::int64_t after, core::duration wait,
+        handler<store_changes> on_done) -> void;
+
+    /** Grants a lease of @p time_to_live, rounded up to the store's unit. */
     virtual auto
     grant(core::duration time_to_live, handler<store_lease> on_done)
         -> void = 0;
--- /dev/null
+++ b/coordination/term_base.cpp
@@ -0,0 +1,623 @@
+/** @file term_base.cpp Which instance owns the jobs, and its writes. */
+#include "coordination/term_base.hpp"
+
+#include "coordination/guarded_internal.hpp"
+#include "coordination/key_func.hpp"
+#include "coordination/watched_range_base.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <mutex>
+#include <utility>
+
+namespace godwitcleat::coordination
+{
+
+namespace
+{
+
+/** Value of the term key. */
+struct term_value
+{
+    std::uint64_t term = 0;
+    std::uint64_t writes = 0; ///< Writes of this term so far.
+};
+
+auto to_text(term_value const& value) -> std::string
+{
+    return fmt::format("{}.{}", value.term, value.writes);
+}
+
+auto parse_term(std::string_view text) -> std::optional<term_value>
+{
+    auto result = term_value{};
+    auto const* const end = text.data() + text.size();
+    auto const first = std::from_chars(text.data(), end, result.term);
+    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != '.')
+    {
+        return std::nullopt;
+    }
+    auto const second = std::from_chars(first.ptr + 1, end, result.writes);
+    if (second.ec != std::errc{} || second.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return result;
+}
+
+} // namespace
+
+struct term_keeper::implementation : guarded_base<term_keeper::implementation>
+{
+    enum class phase
+    {
+        following, ///< Another instance owns the jobs, or none does.
+        taking,    ///< Trying to become the owner.
+        owning,
+        left
+    };
+
+    implementation(
+        store& source, transport::reactor& event_loop, core::clock reader,
+        core::logger lines, std::string prefix, protocol::owner_record own,
+        term_settings figures, term_hooks calls)
+        : target(source)
+        , loop(event_loop)
+        , clock(std::move(reader))
+        , log(std::move(lines))
+        , owner_key(prefix + "owner")
+        , term_key(prefix + "term")
+        , self(std::move(own))
+        , settings(figures)
+        , hooks(std::move(calls))
+        , followed(
+              target, loop, clock, log, owner_key, {},
+              [this](range_entries const& it) { take_owner(it); })
+    {
+    }
+
+    auto take_owner(range_entries const& entries) -> void;
+    auto try_to_take() -> void;
+    auto grant() -> void;
+    auto read_term(store_lease granted, core::time_point sent) -> void;
+    auto
+    take(store_lease granted, core::time_point sent, store_range const& term)
+        -> void;
+    auto taken(
+        std::optional<store_commit> answer, store_lease granted,
+        core::time_point sent, term_value const& next) -> void;
+    auto check_taken(
+        store_lease granted, core::time_point sent, term_value const& next)
+        -> void;
+    auto
+    own(store_lease granted, core::time_point sent, term_value const& next,
+        std::int64_t revision) -> void;
+    auto retry_later() -> void;
+    auto renew() -> void;
+    auto renewed(std::optional<store_lease> answer, core::time_point sent)
+        -> void;
+    auto take_again() -> void;
+    auto lose(std::string_view cause) -> void;
+    auto send_write() -> void;
+    auto written(std::optional<store_commit> answer) -> void;
+    auto check_written() -> void;
+    auto finish_write(write_result result) -> void;
+    template <class Task>
+    auto later(core::duration delay, Task task) -> transport::timer_handle
+    {
+        return loop.after(
+            delay,
+            [weak = weak_from_this(), task]
+            {
+                auto const it = weak.lock();
+                if (it && !it->closed)
+                {
+                    task(*it);
+                }
+            });
+    }
+
+    store& target;
+    transport::reactor& loop;
+    core::clock clock;
+    core::logger log;
+    std::string owner_key;
+    std::string term_key;
+    protocol::owner_record self;
+    term_settings settings;
+    term_hooks hooks;
+
+    mutable std::mutex mutex;
+    phase state = phase::following;
+    std::optional<protocol::owner_record> named; ///< By the owner key.
+    std::int64_t named_revision = 0;
+    store_lease lease;
+    core::time_point valid_until;
+    term_value current;
+    std::int64_t term_revision = 0;
+    bool taking_again = false;
+
+    std::vector<store_write> writes;
+    std::function<void(write_result)> on_written;
+    bool maybe_written = false;
+
+    transport::timer_handle retry_timer;
+    transport::timer_handle renew_timer;
+    transport::timer_handle write_timer;
+    watched_range followed;
+};
+
+auto term_keeper::implementation::take_owner(range_entries const& entries)
+    -> void
+{
+    auto lost = false;
+    {
+        auto const lock = std::scoped_lock{mutex};
+        auto const it = entries.find(owner_key);
+        named.reset();
+        named_revision = 0;
+        if (it != entries.end())
+        {
+            named = protocol::decode<protocol::owner_record>(it->second.value);
+            named_revision = it->second.modify_revision;
+        }
+        // A record that is older than the own term is a late view.
+        lost = state == phase::owning && named &&
+               named->boot_id != self.boot_id &&
+               named->term.value > current.term;
+    }
+    if (lost)
+    {
+        lose("the store names another owner");
+    }
+    try_to_take();
+}
+
+auto term_keeper::implementation::try_to_take() -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        // A record of this instance with another boot id is that of an earlier
+        // process, which has ended.
+        auto const is_free = !named || (named->instance == self.instance &&
+                                        named->boot_id != self.boot_id);
+        if (state != phase::following || !is_free)
+        {
+            return;
+        }
+        state = phase::taking;
+    }
+    grant();
+}
+
+auto term_keeper::implementation::grant() -> void
+{
+    auto const sent = clock();
+    target.grant(
+        settings.lease, guarded(
+                            [sent](auto& it, auto answer)
+                            {
+                                if (!answer)
+                                {
+                                    return it.retry_later();
+                                }
+                                it.read_term(*answer, sent);
+                            }));
+}
+
+auto term_keeper::implementation::read_term(
+    store_lease granted, core::time_point sent) -> void
+{
+    target.range(
+        term_key, "", 1,
+        guarded(
+            [granted, sent](auto& it, auto answer)
+            {
+                if (!answer)
+                {
+                    return it.retry_later();
+                }
+                it.take(granted, sent, *answer);
+            }));
+}
+
+auto term_keeper::implementation::take(
+    store_lease granted, core::time_point sent, store_range const& term) -> void
+{
+    auto next = term_value{1, 0};
+    auto revision = std::int64_t{0};
+    if (!term.entries.empty())
+    {
+        auto const value = parse_term(term.entries.front().value);
+        if (!value)
+        {
+            log.error(
+                "The term in the store cannot be read; delete the key.",
+                {{"key", term_key}});
+            return retry_later();
+        }
+        next.term = value->term + 1;
+        revision = term.entries.front().modify_revision;
+    }
+    auto transaction = store_transaction{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        self.term = core::epoch{next.term};
+        transaction.compares = {
+            {owner_key, named_revision}, {term_key, revision}};
+        transaction.writes = {
+            {owner_key, protocol::encode(self), "", granted},
+            {term_key, to_text(next), "", {}}};
+    }
+    target.commit(
+        std::move(transaction),
+        guarded([granted, sent, next](auto& it, auto answer)
+                { it.taken(std::move(answer), granted, sent, next); }));
+}
+
+auto term_keeper::implementation::taken(
+    std::optional<store_commit> answer, store_lease granted,
+    core::time_point sent, term_value const& next) -> void
+{
+    if (answer && answer->succeeded)
+    {
+        return own(granted, sent, next, answer->revision);
+    }
+    auto const unknown =
+        !answer && core::last_reason().kind != core::error_kind::unavailable;
+    if (unknown)
+    {
+        return check_taken(granted, sent, next);
+    }
+    target.revoke(granted, [](auto) {});
+    retry_later();
+}
+
+auto term_keeper::implementation::check_taken(
+    store_lease granted, core::time_point sent, term_value const& next) -> void
+{
+    target.range(
+        term_key, "", 1,
+        guarded(
+            [granted, sent, next](auto& it, auto answer)
+            {
+                auto const ours =
+                    answer && !answer->entries.empty() &&
+                    answer->entries.front().value == to_text(next);
+                if (!ours)
+                {
+                    return it.retry_later();
+                }
+                // The value does not tell who wrote it; the owner key does.
+                auto const revision = answer->entries.front().modify_revision;
+                it.target.range(
+                    it.owner_key, "", 1,
+                    it.guarded(
+                        [granted, sent, next, revision](auto& self_, auto owner)
+                        {
+                            auto const named =
+                                owner && !owner->entries.empty()
+                                    ? protocol::decode<protocol::owner_record>(
+                                          owner->entries.front().value)
+                                    : std::nullopt;
+                            if (named && named->boot_id == self_.self.boot_id &&
+                                named->term.value == next.term)
+                            {
+                                return self_.own(granted, sent, next, revision);
+                            }
+                            self_.retry_later();
+                        }));
+            }));
+}
+
+auto term_keeper::implementation::own(
+    store_lease granted, core::time_point sent, term_value const& next,
+    std::int64_t revision) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (state != phase::taking)
+        {
+            return;
+        }
+        state = phase::owning;
+        lease = granted;
+        valid_until = sent + settings.lease - settings.margin;
+        current = next;
+        term_revision = revision;
+        named = self;
+        renew_timer =
+            later(settings.renew_interval, [](auto& it) { it.renew(); });
+    }
+    log.info("This instance owns the jobs.", {{"term", next.term}});
+    hooks.on_acquired(core::epoch{next.term});
+}
+
+auto term_keeper::implementation::retry_later() -> void
+{
+    auto const lock = std::scoped_lock{mutex};
+    if (state != phase::taking)
+    {
+        return;
+    }
+    state = phase::following;
+    retry_timer =
+        later(settings.retry_interval, [](auto& it) { it.try_to_take(); });
+}
+
+auto term_keeper::implementation::renew() -> void
+{
+    auto const sent = clock();
+    auto held = store_lease{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (state != phase::owning)
+        {
+            return;
+        }
+        held = lease;
+        renew_timer =
+            later(settings.renew_interval, [](auto& it) { it.renew(); });
+    }
+    target.keep_alive(
+        held, guarded([sent](auto& it, auto answer)
+                      { it.renewed(std::move(answer), sent); }));
+}
+
+auto term_keeper::implementation::renewed(
+    std::optional<store_lease> answer, core::time_point sent) -> void
+{
+    if (answer)
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (state == phase::owning)
+        {
+            valid_until =
+                std::max(valid_until, sent + settings.lease - settings.margin);
+        }
+        return;
+    }
+    if (core::last_reason().kind == core::error_kind::not_found)
+    {
+        take_again();
+    }
+}
+
+// The lease has lapsed. The term goes on if no other instance has begun one.
+auto term_keeper::implementation::take_again() -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        valid_until = core::time_point{};
+        if (state != phase::owning || std::exchange(taking_again, true))
+        {
+            return;
+        }
+    }
+    log.warn("The owner's lease has lapsed.", {{"term", current.term}});
+    auto const sent = clock();
+    target.grant(
+        settings.lease,
+        guarded(
+            [sent](auto& it, auto granted)
+            {
+                if (!granted)
+                {
+                    it.taking_again = false;
+                    return;
+                }
+                auto transaction = store_transaction{};
+                auto const open = static_cast<bool>(it.on_written);
+                transaction.compares = {{it.owner_key, 0}};
+                if (!open)
+                {
+                    transaction.compares.push_back(
+                        {it.term_key, it.term_revision});
+                }
+                transaction.writes = {
+                    {it.owner_key, protocol::encode(it.self), "", *granted}};
+                it.target.commit(
+                    std::move(transaction),
+                    it.guarded(
+                        [sent, lease = *granted](auto& self_, auto answer)
+                        {
+                            self_.taking_again = false;
+                            if (!answer)
+                            {
+                                return;
+                            }
+                            if (!answer->succeeded)
+                            {
+                                return self_.lose(
+                                    "another instance has taken the jobs");
+                            }
+                            auto const lock = std::scoped_lock{self_.mutex};
+                            self_.lease = lease;
+                            self_.valid_until = sent + self_.settings.lease -
+                                                self_.settings.margin;
+                        }));
+            }));
+}
+
+auto term_keeper::implementation::lose(std::string_view cause) -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (state != phase::owning)
+        {
+            return;
+        }
+        state = phase::following;
+        valid_until = core::time_point{};
+    }
+    log.warn(
+        "This instance no longer owns the jobs.",
+        {{"term", current.term}, {"cause", cause}});
+    hooks.on_lost(cause);
+    retry_timer =
+        later(settings.retry_interval, [](auto& it) { it.try_to_take(); });
+}
+
+auto term_keeper::implementation::send_write() -> void
+{
+    auto transaction = store_transaction{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        transaction.compares = {{term_key, term_revision}};
+        transaction.writes = writes;
+        transaction.writes.push_back(
+            {term_key, to_text({current.term, current.writes + 1}), "", {}});
+    }
+    target.commit(
+        std::move(transaction),
+        guarded([](auto& it, auto answer) { it.written(std::move(answer)); }));
+}
+
+auto term_keeper::implementation::written(std::optional<store_commit> answer)
+    -> void
+{
+    if (answer && answer->succeeded)
+    {
+        auto const lock = std::unique_lock{mutex};
+        term_revision = answer->revision;
+        ++current.writes;
+    }
+    if (answer)
+    {
+        return answer->succeeded ? finish_write(write_result::stored)
+                                 : check_written();
+    }
+    auto const kind = core::last_reason().kind;
+    auto const not_done = kind == core::error_kind::unavailable ||
+                          kind == core::error_kind::invalid_input;
+    if (kind == core::error_kind::invalid_input)
+    {
+        log.error(
+            "The store refuses a write as malformed.",
+            {{"reason", core::last_reason().message}});
+    }
+    if (not_done && !maybe_written)
+    {
+        return finish_write(write_result::not_stored);
+    }
+    // The write may still happen, so that only the same one may follow.
+    maybe_written = maybe_written || !not_done;
+    write_timer =
+        later(settings.write_retry, [](auto& it) { it.send_write(); });
+}
+
+auto term_keeper::implementation::check_written() -> void
+{
+    target.range(
+        term_key, "", 1,
+        guarded(
+            [](auto& it, auto answer)
+            {
+                if (!answer)
+                {
+                    it.write_timer = it.later(
+                        it.settings.write_retry,
+                        [](auto& self_) { self_.check_written(); });
+                    return;
+                }
+                auto const expected =
+                    to_text({it.current.term, it.current.writes + 1});
+                if (!answer->entries.empty() &&
+                    answer->entries.front().value == expected)
+                {
+                    {
+                        auto const lock = std::scoped_lock{it.mutex};
+                        it.term_revision =
+                            answer->entries.front().modify_revision;
+                        ++it.current.writes;
+                    }
+                    return it.finish_write(write_result::stored);
+                }
+                it.finish_write(write_result::lost);
+                it.lose("a write was refused");
+            }));
+}
+
+auto term_keeper::implementation::finish_write(write_result result) -> void
+{
+    auto call = std::function<void(write_result)>{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        call = std::exchange(on_written, nullptr);
+        writes.clear();
+        maybe_written = false;
+    }
+    if (call)
+    {
+        call(result);
+    }
+}
+
+term_keeper::term_keeper(
+    store& target, transport::reactor& loop, core::clock clock,
+    core::logger log, std::string key_prefix, protocol::owner_record self,
+    term_settings settings, term_hooks hooks)
+    : implementation_(std::make_shared<implementation>(
+          target, loop, std::move(clock), std::move(log), std::move(key_prefix),
+          std::move(self), settings, std::move(hooks)))
+{
+}
+
+term_keeper::~term_keeper()
+{
+    implementation_->closed = true;
+}
+
+auto term_keeper::start() -> void
+{
+    implementation_->followed.start();
+}
+
+auto term_keeper::leave(std::function<void()> on_done) -> void
+{
+    auto was_owner = false;
+    auto held = store_lease{};
+    {
+        auto const lock = std::scoped_lock{implementation_->mutex};
+        was_owner = implementation_->state == implementation::phase::owning;
+        implementation_->state = implementation::phase::left;
+        implementation_->valid_until = core::time_point{};
+        held = implementation_->lease;
+    }
+    if (!was_owner)
+    {
+        return on_done();
+    }
+    implementation_->target.revoke(
+        held, [on_done = std::move(on_done)](auto) { on_done(); });
+}
+
+auto term_keeper::is_valid() const -> bool
+{
+    auto const now = implementation_->clock();
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->state == implementation::phase::owning &&
+           now < implementation_->valid_until;
+}
+
+auto term_keeper::owner() const -> std::optional<protocol::owner_record>
+{
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->named;
+}
+
+auto term_keeper::write(
+    std::vector<store_write> writes, std::function<void(write_result)> on_done)
+    -> void
+{
+    {
+        auto const lock = std::scoped_lock{implementation_->mutex};
+        implementation_->writes = std::move(writes);
+        implementation_->on_written = std::move(on_done);
+        implementation_->maybe_written = false;
+    }
+    implementation_->send_write();
+}
+
+} // namespace godwitcleat::coordination
--- a/core/clock_type.hpp
+++ b/core/clock_type.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <ctime>
 #include <functional>
 
 namespace godwitcleat::core
@@ -24,6 +25,22 @@
     };
 }
 
+/**
+ * Returns a clock that also counts the time in which the machine is suspended.
+ * Leases that others measure must be judged by it.
+ */
+inline auto suspend_aware_clock() -> clock
+{
+    return []
+    {
+        auto now = timespec{};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        return time_point{
+            std::chrono::seconds{now.tv_sec} +
+            std::chrono::nanoseconds{now.tv_nsec}};
+    };
+}
+
 /** A clock that tests move by hand. Thread-safe; must outlive its readers. */
 class manual_clock
 {
--- a/core/log_base.cpp
+++ b/core/log_base.cpp
@@ -98,6 +98,15 @@
     };
 }
 
+auto standard_output_sink() -> log_sink
+{
+    return [](std::string_view line)
+    {
+        fmt::print(stdout, "{}\n", line);
+        std::fflush(stdout);
+    };
+}
+
 struct logger::shared_state
 {
     log_sink sink;
--- a/core/log_base.hpp
+++ b/core/log_base.hpp
@@ -52,6 +52,9 @@
 /** Returns a sink that writes lines to standard error. */
 auto standard_error_sink() -> log_sink;
 
+/** Returns a sink that writes lines to standard output. */
+auto standard_output_sink() -> log_sink;
+
 /**
  * Writes lines of the form `TIME LEVEL PREFIX: message key=value ...`.
  * Copies share sink and level. Thread-safe.
--- /dev/null
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -0,0 +1,230 @@
+/** @file hosted_daemon_base.cpp The daemon on a platform that hosts workers. */
+#include "programs/godwitcleatd/hosted_daemon_base.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace godwitcleat::daemon
+{
+
+namespace
+{
+
+constexpr auto drain_poll_interval = std::chrono::milliseconds{50};
+// Beside the watches and the renewal, a few reads and one write are open.
+constexpr auto store_connections = std::size_t{8};
+// One hold and a burst of starts; more starts wait for a connection.
+constexpr auto worker_connections = std::size_t{4};
+constexpr auto waiting_orders = std::size_t{512};
+
+auto store_limits() -> transport::http_client_limits
+{
+    auto limits = transport::http_client_limits{};
+    limits.connections_per_endpoint = store_connections;
+    return limits;
+}
+
+auto worker_limits() -> transport::http_client_limits
+{
+    auto limits = transport::http_client_limits{};
+    limits.connections_per_endpoint = worker_connections;
+    limits.waiting_per_endpoint = waiting_orders;
+    return limits;
+}
+
+auto host_settings(coordination::hosted_settings const& from)
+    -> coordination::dispatch_host_settings
+{
+    auto result = coordination::dispatch_host_settings{};
+    auto& it = result.dispatch;
+    it.lease_limit = from.lease_limit;
+    it.start_validity = from.start_validity;
+    it.stop_time = from.stop_time;
+    it.commit_delay = from.commit_delay;
+    it.look_gap = from.look_gap;
+    it.retention = from.retention;
+    it.former_owner_validity = from.owner_lease;
+    result.term.lease = from.owner_lease;
+    return result;
+}
+
+} // namespace
+
+hosted_daemon::hosted_daemon(
+    coordination::daemon_settings settings, core::logger log)
+    : settings_(std::move(settings))
+    , log_(std::move(log))
+    , loop_(settings_.threads)
+    , store_client_(loop_, store_limits())
+    , worker_client_(loop_, worker_limits())
+    , peer_client_(loop_, {})
+    , store_(store_client_, {settings_.store.front(), settings_.store_timeout})
+    , host_(host_parts(), own_record(), host_settings(*settings_.hosted))
+    , router_(
+          host_,
+          [this](auto const& where, auto payload, auto timeout, auto on_done) {
+              peer_client_.call(
+                  where, std::move(payload), timeout, std::move(on_done));
+          },
+          loop_, now_, log_.with_prefix("router"), {})
+    , api_(
+          [this](auto call, auto budget, auto on_answer)
+          { router_.route(std::move(call), budget, std::move(on_answer)); },
+          log_.with_prefix("gateway"), metrics_)
+    , directory_(
+          store_, loop_, now_, log_.with_prefix("config"), directory_hooks())
+{
+}
+
+hosted_daemon::~hosted_daemon()
+{
+    timers_.clear();
+    loop_.stop();
+}
+
+auto hosted_daemon::own_record() const -> protocol::owner_record
+{
+    return {
+        settings_.name,
+        boot_id_,
+        transport::to_string(settings_.advertise_peer),
+        {}};
+}
+
+auto hosted_daemon::host_parts() -> coordination::dispatch_host_parts
+{
+    return {
+        store_,
+        loop_,
+        now_,
+        log_,
+        metrics_,
+        platform::make_worker_link(worker_client_, {}),
+        [this](bool owning)
+        {
+            directory_.follow_workers(owning);
+        }};
+}
+
+auto hosted_daemon::directory_hooks() -> platform::directory_hooks
+{
+    return {
+        [this](auto queues)
+        {
+            api_.set_queues(queues);
+            host_.set_queues(std::move(queues));
+        },
+        [this](auto drained) { host_.set_drained(std::move(drained)); },
+        [this](auto workers)
+        {
+            host_.set_workers(std::move(workers));
+        }};
+}
+
+auto hosted_daemon::is_ready() const -> bool
+{
+    return !leaving_ && api_.has_queues();
+}
+
+auto hosted_daemon::listen() -> std::optional<bool>
+{
+    auto const answer_ready = [this](auto const& /*request*/, auto const& reply)
+    {
+        constexpr int unavailable = 503;
+        auto response = transport::http_response{};
+        response.status = is_ready() ? response.status : unavailable;
+        reply(std::move(response));
+    };
+    auto const answer_control = [this](auto const& request, auto const& reply)
+    {
+        constexpr int not_found = 404;
+        auto response = transport::http_response{};
+        if (request.target == "/v1/metrics")
+        {
+            response.body = metrics_.text();
+        }
+        else
+        {
+            response.status = not_found;
+        }
+        reply(std::move(response));
+    };
+    auto limits = transport::http_server_limits{};
+    limits.connections = settings_.most_in_flight;
+    gateway_listener_ = transport::http_server::listen(
+        loop_, settings_.gateway, limits,
+        [this](auto request, auto reply)
+        { api_.handle(std::move(request), std::move(reply)); });
+    readiness_listener_ = transport::http_server::listen(
+        loop_, settings_.hosted->readiness, {}, answer_ready);
+    control_listener_ = transport::http_server::listen(
+        loop_, settings_.control, {}, answer_control);
+    peer_listener_ = transport::frame_server::listen(
+        loop_, settings_.peer, {},
+        [this](auto payload, auto reply)
+        { router_.handle_frame(std::move(payload), std::move(reply)); });
+    if (!gateway_listener_ || !readiness_listener_ || !control_listener_ ||
+        !peer_listener_)
+    {
+        return std::nullopt;
+    }
+    return true;
+}
+
+auto hosted_daemon::start() -> std::optional<bool>
+{
+    if (!listen())
+    {
+        return std::nullopt;
+    }
+    log_.info(
+        "Daemon starts.",
+        {{"instance", settings_.name.value},
+         {"boot_id", boot_id_},
+         {"gateway", transport::to_string(settings_.gateway)},
+         {"store", transport::to_string(settings_.store.front())}});
+    loop_.on_signal(
+        {SIGHUP}, [this](int /*signal*/)
+        { log_.info("Settings are unchanged until the next start."); });
+    directory_.start();
+    host_.start();
+    return true;
+}
+
+auto hosted_daemon::drain(std::function<void()> on_done) -> void
+{
+    log_.info(
+        "Daemon drains.", {{"in_flight", gateway_listener_->in_flight()}});
+    leaving_ = true;
+    gateway_listener_->end_keep_alive();
+    drain_end_ = now_() + settings_.drain_delay + settings_.drain_timeout;
+    host_.leave([this] { log_.info("The jobs are handed over."); });
+    timers_.push_back(loop_.after(
+        settings_.drain_delay,
+        [this, on_done = std::move(on_done)]
+        {
+            gateway_listener_->close_listener();
+            finish_drain(on_done);
+        }));
+}
+
+auto hosted_daemon::finish_drain(std::function<void()> on_done) -> void
+{
+    auto const is_drained =
+        gateway_listener_->in_flight() == 0 && gateway_listener_->is_drained();
+    if (is_drained || now_() >= drain_end_)
+    {
+        log_.info(
+            "Daemon stops.",
+            {{"in_flight", gateway_listener_->in_flight()},
+             {"connections", gateway_listener_->open_connections()}});
+        on_done();
+        return;
+    }
+    timers_.push_back(loop_.after(
+        drain_poll_interval,
+        [this, on_done = std::move(on_done)] { finish_drain(on_done); }));
+}
+
+} // namespace godwitcleat::daemon
--- a/programs/godwitcleatd/main.cpp
+++ b/programs/godwitcleatd/main.cpp
@@ -1,11 +1,13 @@
 /** @file main.cpp Command line of the daemon. */
 #include "programs/godwitcleatd/daemon_base.hpp"
+#include "programs/godwitcleatd/hosted_daemon_base.hpp"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <future>
 #include <string>
 
@@ -18,8 +20,30 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
+auto run_hosted(coordination::daemon_settings settings) -> int
+{
+    auto const log = core::logger{core::standard_output_sink(), settings.level};
+    auto daemon = daemon::hosted_daemon{std::move(settings), log};
+    auto stopped = std::promise<void>{};
+    daemon.loop().on_signal(
+        {SIGTERM, SIGINT}, [&daemon, &stopped](int /*signal*/)
+        { daemon.drain([&stopped] { stopped.set_value(); }); });
+    if (!daemon.start())
+    {
+        log.error(
+            "Daemon did not start.", {{"reason", core::last_reason().message}});
+        return exit_failed;
+    }
+    stopped.get_future().wait();
+    return exit_done;
+}
+
 auto run(coordination::daemon_settings settings) -> int
 {
+    if (settings.hosted)
+    {
+        return run_hosted(std::move(settings));
+    }
     auto const log = core::logger{core::standard_error_sink(), settings.level};
     auto daemon = daemon::entry_daemon{std::move(settings), log};
     auto stopped = std::promise<void>{};
@@ -44,7 +68,9 @@
         "Exit codes: 0 stopped by SIGTERM or SIGINT after draining, 1 failed "
         "to start, 2 wrong usage or settings.\n"};
     options.add_options()(
-        "settings", "Settings file (docs/configuration.md)",
+        "settings",
+        "Settings file (docs/configuration.md); default: the file that the "
+        "environment variable GODWITCLEAT_SETTINGS names",
         cxxopts::value<std::string>())("check", "Check the settings and exit")(
         "help", "Show this help");
     return options;
@@ -63,14 +89,18 @@
             fmt::print("{}", options.help());
             return exit_done;
         }
-        if (arguments.count("settings") == 0)
+        auto const* const from_environment =
+            std::getenv("GODWITCLEAT_SETTINGS"); // NOLINT(concurrency-*)
+        if (arguments.count("settings") == 0 && from_environment == nullptr)
         {
             fmt::print(
                 stderr, "option --settings FILE is missing; see --help\n");
             return exit_usage;
         }
         auto settings = coordination::load_daemon_settings(
-            arguments["settings"].as<std::string>());
+            arguments.count("settings") > 0
+                ? arguments["settings"].as<std::string>()
+                : std::string{from_environment});
         if (!settings)
         {
             fmt::print(stderr, "{}\n", core::last_reason().message);
--- a/protocol/msgpack_func.cpp
+++ b/protocol/msgpack_func.cpp
@@ -117,6 +117,36 @@
     return encode_value(value);
 }
 
+auto encode(state::plan_record const& value) -> std::string
+{
+    return encode_value(value);
+}
+
+auto encode(state::plan_progress const& value) -> std::string
+{
+    return encode_value(value);
+}
+
+auto encode(std::vector<state::listed_worker> const& value) -> std::string
+{
+    return encode_value(value);
+}
+
+auto encode(job_call const& value) -> std::string
+{
+    return encode_value(value);
+}
+
+auto encode(job_answer const& value) -> std::string
+{
+    return encode_value(value);
+}
+
+auto encode(owner_record const& value) -> std::string
+{
+    return encode_value(value);
+}
+
 template <class Type>
 auto decode(std::string_view bytes) -> std::optional<Type>
 {
@@ -148,5 +178,12 @@
 template auto decode(std::string_view) -> std::optional<state::config_change>;
 template auto decode(std::string_view) -> std::optional<state::partial_report>;
 template auto decode(std::string_view) -> std::optional<state::heartbeat_reply>;
+template auto decode(std::string_view) -> std::optional<state::plan_record>;
+template auto decode(std::string_view) -> std::optional<state::plan_progress>;
+template auto decode(std::string_view)
+    -> std::optional<std::vector<state::listed_worker>>;
+template auto decode(std::string_view) -> std::optional<job_call>;
+template auto decode(std::string_view) -> std::optional<job_answer>;
+template auto decode(std::string_view) -> std::optional<owner_record>;
 
 } // namespace godwitcleat::protocol
--- a/protocol/msgpack_func.hpp
+++ b/protocol/msgpack_func.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_PROTOCOL_MSGPACK_FUNC_HPP
 
 #include "protocol/peer_type.hpp"
+#include "protocol/plan_message_type.hpp"
 #include "state/state.hpp"
 
 #include <optional>
@@ -27,6 +28,12 @@
 auto encode(state::config_change const& value) -> std::string;
 auto encode(state::partial_report const& value) -> std::string;
 auto encode(state::heartbeat_reply const& value) -> std::string;
+auto encode(state::plan_record const& value) -> std::string;
+auto encode(state::plan_progress const& value) -> std::string;
+auto encode(std::vector<state::listed_worker> const& value) -> std::string;
+auto encode(job_call const& value) -> std::string;
+auto encode(job_answer const& value) -> std::string;
+auto encode(owner_record const& value) -> std::string;
 
 /**
  * Decodes a value of type @p Type, one of those that encode() takes.
@@ -49,6 +56,15 @@
     -> std::optional<state::partial_report>;
 extern template auto decode(std::string_view)
     -> std::optional<state::heartbeat_reply>;
+extern template auto decode(std::string_view)
+    -> std::optional<state::plan_record>;
+extern template auto decode(std::string_view)
+    -> std::optional<state::plan_progress>;
+extern template auto decode(std::string_view)
+    -> std::optional<std::vector<state::listed_worker>>;
+extern template auto decode(std::string_view) -> std::optional<job_call>;
+extern template auto decode(std::string_view) -> std::optional<job_answer>;
+extern template auto decode(std::string_view) -> std::optional<owner_record>;
 
 } // namespace godwitcleat::protocol
 
--- a/protocol/protocol.hpp
+++ b/protocol/protocol.hpp
@@ -7,5 +7,6 @@
 #include "protocol/json_func.hpp"
 #include "protocol/msgpack_func.hpp"
 #include "protocol/peer_type.hpp"
+#include "protocol/plan_message_type.hpp"
 
 #endif
--- /dev/null
+++ b/state/dispatch_base.cpp
@@ -0,0 +1,205 @@
+/** @file dispatch_base.cpp Interface of the dispatcher. */
+#include "state/dispatch_base.hpp"
+
+#include "state/dispatch_internal.hpp"
+
+namespace godwitcleat::state
+{
+
+auto to_string(run_end value) -> std::string_view
+{
+    switch (value)
+    {
+    case run_end::done: return "done";
+    case run_end::failed: return "failed";
+    case run_end::stopped: return "stopped";
+    case run_end::lapsed: return "lapsed";
+    case run_end::gang_broken: return "gang_broken";
+    case run_end::gang_missing: return "gang_missing";
+    }
+    return "unknown";
+}
+
+auto to_string(order_result value) -> std::string_view
+{
+    switch (value)
+    {
+    case order_result::accepted: return "accepted";
+    case order_result::fenced: return "fenced";
+    case order_result::old_run: return "old_run";
+    case order_result::late: return "late";
+    case order_result::no_room: return "no_room";
+    case order_result::refused: return "refused";
+    case order_result::unhealthy: return "unhealthy";
+    case order_result::other_worker: return "other_worker";
+    case order_result::not_sent: return "not_sent";
+    case order_result::unknown: return "unknown";
+    }
+    return "unknown";
+}
+
+dispatcher::dispatcher(
+    core::epoch term, dispatch_snapshot const& stored,
+    dispatch_settings settings, dispatch_hooks hooks, core::time_point now)
+    : implementation_(std::make_unique<implementation>(
+          term, std::move(settings), std::move(hooks)))
+{
+    implementation_->restore(stored, now);
+}
+
+dispatcher::~dispatcher()
+{
+    if (!implementation_)
+    {
+        return;
+    }
+    for (auto const& [id, job] : implementation_->jobs)
+    {
+        for (auto& [version, call] : std::exchange(job->waiting, {}))
+        {
+            core::fail(
+                core::error_kind::unknown_outcome,
+                "the owner of the jobs has changed; ask again");
+            call(false);
+        }
+    }
+}
+
+dispatcher::dispatcher(dispatcher&&) noexcept = default;
+
+auto dispatcher::operator=(dispatcher&&) noexcept -> dispatcher& = default;
+
+auto dispatcher::set_queues(queue_table_pointer queues) -> void
+{
+    if (queues->version >= implementation_->queues->version)
+    {
+        implementation_->queues = std::move(queues);
+        implementation_->schedule_due = true;
+    }
+}
+
+auto dispatcher::set_workers(
+    std::span<listed_worker const> workers, core::time_point now) -> void
+{
+    implementation_->set_workers(workers, now);
+}
+
+auto dispatcher::set_drained(std::set<core::data_centre_id> data_centres)
+    -> void
+{
+    implementation_->drained = std::move(data_centres);
+    implementation_->schedule_due = true;
+}
+
+auto dispatcher::submit(job_plan plan, core::time_point now, done on_done)
+    -> void
+{
+    implementation_->submit(std::move(plan), now, std::move(on_done));
+}
+
+auto dispatcher::cancel(
+    core::job_id const& job, core::time_point now, done on_done) -> void
+{
+    implementation_->cancel(job, now, std::move(on_done));
+}
+
+auto dispatcher::reject_unstored(std::string_view cause) -> void
+{
+    implementation_->reject_unstored(cause);
+}
+
+auto dispatcher::phase(core::job_id const& job) const
+    -> std::optional<plan_phase>
+{
+    auto const it = implementation_->find(job.value);
+    if (!it || !it->record_stored)
+    {
+        return std::nullopt;
+    }
+    if (is_final(it->stored_phase))
+    {
+        return it->stored_phase;
+    }
+    return it->started ? plan_phase::active : plan_phase::queued;
+}
+
+auto dispatcher::pending(queue_id const& queue) const -> std::uint64_t
+{
+    auto n = std::uint64_t{0};
+    for (auto const& [id, it] : implementation_->jobs)
+    {
+        auto const waits = it->record_stored && !it->started &&
+                           !is_final(it->phase) &&
+                           it->record.plan.queue == queue;
+        n += waits ? 1 : 0;
+    }
+    return n;
+}
+
+auto dispatcher::take_holds(core::time_point now) -> std::vector<hold_order>
+{
+    return implementation_->take_holds(now);
+}
+
+auto dispatcher::hold_answered(
+    hold_order const& order, order_result result,
+    std::optional<worker_lists> const& lists, core::time_point now) -> bool
+{
+    return implementation_->hold_answered(order, result, lists, now);
+}
+
+auto dispatcher::take_orders(core::time_point now) -> std::vector<run_order>
+{
+    return implementation_->take_orders(now);
+}
+
+auto dispatcher::order_answered(
+    run_order const& order, order_result result,
+    std::optional<std::int64_t> clock_ms, core::time_point now) -> bool
+{
+    return implementation_->order_answered(order, result, clock_ms, now);
+}
+
+auto dispatcher::take_batch(core::time_point now)
+    -> std::optional<dispatch_batch>
+{
+    return implementation_->take_batch(now);
+}
+
+auto dispatcher::batch_committed(core::time_point now) -> void
+{
+    implementation_->committed(now);
+}
+
+auto dispatcher::batch_rejected() -> void
+{
+    implementation_->rejected();
+}
+
+auto dispatcher::tick(core::time_point now) -> void
+{
+    implementation_->tick(now);
+}
+
+auto dispatcher::counts(core::time_point now) const -> dispatch_counts
+{
+    auto result = implementation_->totals;
+    for (auto const& [id, job] : implementation_->jobs)
+    {
+        result.jobs_open += is_final(job->phase) ? 0 : 1;
+        result.tasks_bound += job->bound;
+    }
+    for (auto const& it : implementation_->ready_steps)
+    {
+        result.tasks_ready += it.job->steps[it.step].ready.size();
+    }
+    for (auto const& [id, worker] : implementation_->workers)
+    {
+        auto const live = worker->contact == contact_state::live;
+        result.workers_live += live ? 1 : 0;
+        result.workers_suspended += now < worker->suspended_until ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace godwitcleat::state
--- /dev/null
+++ b/state/dispatch_internal.hpp
@@ -0,0 +1,346 @@
+/** @file dispatch_internal.hpp State of the dispatcher, for its sources. */
+#ifndef GODWITCLEAT_STATE_DISPATCH_INTERNAL_HPP
+#define GODWITCLEAT_STATE_DISPATCH_INTERNAL_HPP
+
+#include "state/dispatch_base.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace godwitcleat::state
+{
+
+struct job_entry;
+struct worker_entry;
+using job_pointer = std::shared_ptr<job_entry>;
+
+/** Phase of one task. */
+enum class task_state
+{
+    blocked, ///< Waits for other steps or for its time.
+    unknown, ///< May run on a worker that this owner has not heard yet.
+    ready,   ///< Waits for room.
+    bound,   ///< A run was ordered and is not over.
+    done     ///< Final.
+};
+
+/** One task of a job. */
+struct task_entry
+{
+    task_state state = task_state::blocked;
+    std::uint32_t failures = 0;
+    run_number last_run;            ///< Highest run that was ordered or seen.
+    worker_entry* worker = nullptr; ///< Of the bound run.
+    core::worker_id avoided;        ///< Worker of the last run that went wrong.
+    std::string checkpoint;
+};
+
+/** One step of one occurrence. */
+struct step_entry
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t first = 0;     ///< Index of its first task.
+    std::uint32_t open = 0;      ///< Tasks that are not done.
+    std::uint32_t waits_for = 0; ///< Steps that are not done.
+    std::int64_t due_ms = 0;     ///< Unix time before which it may not start.
+    std::vector<std::uint32_t> ready; ///< Tasks that wait for room.
+    bool listed = false;              ///< In implementation::ready_steps.
+};
+
+/** One job. */
+struct job_entry
+{
+    plan_record record;
+    plan_phase phase = plan_phase::queued;
+    plan_phase stored_phase = plan_phase::queued; ///< What callers are told.
+    std::vector<task_entry> tasks;
+    std::vector<step_entry> steps;     ///< Of all occurrences, in order.
+    std::vector<std::int64_t> tail_ms; ///< Longest chain from each step on.
+    std::int64_t chain_ms = 0;
+    std::uint32_t open_steps = 0;
+    std::uint32_t bound = 0; ///< Runs that are not over.
+    bool restored = false;   ///< Accepted by an earlier owner.
+    bool started = false;
+    bool cancel_requested = false;
+    core::worker_id blamed; ///< Worker of the job's first failure.
+    bool record_stored = false;
+    bool record_sent = false;  ///< In the batch in flight.
+    bool dirty = false;        ///< In implementation::dirty.
+    std::uint64_t version = 0; ///< Changes of the progress.
+    std::uint64_t sent_version = 0;
+    std::uint64_t stored_version = 0;
+    std::vector<std::pair<std::uint64_t, dispatcher::done>> waiting;
+    core::time_point final_at;
+
+    [[nodiscard]] auto spec(step_entry const& step) const -> plan_step const&
+    {
+        return record.plan.steps[step.step];
+    }
+    [[nodiscard]] auto step_of(std::uint32_t task) -> step_entry&;
+    [[nodiscard]] auto name_of(std::uint32_t task) -> task_name;
+    /** Returns the index of a named task, or std::nullopt. */
+    [[nodiscard]] auto index_of(task_name const& name) const
+        -> std::optional<std::uint32_t>;
+};
+
+/** One run that a worker may be running. */
+struct run_entry
+{
+    job_pointer job; ///< Null: no such job is known.
+    std::uint32_t task = 0;
+    task_name name;
+    run_number run;
+    core::resources need;
+    bool uses_spare_cpu = false;
+    std::int64_t tail_target_ms = 0;
+    bool listed = false; ///< The worker has shown it as running.
+    core::time_point ordered_at;
+    core::time_point startable_until; ///< The start is not done after this.
+    std::optional<core::time_point> confirmed_at; ///< The start was answered.
+    bool stop_wanted = false;
+    std::optional<core::time_point> stop_sent;
+    std::optional<core::time_point> stop_confirmed;
+    std::string checkpoint;
+    std::int64_t percent = 0;
+    core::time_point percent_at; ///< When the percentage last changed.
+    std::int64_t measure = 0;
+    std::uint32_t pace = 100;
+    std::uint64_t seen_in = 0; ///< Number of the last list that shows it.
+};
+
+/** An end that is not acknowledged yet. */
+struct pending_end
+{
+    std::uint64_t number = 0;
+    job_pointer job; ///< Null: nothing has to be stored.
+    std::uint64_t version = 0;
+};
+
+/** What is known of a worker. */
+enum class contact_state
+{
+    none,     ///< No answer yet, or none since the contact was lost.
+    adopting, ///< Its clock is known; its lists are not.
+    live      ///< Its lists are known under the current token.
+};
+
+/** One worker. */
+struct worker_entry
+{
+    listed_worker info;
+    bool listed = false;
+    bool stored = false; ///< The store names it, so that a new owner asks it.
+    contact_state contact = contact_state::none;
+    std::uint64_t life = 1; ///< Counts the lives and losses of contact.
+    std::uint64_t rebirths = 0;
+    std::int64_t born_ms = 0;
+    bool born_known = false;
+    bool reborn = false;       ///< Its runs of the former life are over.
+    std::int64_t clock_ms = 0; ///< Its clock at `clock_at`.
+    core::time_point clock_at;
+    core::time_point lease_until; ///< Its lease has surely lapsed after this.
+    std::uint64_t seen_end = 0;   ///< Highest end that was processed.
+    std::uint64_t acknowledged = 0;
+    std::deque<pending_end> ends;
+    std::vector<run_entry> runs;
+    core::resources used;
+    bool hold_open = false;
+    core::time_point hold_at;
+    std::uint64_t lists = 0;         ///< Number of lists that were taken.
+    core::time_point blocked_until;  ///< No starts before this.
+    core::time_point reserved_until; ///< Room is made for serving tasks.
+    std::uint32_t suspicion = 0; ///< Failures in a row that it is blamed for.
+    core::time_point suspended_until;
+    std::uint32_t serving = 0;   ///< Runs with a tail target.
+    core::time_point calm_since; ///< No serving run was over its target.
+
+    [[nodiscard]] auto free() const -> core::resources
+    {
+        return info.capacity - used;
+    }
+};
+
+/** A step with tasks that wait for room. */
+struct ready_step
+{
+    job_pointer job;
+    std::uint32_t step = 0;
+};
+
+struct string_hash
+{
+    using is_transparent = void;
+    auto operator()(std::string_view text) const noexcept -> std::size_t
+    {
+        return std::hash<std::string_view>{}(text);
+    }
+};
+
+struct dispatcher::implementation
+{
+    implementation(
+        core::epoch owner_term, dispatch_settings figures, dispatch_hooks calls)
+        : term(owner_term)
+        , settings(std::move(figures))
+        , hooks(std::move(calls))
+    {
+    }
+
+    // Jobs (dispatch_jobs.cpp)
+    auto restore(dispatch_snapshot const& stored, core::time_point now) -> void;
+    auto add_job(plan_record record) -> job_pointer;
+    auto prepare(job_entry& job) -> void;
+    auto restore_progress(job_entry& job, plan_progress const& progress)
+        -> void;
+    auto open_steps(job_pointer const& job) -> void;
+    auto release_step(job_pointer const& job, step_entry& step) -> void;
+    auto make_ready(job_pointer const& job, std::uint32_t task) -> void;
+    auto step_done(job_pointer const& job, step_entry& step) -> void;
+    auto task_done(job_pointer const& job, std::uint32_t task) -> void;
+    auto finish(job_pointer const& job, plan_phase phase, core::time_point now)
+        -> void;
+    auto submit(job_plan plan, core::time_point now, done on_done) -> void;
+    auto cancel(core::job_id const& id, core::time_point now, done on_done)
+        -> void;
+    auto find(std::string_view id) const -> job_pointer;
+    auto find_queue(job_entry const& job) const -> queue_config const*;
+    auto changed(job_pointer const& job, core::time_point commit_by) -> void;
+    auto take_batch(core::time_point now) -> std::optional<dispatch_batch>;
+    auto committed(core::time_point now) -> void;
+    auto rejected() -> void;
+    auto reject_unstored(std::string_view cause) -> void;
+    auto answer_waiting(job_entry& job) -> void;
+    auto forget_old_jobs(core::time_point now) -> void;
+
+    // Workers (dispatch_workers.cpp)
+    auto
+    set_workers(std::span<listed_worker const> workers, core::time_point now)
+        -> void;
+    auto token_of(worker_entry const& worker) const -> fencing_token;
+    auto clock_of(worker_entry const& worker, core::time_point now) const
+        -> std::int64_t;
+    auto take_holds(core::time_point now) -> std::vector<hold_order>;
+    auto make_hold(worker_entry& worker, core::time_point now) -> hold_order;
+    auto hold_answered(
+        hold_order const& order, order_result result,
+        std::optional<worker_lists> const& lists, core::time_point now) -> bool;
+    auto lose_contact(worker_entry& worker, core::time_point now) -> void;
+    auto take_lists(
+        worker_entry& worker, hold_order const& order,
+        worker_lists const& lists, core::time_point now) -> void;
+    auto
+    take_end(worker_entry& worker, ended_row const& row, core::time_point now)
+        -> void;
+    auto take_running(
+        worker_entry& worker, running_row const& row, core::time_point now)
+        -> void;
+    auto
+    adopt(worker_entry& worker, running_row const& row, core::time_point now)
+        -> run_entry&;
+    auto resolve_missing(
+        worker_entry& worker, core::time_point sent_at, core::time_point now)
+        -> void;
+    auto start_new_life(
+        worker_entry& worker, worker_lists const& lists, core::time_point now)
+        -> void;
+    auto
+    fail_task(job_pointer const& job, std::uint32_t task, core::time_point now)
+        -> void;
+    auto keep_checkpoint(
+        job_pointer const& job, std::uint32_t task, std::string checkpoint,
+        core::time_point now) -> void;
+    auto find_run(worker_entry& worker, task_name const& name, run_number run)
+        -> std::optional<std::size_t>;
+    auto lose_runs(
+        worker_entry& worker, std::string_view cause, core::time_point now)
+        -> void;
+    auto end_run(
+        worker_entry& worker, std::size_t index, run_end how,
+        std::string checkpoint, core::time_point now) -> void;
+    auto apply_end(
+        job_pointer const& job, std::uint32_t task, worker_entry& worker,
+        run_end how, std::string checkpoint, core::time_point now) -> void;
+    auto judge_worker(
+        worker_entry& worker, job_entry& job, run_end how, core::time_point now)
+        -> void;
+    auto
+    retry_run(worker_entry& worker, std::size_t index, core::time_point now)
+        -> void;
+    auto want_stops(job_entry& job) -> void;
+    auto order_answered(
+        run_order const& order, order_result result,
+        std::optional<std::int64_t> clock_ms, core::time_point now) -> bool;
+    auto start_answered(
+        worker_entry& worker, std::size_t index, order_result result,
+        core::time_point now) -> void;
+    auto find_worker(core::worker_id const& id) -> worker_entry*;
+    auto tick(core::time_point now) -> void;
+    auto finish_recovery(core::time_point now) -> void;
+    auto watch_progress(worker_entry& worker, core::time_point now) -> void;
+
+    // Placement (dispatch_schedule.cpp)
+    auto take_orders(core::time_point now) -> std::vector<run_order>;
+    auto schedule(core::time_point now) -> void;
+    auto place_step(ready_step const& it, core::time_point now) -> bool;
+    auto place_gang(ready_step const& it, core::time_point now) -> bool;
+    auto choose_worker(
+        job_entry& job, step_entry& step, task_entry const& task,
+        queue_config const& queue, core::time_point now) -> worker_entry*;
+    auto may_start(worker_entry const& worker, core::time_point now) const
+        -> bool;
+    auto start(
+        job_pointer const& job, std::uint32_t task, worker_entry& worker,
+        run_number run, core::time_point now) -> void;
+    auto next_run(job_entry const& job, task_entry const& task) const
+        -> run_number;
+    auto make_room(
+        ready_step const& it, queue_config const& queue, core::time_point now)
+        -> void;
+    auto add_stop_orders(core::time_point now) -> void;
+    auto add_pace_orders(worker_entry& worker, core::time_point now) -> void;
+    auto order_for(
+        worker_entry const& worker, run_entry const& run, run_order_kind kind)
+        -> run_order;
+
+    auto event(std::string_view message, core::fields values) const -> void
+    {
+        if (hooks.on_event)
+        {
+            hooks.on_event(message, values);
+        }
+    }
+
+    core::epoch term;
+    dispatch_settings settings;
+    dispatch_hooks hooks;
+    queue_table_pointer queues = std::make_shared<queue_table const>();
+    std::set<core::data_centre_id> drained;
+    std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
+        jobs;
+    std::map<core::worker_id, std::unique_ptr<worker_entry>> workers;
+    std::vector<ready_step> ready_steps;
+    std::vector<run_order> orders;
+    std::deque<job_pointer> dirty;
+    std::vector<core::job_id> forgotten;
+    std::optional<core::time_point> commit_due;
+    std::vector<job_pointer> in_flight; ///< Jobs of the batch in flight.
+    std::vector<core::job_id> forgotten_in_flight;
+    std::vector<core::worker_id> workers_in_flight;
+    bool batch_open = false;
+    bool workers_changed = false;
+    bool workers_sent = false;
+    bool workers_known = false;
+    bool recovering = false;
+    core::time_point recovery_until;
+    core::time_point next_cleanup;
+    bool schedule_due = true;
+    core::time_point next_schedule;
+    dispatch_counts totals;
+};
+
+} // namespace godwitcleat::state
+
+#endif
--- /dev/null
+++ b/state/dispatch_jobs.cpp
@@ -0,0 +1,632 @@
+/** @file dispatch_jobs.cpp Jobs of the dispatcher and what is stored of them.
+ */
+#include "state/dispatch_internal.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+constexpr auto bits_per_byte = std::uint32_t{8};
+// An estimate of what a step takes in a record, to bound a batch.
+constexpr auto bytes_per_step = std::size_t{96};
+constexpr auto bytes_per_task = std::size_t{24};
+// A worker that is gone has to be removed from the stored list some day only.
+constexpr auto cleanup_interval = std::chrono::seconds{1};
+// An unheard worker's lease may last this much longer than asked for: its clock
+// may be 2% slow, and the figure for it a little old.
+constexpr auto clock_drift_percent = 3;
+constexpr auto lease_margin = std::chrono::milliseconds{300};
+
+auto is_done(std::string const& bits, std::uint32_t task) -> bool
+{
+    auto const at = task / bits_per_byte;
+    if (at >= bits.size())
+    {
+        return false;
+    }
+    auto const byte = static_cast<unsigned char>(bits[at]);
+    return (byte >> (task % bits_per_byte) & 1U) != 0;
+}
+
+auto progress_of(job_entry const& job) -> plan_progress
+{
+    auto result = plan_progress{};
+    if (is_final(job.phase))
+    {
+        result.phase = job.phase;
+        return result;
+    }
+    auto bits = std::string((job.tasks.size() + 7) / bits_per_byte, '\0');
+    for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
+    {
+        auto const& task = job.tasks[i];
+        if (task.state == task_state::done)
+        {
+            auto& byte = bits[i / bits_per_byte];
+            byte = static_cast<char>(
+                static_cast<unsigned char>(byte) | 1U << (i % bits_per_byte));
+        }
+        else if (task.failures > 0 || !task.checkpoint.empty())
+        {
+            result.tasks.push_back({i, task.failures, task.checkpoint});
+        }
+    }
+    while (!bits.empty() && bits.back() == '\0')
+    {
+        bits.pop_back();
+    }
+    result.done = std::move(bits);
+    return result;
+}
+
+auto size_of(job_entry const& job) -> std::size_t
+{
+    return job.record.plan.command.size() +
+           job.record.plan.steps.size() * bytes_per_step +
+           job.tasks.size() * bytes_per_task;
+}
+
+} // namespace
+
+auto job_entry::step_of(std::uint32_t task) -> step_entry&
+{
+    auto const it = std::upper_bound(
+        steps.begin(), steps.end(), task,
+        [](std::uint32_t index, step_entry const& step)
+        { return index < step.first; });
+    return *std::prev(it);
+}
+
+auto job_entry::name_of(std::uint32_t task) -> task_name
+{
+    auto const& step = step_of(task);
+    return {record.plan.id, step.occurrence, step.step, task - step.first};
+}
+
+auto job_entry::index_of(task_name const& name) const
+    -> std::optional<std::uint32_t>
+{
+    auto const per_occurrence = record.plan.steps.size();
+    if (name.step >= per_occurrence ||
+        name.occurrence >= record.plan.occurrences ||
+        name.index >= record.plan.steps[name.step].tasks)
+    {
+        return std::nullopt;
+    }
+    return steps.at(name.occurrence * per_occurrence + name.step).first +
+           name.index;
+}
+
+auto dispatcher::implementation::restore(
+    dispatch_snapshot const& stored, core::time_point now) -> void
+{
+    recovering = true;
+    recovery_until = now + settings.former_owner_validity +
+                     settings.lease_limit * (100 + clock_drift_percent) / 100 +
+                     lease_margin;
+    auto progress = std::unordered_map<std::string, plan_progress const*>{};
+    for (auto const& [id, it] : stored.progress)
+    {
+        progress.emplace(id.value, &it);
+    }
+    for (auto const& record : stored.jobs)
+    {
+        auto const job = add_job(record);
+        job->restored = true;
+        job->record_stored = true;
+        auto const it = progress.find(record.plan.id.value);
+        if (it != progress.end())
+        {
+            restore_progress(*job, *it->second);
+        }
+        job->stored_phase = job->phase;
+        job->final_at = now;
+        if (!is_final(job->phase))
+        {
+            open_steps(job);
+        }
+    }
+    for (auto const& info : stored.workers)
+    {
+        auto worker = std::make_unique<worker_entry>();
+        worker->info = info;
+        worker->stored = true;
+        worker->lease_until = recovery_until;
+        worker->hold_at = now;
+        workers.emplace(info.worker, std::move(worker));
+    }
+    recovering = !stored.jobs.empty();
+}
+
+auto dispatcher::implementation::add_job(plan_record record) -> job_pointer
+{
+    auto job = std::make_shared<job_entry>();
+    job->record = std::move(record);
+    prepare(*job);
+    jobs.emplace(job->record.plan.id.value, job);
+    return job;
+}
+
+auto dispatcher::implementation::prepare(job_entry& job) -> void
+{
+    auto const& plan = job.record.plan;
+    auto first = std::uint32_t{0};
+    for (auto k = std::uint32_t{0}; k < plan.occurrences; ++k)
+    {
+        for (auto i = std::uint32_t{0}; i < plan.steps.size(); ++i)
+        {
+            auto step = step_entry{};
+            step.occurrence = k;
+            step.step = i;
+            step.first = first;
+            step.open = plan.steps[i].tasks;
+            step.waits_for = plan.steps[i].after.size();
+            step.due_ms = plan.first_run_ms + k * plan.interval_ms;
+            first += step.open;
+            job.steps.push_back(std::move(step));
+        }
+    }
+    job.tasks.resize(first);
+    job.open_steps = job.steps.size();
+    job.chain_ms = longest_chain_ms(plan);
+    job.tail_ms.assign(plan.steps.size(), 0);
+    for (auto i = plan.steps.size(); i-- > 0;)
+    {
+        job.tail_ms[i] += plan.steps[i].expected_run_ms;
+        for (auto const before : plan.steps[i].after)
+        {
+            job.tail_ms[before] = std::max(job.tail_ms[before], job.tail_ms[i]);
+        }
+    }
+}
+
+auto dispatcher::implementation::restore_progress(
+    job_entry& job, plan_progress const& progress) -> void
+{
+    job.phase = progress.phase;
+    for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
+    {
+        if (is_done(progress.done, i))
+        {
+            job.tasks[i].state = task_state::done;
+            --job.step_of(i).open;
+            job.started = true;
+        }
+    }
+    for (auto const& it : progress.tasks)
+    {
+        if (it.task < job.tasks.size())
+        {
+            job.tasks[it.task].failures = it.failures;
+            job.tasks[it.task].checkpoint = it.checkpoint;
+            job.started = true;
+        }
+    }
+}
+
+auto dispatcher::implementation::open_steps(job_pointer const& job) -> void
+{
+    // Counted from the start, because a restored job has finished steps.
+    auto const per_occurrence = job->record.plan.steps.size();
+    job->open_steps = 0;
+    for (auto& step : job->steps)
+    {
+        auto const base = step.occurrence * per_occurrence;
+        step.waits_for = 0;
+        for (auto const before : job->spec(step).after)
+        {
+            step.waits_for += job->steps[base + before].open > 0 ? 1 : 0;
+        }
+        job->open_steps += step.open > 0 ? 1 : 0;
+    }
+    for (auto& step : job->steps)
+    {
+        if (step.waits_for == 0 && step.open > 0)
+        {
+            release_step(job, step);
+        }
+    }
+}
+
+auto dispatcher::implementation::release_step(
+    job_pointer const& job, step_entry& step) -> void
+{
+    auto const tasks = job->spec(step).tasks;
+    for (auto i = step.first; i < step.first + tasks; ++i)
+    {
+        auto& task = job->tasks[i];
+        if (task.state != task_state::blocked)
+        {
+            continue;
+        }
+        if (recovering && job->restored)
+        {
+            task.state = task_state::unknown;
+        }
+        else
+        {
+            make_ready(job, i);
+        }
+    }
+}
+
+auto dispatcher::implementation::make_ready(
+    job_pointer const& job, std::uint32_t index) -> void
+{
+    auto& task = job->tasks[index];
+    auto& step = job->step_of(index);
+    task.worker = nullptr;
+    if (is_final(job->phase) || job->cancel_requested)
+    {
+        task.state = task_state::blocked;
+        return;
+    }
+    task.state = task_state::ready;
+    step.ready.push_back(index);
+    if (!step.listed)
+    {
+        step.listed = true;
+        ready_steps.push_back(
+            {job, static_cast<std::uint32_t>(&step - job->steps.data())});
+    }
+    schedule_due = true;
+}
+
+auto dispatcher::implementation::task_done(
+    job_pointer const& job, std::uint32_t index) -> void
+{
+    auto& task = job->tasks[index];
+    auto& step = job->step_of(index);
+    if (task.state == task_state::done)
+    {
+        return;
+    }
+    if (task.state == task_state::ready)
+    {
+        std::erase(step.ready, index);
+    }
+    task.state = task_state::done;
+    task.worker = nullptr;
+    task.checkpoint.clear();
+    if (--step.open == 0)
+    {
+        step_done(job, step);
+    }
+}
+
+auto dispatcher::implementation::step_done(
+    job_pointer const& job, step_entry& step) -> void
+{
+    --job->open_steps;
+    auto const per_occurrence =
+        static_cast<std::uint32_t>(job->record.plan.steps.size());
+    auto const base = step.occurrence * per_occurrence;
+    for (auto i = base; i < base + per_occurrence; ++i)
+    {
+        auto& next = job->steps[i];
+        auto const& after = job->spec(next).after;
+        if (std::find(after.begin(), after.end(), step.step) == after.end())
+        {
+            continue;
+        }
+        if (--next.waits_for == 0)
+        {
+            release_step(job, next);
+        }
+    }
+}
+
+auto dispatcher::implementation::finish(
+    job_pointer const& job, plan_phase phase, core::time_point now) -> void
+{
+    if (is_final(job->phase))
+    {
+        return;
+    }
+    job->phase = phase;
+    job->final_at = now;
+    for (auto& step : job->steps)
+    {
+        step.ready.clear();
+    }
+    want_stops(*job);
+    totals.jobs_completed += phase == plan_phase::completed ? 1 : 0;
+    event(
+        "Job ended.", {{"job", job->record.plan.id.value},
+                       {"phase", to_string(phase)},
+                       {"age_ms", hooks.unix_ms() - job->record.accepted_ms}});
+    changed(job, now);
+}
+
+auto dispatcher::implementation::submit(
+    job_plan plan, core::time_point now, done on_done) -> void
+{
+    if (auto const job = find(plan.id.value))
+    {
+        if (job->record_stored)
+        {
+            return on_done(true);
+        }
+        job->waiting.emplace_back(0, std::move(on_done));
+        return;
+    }
+    if (!check_plan(plan))
+    {
+        return on_done(false);
+    }
+    if (!queues->queues.contains(plan.queue))
+    {
+        core::fail(
+            core::error_kind::not_found,
+            fmt::format("queue {} does not exist", plan.queue.value));
+        return on_done(false);
+    }
+    auto const job = add_job({std::move(plan), term, hooks.unix_ms()});
+    ++totals.jobs_accepted;
+    job->waiting.emplace_back(0, std::move(on_done));
+    job->dirty = true;
+    dirty.push_front(job);
+    commit_due = commit_due ? std::min(*commit_due, now) : now;
+}
+
+auto dispatcher::implementation::cancel(
+    core::job_id const& id, core::time_point now, done on_done) -> void
+{
+    auto const job = find(id.value);
+    if (!job)
+    {
+        core::fail(
+            core::error_kind::not_found,
+            fmt::format("job {} does not exist", id.value));
+        return on_done(false);
+    }
+    if (!is_final(job->phase))
+    {
+        job->cancel_requested = true;
+        finish(job, plan_phase::cancelled, now);
+    }
+    if (job->record_stored && job->stored_version >= job->version)
+    {
+        return on_done(true);
+    }
+    job->waiting.emplace_back(job->version, std::move(on_done));
+}
+
+auto dispatcher::implementation::find(std::string_view id) const -> job_pointer
+{
+    auto const it = jobs.find(id);
+    return it == jobs.end() ? nullptr : it->second;
+}
+
+auto dispatcher::implementation::find_queue(job_entry const& job) const
+    -> queue_config const*
+{
+    auto const it = queues->queues.find(job.record.plan.queue);
+    return it == queues->queues.end() ? nullptr : &it->second;
+}
+
+auto dispatcher::implementation::changed(
+    job_pointer const& job, core::time_point commit_by) -> void
+{
+    ++job->version;
+    commit_due = commit_due ? std::min(*commit_due, commit_by) : commit_by;
+    if (job->dirty)
+    {
+        return;
+    }
+    job->dirty = true;
+    if (is_final(job->phase))
+    {
+        dirty.push_front(job);
+    }
+    else
+    {
+        dirty.push_back(job);
+    }
+}
+
+auto dispatcher::implementation::take_batch(core::time_point now)
+    -> std::optional<dispatch_batch>
+{
+    if (batch_open || !commit_due || now < *commit_due)
+    {
+        return std::nullopt;
+    }
+    auto batch = dispatch_batch{};
+    auto writes = std::size_t{0};
+    auto bytes = std::size_t{0};
+    if (workers_changed)
+    {
+        batch.workers.emplace();
+        workers_in_flight.clear();
+        for (auto const& [id, worker] : workers)
+        {
+            batch.workers->push_back(worker->info);
+            workers_in_flight.push_back(id);
+        }
+        workers_changed = false;
+        workers_sent = true;
+        ++writes;
+    }
+    while (!dirty.empty() && writes + 2 <= settings.most_batch_writes &&
+           bytes < settings.most_batch_bytes)
+    {
+        auto const job = dirty.front();
+        dirty.pop_front();
+        job->dirty = false;
+        bytes += size_of(*job);
+        if (!job->record_stored)
+        {
+            job->record_sent = true;
+            batch.accepted.push_back(job->record);
+            ++writes;
+        }
+        if (job->version > job->stored_version)
+        {
+            job->sent_version = job->version;
+            batch.progress.emplace_back(job->record.plan.id, progress_of(*job));
+            ++writes;
+        }
+        in_flight.push_back(job);
+    }
+    while (!forgotten.empty() && writes + 2 <= settings.most_batch_writes)
+    {
+        batch.forgotten.push_back(forgotten.back());
+        forgotten_in_flight.push_back(forgotten.back());
+        forgotten.pop_back();
+        writes += 2; // The record and its progress.
+    }
+    if (dirty.empty() && forgotten.empty())
+    {
+        commit_due.reset();
+    }
+    if (batch.empty())
+    {
+        return std::nullopt;
+    }
+    batch_open = true;
+    return batch;
+}
+
+auto dispatcher::implementation::committed(core::time_point now) -> void
+{
+    batch_open = false;
+    if (workers_sent)
+    {
+        workers_sent = false;
+        for (auto const& id : workers_in_flight)
+        {
+            if (auto* const worker = find_worker(id))
+            {
+                worker->stored = true;
+            }
+        }
+        schedule_due = true;
+    }
+    forgotten_in_flight.clear();
+    for (auto const& job : std::exchange(in_flight, {}))
+    {
+        auto const accepted = std::exchange(job->record_sent, false);
+        job->stored_version = std::max(job->stored_version, job->sent_version);
+        if (accepted)
+        {
+            job->record_stored = true;
+            if (!is_final(job->phase))
+            {
+                open_steps(job);
+            }
+        }
+        if (is_final(job->phase) && job->stored_version == job->version)
+        {
+            job->stored_phase = job->phase;
+        }
+        answer_waiting(*job);
+    }
+    if (!dirty.empty())
+    {
+        commit_due = commit_due ? std::min(*commit_due, now) : now;
+    }
+}
+
+auto dispatcher::implementation::rejected() -> void
+{
+    batch_open = false;
+    workers_changed = workers_changed || std::exchange(workers_sent, false);
+    for (auto const& id : std::exchange(forgotten_in_flight, {}))
+    {
+        forgotten.push_back(id);
+    }
+    auto const jobs_back = std::exchange(in_flight, {});
+    for (auto it = jobs_back.rbegin(); it != jobs_back.rend(); ++it)
+    {
+        auto const& job = *it;
+        job->record_sent = false;
+        if (!job->dirty)
+        {
+            job->dirty = true;
+            dirty.push_front(job);
+        }
+    }
+    commit_due = core::time_point{};
+}
+
+auto dispatcher::implementation::reject_unstored(std::string_view cause) -> void
+{
+    auto rejected_jobs = std::vector<job_pointer>{};
+    std::erase_if(
+        dirty,
+        [&](job_pointer const& job)
+        {
+            if (job->record_stored || job->record_sent)
+            {
+                return false;
+            }
+            rejected_jobs.push_back(job);
+            return true;
+        });
+    for (auto const& job : rejected_jobs)
+    {
+        jobs.erase(job->record.plan.id.value);
+        ++totals.jobs_refused;
+        for (auto& [version, call] : std::exchange(job->waiting, {}))
+        {
+            core::fail(core::error_kind::unavailable, std::string{cause});
+            call(false);
+        }
+    }
+}
+
+auto dispatcher::implementation::answer_waiting(job_entry& job) -> void
+{
+    auto answered = std::vector<done>{};
+    std::erase_if(
+        job.waiting,
+        [&](auto& it)
+        {
+            if (!job.record_stored || it.first > job.stored_version)
+            {
+                return false;
+            }
+            answered.push_back(std::move(it.second));
+            return true;
+        });
+    for (auto const& call : answered)
+    {
+        call(true);
+    }
+}
+
+auto dispatcher::implementation::forget_old_jobs(core::time_point now) -> void
+{
+    if (now < next_cleanup)
+    {
+        return;
+    }
+    next_cleanup = now + cleanup_interval;
+    std::erase_if(
+        jobs,
+        [&](auto const& it)
+        {
+            auto const& job = *it.second;
+            auto const old = is_final(job.stored_phase) && job.bound == 0 &&
+                             job.stored_version == job.version &&
+                             now - job.final_at > settings.retention;
+            if (old)
+            {
+                forgotten.push_back(job.record.plan.id);
+            }
+            return old;
+        });
+    if (!forgotten.empty())
+    {
+        commit_due = commit_due ? std::min(*commit_due, now) : now;
+    }
+}
+
+} // namespace godwitcleat::state
--- /dev/null
+++ b/state/dispatch_schedule.cpp
@@ -0,0 +1,496 @@
+/** @file dispatch_schedule.cpp Which tasks start next, and where. */
+#include "state/dispatch_internal.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+// Placing is bounded by the rate at which room becomes free; a pause gathers
+// several ends into one pass.
+constexpr auto schedule_interval = std::chrono::milliseconds{8};
+constexpr auto start_margin = std::chrono::milliseconds{150};
+constexpr auto clock_drift_percent = 3;
+constexpr auto stop_retry = std::chrono::milliseconds{400};
+constexpr auto stop_overrun = std::chrono::milliseconds{1000};
+// Room that was made for a serving task is kept for it this long.
+constexpr auto reservation = std::chrono::milliseconds{1500};
+constexpr auto runs_per_term = std::uint64_t{1000};
+// Up to this multiple of its objective a job still earns a part.
+constexpr auto late_factor = 3;
+
+// Shares of a serving task's target at which the tasks beside it are slowed
+// down, and at which they get their share back.
+constexpr auto slow_down_percent = 80;
+constexpr auto speed_up_percent = 50;
+constexpr auto calm_time = std::chrono::seconds{2};
+constexpr auto pace_step = std::uint32_t{20};
+constexpr auto least_pace = std::uint32_t{10};
+constexpr auto full_pace = std::uint32_t{100};
+
+// Costs of a placement; the worker with the lowest sum is taken.
+constexpr auto avoided_cost = 1000.0;
+constexpr auto far_cost = 100.0;
+constexpr auto beside_serving_cost = 50.0;
+constexpr auto suspicion_cost = 10.0;
+
+/** Order in which steps get room; lower first. */
+struct step_rank
+{
+    std::uint32_t group = 0; ///< 0: runs on and on, 1: in time, 2: late, 3.
+    std::uint32_t priority = 0;
+    std::int64_t due_ms = 0;
+
+    auto operator<=>(step_rank const&) const = default; // NOLINT
+};
+
+auto rank_of(
+    job_entry const& job, step_entry const& step, queue_config const& queue,
+    std::int64_t now_ms) -> step_rank
+{
+    auto const& spec = job.spec(step);
+    auto const begin = std::max(job.record.accepted_ms, step.due_ms);
+    if (spec.long_running)
+    {
+        return {0, queue.priority, begin};
+    }
+    auto const objective =
+        static_cast<std::int64_t>(
+            queue.stretch * static_cast<double>(job.chain_ms)) +
+        queue.allowance_ms;
+    auto const end = now_ms + job.tail_ms[step.step];
+    auto const due = begin + objective;
+    if (end <= due)
+    {
+        return {1, queue.priority, due - job.tail_ms[step.step]};
+    }
+    auto const late = begin + late_factor * objective;
+    return {end <= late ? 2U : 3U, queue.priority, due};
+}
+
+} // namespace
+
+auto dispatcher::implementation::take_orders(core::time_point now)
+    -> std::vector<run_order>
+{
+    if (schedule_due && now >= next_schedule)
+    {
+        schedule_due = false;
+        next_schedule = now + schedule_interval;
+        schedule(now);
+        add_stop_orders(now);
+    }
+    return std::exchange(orders, {});
+}
+
+auto dispatcher::implementation::schedule(core::time_point now) -> void
+{
+    std::erase_if(
+        ready_steps,
+        [](ready_step const& it)
+        {
+            auto& step = it.job->steps[it.step];
+            step.listed = !step.ready.empty();
+            return !step.listed;
+        });
+    auto const now_ms = hooks.unix_ms();
+    auto ranked = std::vector<std::pair<step_rank, std::size_t>>{};
+    for (auto i = std::size_t{0}; i < ready_steps.size(); ++i)
+    {
+        auto const& it = ready_steps[i];
+        auto const& step = it.job->steps[it.step];
+        auto const* const queue = find_queue(*it.job);
+        if (queue != nullptr && step.due_ms <= now_ms && !queue->needs_advice)
+        {
+            ranked.emplace_back(rank_of(*it.job, step, *queue, now_ms), i);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    // A step that fits nowhere shows that no larger one does either.
+    auto least_unfit = std::numeric_limits<std::int64_t>::max();
+    for (auto const& [rank, i] : ranked)
+    {
+        auto const it = ready_steps[i];
+        auto const& spec = it.job->spec(it.job->steps[it.step]);
+        auto const is_plain = spec.label.empty() && !spec.gang &&
+                              !spec.uses_spare_cpu && spec.most_per_worker == 0;
+        if (is_plain && spec.need.cpu_milli >= least_unfit)
+        {
+            continue;
+        }
+        auto const placed =
+            spec.gang ? place_gang(it, now) : place_step(it, now);
+        if (placed)
+        {
+            continue;
+        }
+        if (spec.long_running)
+        {
+            make_room(it, *find_queue(*it.job), now);
+        }
+        else if (is_plain)
+        {
+            least_unfit = std::min(least_unfit, spec.need.cpu_milli);
+        }
+    }
+}
+
+auto dispatcher::implementation::may_start(
+    worker_entry const& worker, core::time_point now) const -> bool
+{
+    return worker.listed && worker.stored &&
+           worker.contact == contact_state::live && !worker.info.draining &&
+           now >= worker.blocked_until && now >= worker.suspended_until &&
+           !drained.contains(worker.info.data_centre);
+}
+
+auto dispatcher::implementation::choose_worker(
+    job_entry& job, step_entry& step, task_entry const& task,
+    queue_config const& queue, core::time_point now) -> worker_entry*
+{
+    auto const& spec = job.spec(step);
+    auto need = spec.need;
+    if (spec.uses_spare_cpu)
+    {
+        need.cpu_milli = 0;
+    }
+    auto* best = static_cast<worker_entry*>(nullptr);
+    auto best_cost = std::numeric_limits<double>::max();
+    for (auto const& [id, worker] : workers)
+    {
+        auto const& info = worker->info;
+        auto const free = worker->free();
+        if (!may_start(*worker, now) || info.service != queue.service ||
+            !need.fits_in(free) ||
+            (!spec.label.empty() && !info.labels.contains(spec.label)))
+        {
+            continue;
+        }
+        if (now < worker->reserved_until && spec.tail_target_ms == 0)
+        {
+            continue;
+        }
+        // A worker whose runs failed gets one trial at a time.
+        if (worker->suspicion > 1 && !worker->runs.empty())
+        {
+            continue;
+        }
+        if (spec.most_per_worker > 0)
+        {
+            auto const same = std::count_if(
+                worker->runs.begin(), worker->runs.end(),
+                [&](run_entry const& it)
+                {
+                    return it.name.job == job.record.plan.id &&
+                           it.name.step == step.step &&
+                           it.name.occurrence == step.occurrence;
+                });
+            if (same >= static_cast<std::ptrdiff_t>(spec.most_per_worker))
+            {
+                continue;
+            }
+        }
+        auto const capacity =
+            std::max<double>(1.0, static_cast<double>(info.capacity.cpu_milli));
+        auto const left =
+            static_cast<double>(free.cpu_milli - spec.need.cpu_milli) /
+            capacity;
+        // Serving and filling tasks are spread, others are packed.
+        auto const spread = spec.long_running || spec.uses_spare_cpu;
+        auto cost = spread ? 1.0 - left : left;
+        cost += id == task.avoided ? avoided_cost : 0.0;
+        cost += suspicion_cost * worker->suspicion;
+        if (!spec.near_rack.empty() && info.rack != spec.near_rack)
+        {
+            cost += far_cost;
+        }
+        if (spec.uses_spare_cpu && worker->serving > 0)
+        {
+            cost += beside_serving_cost;
+        }
+        if (cost < best_cost)
+        {
+            best = worker.get();
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+auto dispatcher::implementation::place_step(
+    ready_step const& it, core::time_point now) -> bool
+{
+    auto& job = *it.job;
+    auto& step = job.steps[it.step];
+    auto const* const queue = find_queue(job);
+    while (!step.ready.empty())
+    {
+        auto const index = step.ready.back();
+        auto& task = job.tasks[index];
+        auto* const worker = choose_worker(job, step, task, *queue, now);
+        if (worker == nullptr)
+        {
+            return false;
+        }
+        step.ready.pop_back();
+        start(it.job, index, *worker, next_run(job, task), now);
+    }
+    return true;
+}
+
+auto dispatcher::implementation::place_gang(
+    ready_step const& it, core::time_point now) -> bool
+{
+    auto& job = *it.job;
+    auto& step = job.steps[it.step];
+    auto const* const queue = find_queue(job);
+    if (step.ready.size() != step.open)
+    {
+        return true; // Members of the former run are not over yet.
+    }
+    // Room is taken tentatively, so that members do not share it.
+    auto chosen = std::vector<worker_entry*>{};
+    auto const need = job.spec(step).need;
+    for (auto const index : step.ready)
+    {
+        auto* const worker =
+            choose_worker(job, step, job.tasks[index], *queue, now);
+        if (worker == nullptr)
+        {
+            break;
+        }
+        worker->used += need;
+        chosen.push_back(worker);
+    }
+    for (auto* const worker : chosen)
+    {
+        worker->used -= need;
+    }
+    if (chosen.size() != step.ready.size())
+    {
+        return false;
+    }
+    auto run = run_number{};
+    for (auto const index : step.ready)
+    {
+        run = std::max(run, next_run(job, job.tasks[index]));
+    }
+    auto const members = std::exchange(step.ready, {});
+    for (auto i = std::size_t{0}; i < members.size(); ++i)
+    {
+        start(it.job, members[i], *chosen[i], run, now);
+    }
+    return true;
+}
+
+auto dispatcher::implementation::next_run(
+    job_entry const& job, task_entry const& task) const -> run_number
+{
+    // Runs of a former owner that this one has not seen are lower.
+    auto const terms = term.value - job.record.accepted_in.value;
+    return run_number{std::max(task.last_run.value, terms * runs_per_term) + 1};
+}
+
+auto dispatcher::implementation::start(
+    job_pointer const& job, std::uint32_t index, worker_entry& worker,
+    run_number number, core::time_point now) -> void
+{
+    auto& task = job->tasks[index];
+    auto& step = job->step_of(index);
+    auto const& spec = job->spec(step);
+    task.state = task_state::bound;
+    task.worker = &worker;
+    task.last_run = number;
+    job->started = true;
+    ++job->bound;
+    ++totals.starts;
+    auto run = run_entry{};
+    run.job = job;
+    run.task = index;
+    run.name = job->name_of(index);
+    run.run = number;
+    run.need = spec.need;
+    run.uses_spare_cpu = spec.uses_spare_cpu;
+    run.tail_target_ms = spec.tail_target_ms;
+    if (spec.uses_spare_cpu)
+    {
+        run.need.cpu_milli = 0;
+    }
+    run.ordered_at = now;
+    run.percent_at = now;
+    run.startable_until =
+        now + settings.start_validity * (100 + clock_drift_percent) / 100 +
+        start_margin;
+    run.checkpoint = job->tasks[spec.gang ? step.first : index].checkpoint;
+    worker.used += run.need;
+    worker.serving += run.tail_target_ms > 0 ? 1 : 0;
+    worker.lease_until = std::max(worker.lease_until, run.startable_until);
+    auto order = order_for(worker, run, run_order_kind::start);
+    order.command = job->record.plan.command;
+    order.checkpoint = run.checkpoint;
+    order.deadline_ms = clock_of(worker, now) +
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            settings.start_validity)
+                            .count();
+    orders.push_back(std::move(order));
+    worker.runs.push_back(std::move(run));
+}
+
+auto dispatcher::implementation::order_for(
+    worker_entry const& worker, run_entry const& run, run_order_kind kind)
+    -> run_order
+{
+    auto order = run_order{};
+    order.kind = kind;
+    order.worker = worker.info.worker;
+    order.address = worker.info.address;
+    order.token = token_of(worker);
+    order.task = run.name;
+    order.run = run.run;
+    return order;
+}
+
+auto dispatcher::implementation::make_room(
+    ready_step const& it, queue_config const& queue, core::time_point now)
+    -> void
+{
+    auto const& spec = it.job->spec(it.job->steps[it.step]);
+    auto* best = static_cast<worker_entry*>(nullptr);
+    auto best_loss = std::numeric_limits<std::int64_t>::max();
+    for (auto const& [id, worker] : workers)
+    {
+        if (!may_start(*worker, now) || worker->info.service != queue.service ||
+            (!spec.label.empty() && !worker->info.labels.contains(spec.label)))
+        {
+            continue;
+        }
+        if (now < worker->reserved_until)
+        {
+            return; // Room is being made; one worker at a time.
+        }
+        auto room = worker->free();
+        auto loss = std::int64_t{0};
+        for (auto const& run : worker->runs)
+        {
+            auto const* const other = run.job && run.tail_target_ms == 0
+                                          ? find_queue(*run.job)
+                                          : nullptr;
+            if (other != nullptr && other->priority > queue.priority)
+            {
+                room += run.need;
+                loss += run.need.cpu_milli;
+            }
+        }
+        if (spec.need.fits_in(room) && loss < best_loss)
+        {
+            best = worker.get();
+            best_loss = loss;
+        }
+    }
+    if (best == nullptr)
+    {
+        return;
+    }
+    best->reserved_until = now + reservation;
+    auto room = best->free();
+    for (auto& run : best->runs)
+    {
+        auto const* const other =
+            run.job && run.tail_target_ms == 0 ? find_queue(*run.job) : nullptr;
+        if (spec.need.fits_in(room) || other == nullptr ||
+            other->priority <= queue.priority)
+        {
+            continue;
+        }
+        room += run.need;
+        run.stop_wanted = true;
+        ++totals.evictions;
+    }
+    event(
+        "Runs are evicted for a serving task.",
+        {{"worker", best->info.worker.value},
+         {"job", it.job->record.plan.id.value},
+         {"loss_milli", best_loss}});
+}
+
+auto dispatcher::implementation::add_stop_orders(core::time_point now) -> void
+{
+    for (auto const& [id, worker] : workers)
+    {
+        for (auto& run : worker->runs)
+        {
+            if (!run.stop_wanted)
+            {
+                continue;
+            }
+            auto const retry = run.stop_confirmed
+                                   ? settings.stop_time + stop_overrun
+                                   : core::duration{stop_retry};
+            if (run.stop_sent && now - *run.stop_sent < retry)
+            {
+                continue;
+            }
+            run.stop_sent = now;
+            run.stop_confirmed.reset();
+            orders.push_back(order_for(*worker, run, run_order_kind::stop));
+        }
+    }
+}
+
+auto dispatcher::implementation::add_pace_orders(
+    worker_entry& worker, core::time_point now) -> void
+{
+    if (worker.serving == 0)
+    {
+        return;
+    }
+    auto hottest = std::int64_t{0};
+    for (auto const& run : worker.runs)
+    {
+        if (run.tail_target_ms > 0 && run.listed)
+        {
+            hottest = std::max(hottest, run.measure * 100 / run.tail_target_ms);
+        }
+    }
+    if (hottest >= speed_up_percent)
+    {
+        worker.calm_since = now;
+    }
+    auto const over = hottest >= slow_down_percent;
+    auto const calm = now - worker.calm_since >= calm_time;
+    for (auto& run : worker.runs)
+    {
+        if (!run.uses_spare_cpu || !run.listed || run.stop_wanted)
+        {
+            continue;
+        }
+        auto pace = run.pace;
+        if (over)
+        {
+            pace = std::min(pace, full_pace) / 4;
+            pace = pace < least_pace ? 0 : pace;
+        }
+        else if (calm)
+        {
+            pace = std::min(pace + pace_step, full_pace);
+        }
+        if (pace == run.pace)
+        {
+            continue;
+        }
+        run.pace = pace;
+        auto order = order_for(worker, run, run_order_kind::pace);
+        order.percent = pace;
+        orders.push_back(std::move(order));
+    }
+    if (calm)
+    {
+        worker.calm_since = now;
+    }
+}
+
+} // namespace godwitcleat::state
--- /dev/null
+++ b/state/dispatch_workers.cpp
@@ -0,0 +1,783 @@
+/** @file dispatch_workers.cpp Contact, leases and runs of the workers. */
+#include "state/dispatch_internal.hpp"
+
+#include <algorithm>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+// Room for the rebirths of one worker under one owner.
+constexpr auto tokens_per_term = std::uint64_t{1000};
+// A worker's clock may be 2% slow; the rest covers the age of the figure.
+constexpr auto clock_drift_percent = 3;
+constexpr auto lease_margin = std::chrono::milliseconds{250};
+// Below the shortest time in which a lease may lapse, so that it is renewed.
+constexpr auto lost_contact_pause = std::chrono::milliseconds{150};
+constexpr auto unanswered_pause = std::chrono::milliseconds{300};
+constexpr auto rejected_pause = std::chrono::milliseconds{300};
+constexpr auto unhealthy_pause = std::chrono::milliseconds{500};
+// Failures in a row that one worker alone is blamed for.
+constexpr auto most_suspicion = std::uint32_t{2};
+constexpr auto first_suspension = std::chrono::seconds{3};
+constexpr auto most_suspension_doublings = std::uint32_t{2};
+// A run whose percentage stays the same for this long stands still.
+constexpr auto least_standstill = std::chrono::milliseconds{1800};
+constexpr auto standstill_percent = 8; // Of the declared run time.
+// After a jump the worker accepts a run that is higher than all former ones.
+constexpr auto run_jump = std::uint64_t{10};
+
+auto with_drift(core::duration value) -> core::duration
+{
+    return value * (100 + clock_drift_percent) / 100;
+}
+
+auto to_ms(core::duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace
+
+auto dispatcher::implementation::set_workers(
+    std::span<listed_worker const> listed, core::time_point now) -> void
+{
+    workers_known = true;
+    schedule_due = true;
+    for (auto& [id, worker] : workers)
+    {
+        worker->listed = false;
+    }
+    for (auto const& info : listed)
+    {
+        auto& worker = workers[info.worker];
+        if (!worker)
+        {
+            worker = std::make_unique<worker_entry>();
+            worker->hold_at = now;
+            workers_changed = true;
+        }
+        if (!worker->info.address.empty() &&
+            worker->info.address != info.address)
+        {
+            lose_contact(*worker, now);
+            workers_changed = true;
+        }
+        worker->info = info;
+        worker->listed = true;
+    }
+    std::erase_if(
+        workers,
+        [&](auto const& it)
+        {
+            auto const& worker = *it.second;
+            auto const gone = !worker.listed && worker.runs.empty() &&
+                              !worker.hold_open && now > worker.lease_until;
+            workers_changed = workers_changed || gone;
+            return gone;
+        });
+    if (workers_changed)
+    {
+        commit_due = commit_due ? std::min(*commit_due, now) : now;
+    }
+}
+
+auto dispatcher::implementation::find_worker(core::worker_id const& id)
+    -> worker_entry*
+{
+    auto const it = workers.find(id);
+    return it == workers.end() ? nullptr : it->second.get();
+}
+
+auto dispatcher::implementation::token_of(worker_entry const& worker) const
+    -> fencing_token
+{
+    return fencing_token{term.value * tokens_per_term + worker.rebirths};
+}
+
+auto dispatcher::implementation::clock_of(
+    worker_entry const& worker, core::time_point now) const -> std::int64_t
+{
+    return worker.clock_ms + to_ms(now - worker.clock_at);
+}
+
+auto dispatcher::implementation::take_holds(core::time_point now)
+    -> std::vector<hold_order>
+{
+    auto result = std::vector<hold_order>{};
+    for (auto& [id, worker] : workers)
+    {
+        auto const wanted = worker->listed || !worker->runs.empty() ||
+                            now <= worker->lease_until;
+        if (wanted && !worker->hold_open && now >= worker->hold_at)
+        {
+            result.push_back(make_hold(*worker, now));
+        }
+    }
+    return result;
+}
+
+auto dispatcher::implementation::make_hold(
+    worker_entry& worker, core::time_point now) -> hold_order
+{
+    auto order = hold_order{};
+    order.worker = worker.info.worker;
+    order.address = worker.info.address;
+    order.token = token_of(worker);
+    order.sent_at = now;
+    order.life = worker.life;
+    worker.hold_open = true;
+    if (worker.contact == contact_state::none)
+    {
+        return order;
+    }
+    order.deadline_ms = clock_of(worker, now) + to_ms(settings.lease_limit);
+    worker.lease_until = std::max(
+        worker.lease_until,
+        now + with_drift(settings.lease_limit) + lease_margin);
+    if (worker.contact == contact_state::live)
+    {
+        while (!worker.ends.empty())
+        {
+            auto const& it = worker.ends.front();
+            if (it.job && it.job->stored_version < it.version)
+            {
+                break;
+            }
+            worker.acknowledged = it.number;
+            worker.ends.pop_front();
+        }
+        order.acknowledged = worker.acknowledged;
+        order.wait = settings.hold_wait;
+    }
+    return order;
+}
+
+auto dispatcher::implementation::lose_contact(
+    worker_entry& worker, core::time_point now) -> void
+{
+    worker.contact = contact_state::none;
+    ++worker.life;
+    worker.hold_at = now + lost_contact_pause;
+}
+
+auto dispatcher::implementation::hold_answered(
+    hold_order const& order, order_result result,
+    std::optional<worker_lists> const& lists, core::time_point now) -> bool
+{
+    auto* const worker = find_worker(order.worker);
+    if (worker == nullptr)
+    {
+        return result != order_result::fenced;
+    }
+    worker->hold_open = false;
+    if (result == order_result::fenced)
+    {
+        worker->hold_at = now + lost_contact_pause;
+        return order.token != token_of(*worker);
+    }
+    if (result != order_result::accepted || !lists)
+    {
+        if (worker->contact != contact_state::none)
+        {
+            event(
+                "Contact with a worker was lost.",
+                {{"worker", order.worker.value},
+                 {"result", to_string(result)},
+                 {"runs", worker->runs.size()}});
+        }
+        lose_contact(*worker, now);
+        if (result == order_result::other_worker &&
+            order.address == worker->info.address)
+        {
+            lose_runs(*worker, "another worker is at its address", now);
+        }
+        return true;
+    }
+    if (order.life != worker->life)
+    {
+        return true;
+    }
+    take_lists(*worker, order, *lists, now);
+    return true;
+}
+
+auto dispatcher::implementation::start_new_life(
+    worker_entry& worker, worker_lists const& lists, core::time_point now)
+    -> void
+{
+    event(
+        "A worker has been restarted.",
+        {{"worker", worker.info.worker.value}, {"runs", worker.runs.size()}});
+    // Orders of the former life are refused under the higher token.
+    ++worker.rebirths;
+    ++worker.life;
+    worker.reborn = true;
+    worker.born_ms = lists.born_ms;
+    worker.ends.clear();
+    worker.seen_end = 0;
+    worker.acknowledged = 0;
+    worker.contact = contact_state::adopting;
+    worker.hold_at = now;
+}
+
+auto dispatcher::implementation::take_lists(
+    worker_entry& worker, hold_order const& order, worker_lists const& lists,
+    core::time_point now) -> void
+{
+    worker.clock_ms = lists.clock_ms;
+    worker.clock_at = now;
+    if (worker.born_known && worker.born_ms != lists.born_ms)
+    {
+        start_new_life(worker, lists, now);
+        return;
+    }
+    worker.born_known = true;
+    worker.born_ms = lists.born_ms;
+    ++worker.lists;
+    auto const ends_before = worker.seen_end;
+    for (auto const& row : lists.ended)
+    {
+        take_end(worker, row, now);
+    }
+    for (auto const& row : lists.running)
+    {
+        take_running(worker, row, now);
+    }
+    resolve_missing(worker, order.sent_at, now);
+    worker.reborn = false;
+    if (worker.contact != contact_state::live)
+    {
+        worker.contact = contact_state::live;
+        schedule_due = true;
+        worker.hold_at = now;
+        return;
+    }
+    auto const busy = worker.seen_end != ends_before;
+    worker.hold_at = busy ? now + settings.look_gap : now;
+    watch_progress(worker, now);
+    add_pace_orders(worker, now);
+}
+
+auto dispatcher::implementation::find_run(
+    worker_entry& worker, task_name const& name, run_number run)
+    -> std::optional<std::size_t>
+{
+    for (auto i = std::size_t{0}; i < worker.runs.size(); ++i)
+    {
+        auto const& it = worker.runs[i];
+        if (it.run == run && it.name == name)
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+auto dispatcher::implementation::take_end(
+    worker_entry& worker, ended_row const& row, core::time_point now) -> void
+{
+    if (row.number <= worker.seen_end)
+    {
+        return;
+    }
+    worker.seen_end = row.number;
+    auto const job = find(row.task.job.value);
+    auto const version = job ? job->version : 0;
+    if (auto const i = find_run(worker, row.task, row.run))
+    {
+        end_run(worker, *i, row.how, row.checkpoint, now);
+    }
+    else if (job)
+    {
+        if (auto const index = job->index_of(row.task))
+        {
+            auto& task = job->tasks[*index];
+            task.last_run = std::max(task.last_run, row.run);
+            job->started = true;
+            apply_end(job, *index, worker, row.how, row.checkpoint, now);
+        }
+    }
+    auto const has_changed = job && job->version != version;
+    worker.ends.push_back(
+        {row.number, has_changed ? job : nullptr,
+         has_changed ? job->version : 0});
+}
+
+auto dispatcher::implementation::take_running(
+    worker_entry& worker, running_row const& row, core::time_point now) -> void
+{
+    auto const i = find_run(worker, row.task, row.run);
+    auto& run = i ? worker.runs[*i] : adopt(worker, row, now);
+    run.seen_in = worker.lists;
+    run.listed = true;
+    if (!row.checkpoint.empty())
+    {
+        run.checkpoint = row.checkpoint;
+    }
+    if (run.percent != row.percent)
+    {
+        run.percent = row.percent;
+        run.percent_at = now;
+    }
+    run.measure = row.measure;
+}
+
+auto dispatcher::implementation::adopt(
+    worker_entry& worker, running_row const& row, core::time_point now)
+    -> run_entry&
+{
+    auto run = run_entry{};
+    run.name = row.task;
+    run.run = row.run;
+    run.ordered_at = now;
+    run.percent_at = now;
+    run.startable_until = now;
+    run.confirmed_at = now;
+    run.stop_wanted = true;
+    run.job = find(row.task.job.value);
+    auto const index = run.job ? run.job->index_of(row.task) : std::nullopt;
+    if (!index)
+    {
+        run.job = nullptr;
+    }
+    if (run.job)
+    {
+        auto& job = *run.job;
+        auto& task = job.tasks[*index];
+        auto const& spec = job.spec(job.step_of(*index));
+        run.task = *index;
+        run.need = spec.need;
+        run.uses_spare_cpu = spec.uses_spare_cpu;
+        run.tail_target_ms = spec.tail_target_ms;
+        if (spec.uses_spare_cpu)
+        {
+            run.need.cpu_milli = 0;
+        }
+        task.last_run = std::max(task.last_run, row.run);
+        job.started = true;
+        ++job.bound;
+        auto const free = task.state != task_state::bound &&
+                          task.state != task_state::done &&
+                          !is_final(job.phase);
+        if (free)
+        {
+            if (task.state == task_state::ready)
+            {
+                std::erase(job.step_of(*index).ready, *index);
+            }
+            task.state = task_state::bound;
+            task.worker = &worker;
+            run.stop_wanted = false;
+        }
+    }
+    worker.used += run.need;
+    worker.serving += run.tail_target_ms > 0 ? 1 : 0;
+    event(
+        "A run was found on a worker.", {{"worker", worker.info.worker.value},
+                                         {"job", row.task.job.value},
+                                         {"step", row.task.step},
+                                         {"task", row.task.index},
+                                         {"run", row.run.value},
+                                         {"kept", !run.stop_wanted}});
+    return worker.runs.emplace_back(std::move(run));
+}
+
+auto dispatcher::implementation::resolve_missing(
+    worker_entry& worker, core::time_point sent_at, core::time_point now)
+    -> void
+{
+    for (auto i = worker.runs.size(); i-- > 0;)
+    {
+        auto const& run = worker.runs[i];
+        if (run.seen_in == worker.lists)
+        {
+            continue;
+        }
+        auto const confirmed = run.confirmed_at && *run.confirmed_at < sent_at;
+        auto const stopped =
+            run.stop_confirmed && *run.stop_confirmed < sent_at;
+        if (worker.reborn || confirmed || stopped ||
+            sent_at > run.startable_until)
+        {
+            retry_run(worker, i, now);
+        }
+    }
+}
+
+auto dispatcher::implementation::lose_runs(
+    worker_entry& worker, std::string_view cause, core::time_point now) -> void
+{
+    if (worker.runs.empty())
+    {
+        return;
+    }
+    event(
+        "Runs of a worker are lost.", {{"worker", worker.info.worker.value},
+                                       {"runs", worker.runs.size()},
+                                       {"cause", cause}});
+    totals.runs_lost += worker.runs.size();
+    while (!worker.runs.empty())
+    {
+        retry_run(worker, worker.runs.size() - 1, now);
+    }
+}
+
+auto dispatcher::implementation::retry_run(
+    worker_entry& worker, std::size_t index, core::time_point now) -> void
+{
+    end_run(worker, index, run_end::lapsed, {}, now);
+}
+
+auto dispatcher::implementation::end_run(
+    worker_entry& worker, std::size_t index, run_end how,
+    std::string checkpoint, core::time_point now) -> void
+{
+    auto run = std::move(worker.runs[index]);
+    worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
+    worker.used -= run.need;
+    worker.serving -= run.tail_target_ms > 0 ? 1 : 0;
+    schedule_due = true;
+    if (!run.job)
+    {
+        return;
+    }
+    --run.job->bound;
+    if (checkpoint.empty())
+    {
+        checkpoint = std::move(run.checkpoint);
+    }
+    auto& task = run.job->tasks[run.task];
+    auto const is_current = task.state == task_state::bound &&
+                            task.worker == &worker && task.last_run == run.run;
+    if (is_current)
+    {
+        task.state = task_state::blocked;
+        task.worker = nullptr;
+    }
+    if (is_current || how == run_end::done || how == run_end::failed)
+    {
+        apply_end(run.job, run.task, worker, how, std::move(checkpoint), now);
+    }
+}
+
+auto dispatcher::implementation::apply_end(
+    job_pointer const& job, std::uint32_t index, worker_entry& worker,
+    run_end how, std::string checkpoint, core::time_point now) -> void
+{
+    auto& task = job->tasks[index];
+    auto& step = job->step_of(index);
+    auto const& spec = job->spec(step);
+    if (is_final(job->phase) || task.state == task_state::done)
+    {
+        return;
+    }
+    judge_worker(worker, *job, how, now);
+    auto const later = now + settings.commit_delay;
+    if (how == run_end::done && !spec.long_running)
+    {
+        ++totals.ends_done;
+        if (task.state == task_state::bound)
+        {
+            // Another run of the task was started meanwhile.
+            for (auto& it : task.worker->runs)
+            {
+                it.stop_wanted =
+                    it.stop_wanted || (it.job == job && it.task == index);
+            }
+        }
+        auto const members = spec.gang ? spec.tasks : 1;
+        auto const first = spec.gang ? step.first : index;
+        for (auto i = first; i < first + members; ++i)
+        {
+            task_done(job, i);
+        }
+        if (job->open_steps == 0)
+        {
+            finish(job, plan_phase::completed, now);
+        }
+        else
+        {
+            changed(job, later);
+        }
+        return;
+    }
+    if (how != run_end::failed)
+    {
+        ++totals.ends_other;
+        keep_checkpoint(job, index, std::move(checkpoint), now);
+    }
+    else
+    {
+        ++totals.ends_failed;
+        task.avoided = worker.info.worker;
+        if (!spec.long_running)
+        {
+            fail_task(job, index, now);
+        }
+    }
+    auto const waits =
+        task.state == task_state::blocked || task.state == task_state::unknown;
+    if (!is_final(job->phase) && waits && step.waits_for == 0)
+    {
+        make_ready(job, index);
+    }
+}
+
+auto dispatcher::implementation::keep_checkpoint(
+    job_pointer const& job, std::uint32_t index, std::string checkpoint,
+    core::time_point now) -> void
+{
+    auto const& step = job->step_of(index);
+    // One checkpoint serves all members of a gang.
+    auto& task = job->tasks[job->spec(step).gang ? step.first : index];
+    if (checkpoint.empty() || checkpoint == task.checkpoint)
+    {
+        return;
+    }
+    task.checkpoint = std::move(checkpoint);
+    changed(job, now + settings.commit_delay);
+}
+
+auto dispatcher::implementation::fail_task(
+    job_pointer const& job, std::uint32_t index, core::time_point now) -> void
+{
+    auto const& step = job->step_of(index);
+    auto const& spec = job->spec(step);
+    auto const* const queue = find_queue(*job);
+    auto& task = job->tasks[spec.gang ? step.first : index];
+    ++task.failures;
+    event(
+        "A run has failed.", {{"job", job->record.plan.id.value},
+                              {"step", step.step},
+                              {"task", index - step.first},
+                              {"worker", job->tasks[index].avoided.value},
+                              {"failures", task.failures}});
+    if (queue != nullptr && task.failures >= queue->most_failures)
+    {
+        finish(job, plan_phase::failed, now);
+        return;
+    }
+    changed(job, now + settings.commit_delay);
+}
+
+auto dispatcher::implementation::judge_worker(
+    worker_entry& worker, job_entry& job, run_end how, core::time_point now)
+    -> void
+{
+    if (how == run_end::done)
+    {
+        worker.suspicion = 0;
+        return;
+    }
+    if (how != run_end::failed)
+    {
+        return;
+    }
+    // A job that fails on several workers is at fault itself.
+    if (job.blamed.empty())
+    {
+        job.blamed = worker.info.worker;
+    }
+    if (job.blamed != worker.info.worker)
+    {
+        return;
+    }
+    ++worker.suspicion;
+    if (worker.suspicion >= most_suspicion)
+    {
+        auto const doublings = std::min(
+            worker.suspicion - most_suspicion, most_suspension_doublings);
+        worker.suspended_until = now + first_suspension * (1U << doublings);
+        event(
+            "A worker is avoided because its runs fail.",
+            {{"worker", worker.info.worker.value},
+             {"failures", worker.suspicion}});
+    }
+}
+
+auto dispatcher::implementation::want_stops(job_entry& job) -> void
+{
+    if (job.bound == 0)
+    {
+        return;
+    }
+    for (auto& [id, worker] : workers)
+    {
+        for (auto& run : worker->runs)
+        {
+            run.stop_wanted = run.stop_wanted || run.job.get() == &job;
+        }
+    }
+    schedule_due = true;
+}
+
+auto dispatcher::implementation::order_answered(
+    run_order const& order, order_result result,
+    std::optional<std::int64_t> clock_ms, core::time_point now) -> bool
+{
+    auto* const worker = find_worker(order.worker);
+    if (worker == nullptr)
+    {
+        return result != order_result::fenced;
+    }
+    if (result == order_result::fenced && order.token == token_of(*worker))
+    {
+        return false;
+    }
+    if (clock_ms && worker->contact == contact_state::live)
+    {
+        worker->clock_ms = *clock_ms;
+        worker->clock_at = now;
+    }
+    auto const i = find_run(*worker, order.task, order.run);
+    if (!i)
+    {
+        return true;
+    }
+    auto& run = worker->runs[*i];
+    if (order.kind == run_order_kind::start)
+    {
+        start_answered(*worker, *i, result, now);
+    }
+    else if (order.kind == run_order_kind::stop)
+    {
+        if (result == order_result::accepted)
+        {
+            run.stop_confirmed = now;
+            worker->hold_at = std::min(worker->hold_at, now);
+        }
+    }
+    else if (result != order_result::accepted)
+    {
+        // The order is repeated with the next list.
+        run.pace = 101;
+    }
+    return true;
+}
+
+auto dispatcher::implementation::start_answered(
+    worker_entry& worker, std::size_t index, order_result result,
+    core::time_point now) -> void
+{
+    auto& run = worker.runs[index];
+    switch (result)
+    {
+    case order_result::accepted: run.confirmed_at = now; return;
+    case order_result::unknown:
+        ++totals.starts_unknown;
+        worker.blocked_until =
+            std::max(worker.blocked_until, now + unanswered_pause);
+        return;
+    case order_result::fenced: return; // Sent before a rebirth was seen.
+    default: break;
+    }
+    ++totals.starts_rejected;
+    event(
+        "A start was rejected.", {{"worker", worker.info.worker.value},
+                                  {"job", run.name.job.value},
+                                  {"step", run.name.step},
+                                  {"task", run.name.index},
+                                  {"run", run.run.value},
+                                  {"result", to_string(result)}});
+    if (result == order_result::old_run && run.job)
+    {
+        run.job->tasks[run.task].last_run.value += run_jump;
+        run.run = run.job->tasks[run.task].last_run;
+    }
+    auto const pause = result == order_result::unhealthy
+                           ? core::duration{unhealthy_pause}
+                           : core::duration{rejected_pause};
+    worker.blocked_until = std::max(worker.blocked_until, now + pause);
+    if (result == order_result::other_worker)
+    {
+        lose_contact(worker, now);
+    }
+    retry_run(worker, index, now);
+}
+
+auto dispatcher::implementation::tick(core::time_point now) -> void
+{
+    for (auto& [id, worker] : workers)
+    {
+        if (!worker->runs.empty() && now > worker->lease_until)
+        {
+            lose_runs(*worker, "its lease has lapsed", now);
+            lose_contact(*worker, now);
+        }
+    }
+    finish_recovery(now);
+    forget_old_jobs(now);
+    schedule_due = true;
+}
+
+auto dispatcher::implementation::finish_recovery(core::time_point now) -> void
+{
+    if (!recovering || !workers_known)
+    {
+        return;
+    }
+    auto const all_heard = std::all_of(
+        workers.begin(), workers.end(),
+        [](auto const& it)
+        { return it.second->contact == contact_state::live; });
+    if (!all_heard && now < recovery_until)
+    {
+        return;
+    }
+    recovering = false;
+    auto released = std::size_t{0};
+    for (auto const& [id, job] : jobs)
+    {
+        for (auto i = std::uint32_t{0}; i < job->tasks.size(); ++i)
+        {
+            if (job->tasks[i].state == task_state::unknown)
+            {
+                make_ready(job, i);
+                ++released;
+            }
+        }
+    }
+    event(
+        "The runs of the former owner are known.",
+        {{"all_workers_heard", all_heard}, {"tasks_released", released}});
+}
+
+auto dispatcher::implementation::watch_progress(
+    worker_entry& worker, core::time_point now) -> void
+{
+    for (auto& run : worker.runs)
+    {
+        auto const may_stand = !run.job || run.stop_wanted || !run.listed ||
+                               run.uses_spare_cpu || run.tail_target_ms > 0;
+        if (may_stand)
+        {
+            continue;
+        }
+        auto const& spec = run.job->spec(run.job->step_of(run.task));
+        auto const limit = std::max<core::duration>(
+            least_standstill,
+            std::chrono::milliseconds{
+                spec.expected_run_ms * standstill_percent / 100});
+        if (spec.long_running || spec.gang || now - run.percent_at < limit)
+        {
+            continue;
+        }
+        run.stop_wanted = true;
+        run.job->tasks[run.task].avoided = worker.info.worker;
+        worker.suspicion = std::max(worker.suspicion + 1, most_suspicion);
+        worker.suspended_until = now + first_suspension;
+        event(
+            "A run stands still and is moved.",
+            {{"worker", worker.info.worker.value},
+             {"job", run.name.job.value},
+             {"step", run.name.step},
+             {"task", run.name.index},
+             {"percent", run.percent},
+             {"for_ms", to_ms(now - run.percent_at)}});
+    }
+}
+
+} // namespace godwitcleat::state
--- /dev/null
+++ b/state/plan_func.cpp
@@ -0,0 +1,124 @@
+/** @file plan_func.cpp Checks jobs of several steps. */
+#include "state/plan_type.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+auto invalid(std::string message) -> std::nullopt_t
+{
+    return core::fail(core::error_kind::invalid_input, std::move(message));
+}
+
+auto check_step(plan_step const& step, std::size_t number)
+    -> std::optional<bool>
+{
+    if (step.tasks == 0 || step.tasks > most_tasks_per_step)
+    {
+        return invalid(fmt::format(
+            "step {} has {} tasks; use 1 to {}", number, step.tasks,
+            most_tasks_per_step));
+    }
+    if (step.need.cpu_milli < 0 || step.need.memory_mb < 0 ||
+        step.need.accelerators < 0 || step.expected_run_ms < 0)
+    {
+        return invalid(fmt::format(
+            "step {} has a negative need or run time; use 0 or more", number));
+    }
+    for (auto const it : step.after)
+    {
+        if (it >= number)
+        {
+            return invalid(fmt::format(
+                "step {} waits for step {}; name earlier steps only", number,
+                it));
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+auto to_string(plan_phase value) -> std::string_view
+{
+    switch (value)
+    {
+    case plan_phase::queued: return "queued";
+    case plan_phase::active: return "active";
+    case plan_phase::completed: return "completed";
+    case plan_phase::failed: return "failed";
+    case plan_phase::cancelled: return "cancelled";
+    }
+    return "unknown";
+}
+
+auto is_final(plan_phase phase) -> bool
+{
+    return phase == plan_phase::completed || phase == plan_phase::failed ||
+           phase == plan_phase::cancelled;
+}
+
+auto check_plan(job_plan const& plan) -> std::optional<bool>
+{
+    if (plan.steps.empty() || plan.steps.size() > most_steps)
+    {
+        return invalid(fmt::format(
+            "the job has {} steps; use 1 to {}", plan.steps.size(),
+            most_steps));
+    }
+    if (plan.command.size() > most_command_bytes)
+    {
+        return invalid(fmt::format(
+            "the command has {} bytes; use at most {}", plan.command.size(),
+            most_command_bytes));
+    }
+    if (plan.occurrences == 0 || plan.occurrences > most_occurrences ||
+        plan.interval_ms < 0 || plan.first_run_ms < 0)
+    {
+        return invalid(fmt::format(
+            "the job repeats {} times each {} ms; use 1 to {} times and an "
+            "interval of 0 or more",
+            plan.occurrences, plan.interval_ms, most_occurrences));
+    }
+    auto tasks = std::uint64_t{0};
+    for (auto i = std::size_t{0}; i < plan.steps.size(); ++i)
+    {
+        if (!check_step(plan.steps[i], i))
+        {
+            return std::nullopt;
+        }
+        tasks += plan.steps[i].tasks;
+    }
+    if (tasks * plan.occurrences > most_tasks_per_job)
+    {
+        return invalid(fmt::format(
+            "the job has {} tasks; use at most {}", tasks * plan.occurrences,
+            most_tasks_per_job));
+    }
+    return true;
+}
+
+auto longest_chain_ms(job_plan const& plan) -> std::int64_t
+{
+    auto ends = std::vector<std::int64_t>{};
+    auto longest = std::int64_t{0};
+    for (auto const& step : plan.steps)
+    {
+        auto begin = std::int64_t{0};
+        for (auto const it : step.after)
+        {
+            begin = std::max(begin, ends.at(it));
+        }
+        ends.push_back(begin + step.expected_run_ms);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace godwitcleat::state
