Place and pace filling tasks by learned interference

Change: the dispatcher learns with interference_model how much each class lengthens the tail of each serving class, places filling tasks only where the expected excess and the unused processors allow them, slows the class that is blamed first, and moves a run that may not work for 1.5 s.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_STATE_DISPATCH_INTERNAL_HPP
 
 #include "state/dispatch_base.hpp"
+#include "state/interference_base.hpp"
 
 #include <deque>
 #include <map>
@@ -94,6 +95,8 @@
     task_name name;
     run_number run;
     core::resources need;
+    std::string task_class;
+    std::int64_t cpu_demand = 0; ///< Thousandths of a core at full pace.
     bool uses_spare_cpu = false;
     std::int64_t tail_target_ms = 0;
     bool listed = false; ///< The worker has shown it as running.
@@ -108,6 +111,7 @@
     core::time_point percent_at; ///< When the percentage last changed.
     std::int64_t measure = 0;
     std::uint32_t pace = 100;
+    core::time_point paced_at; ///< When the pace last changed.
     std::uint64_t seen_in = 0; ///< Number of the last list that shows it.
 };
 
@@ -127,6 +131,14 @@
     live      ///< Its lists are known under the current token.
 };
 
+/** A class of serving tasks on a worker. */
+struct serving_class
+{
+    std::string task_class;
+    double excess = 0.0; ///< Expected from the tasks beside it.
+    double limit = 0.0;  ///< Excess up to which its target is kept.
+};
+
 /** One worker. */
 struct worker_entry
 {
@@ -154,8 +166,12 @@
     core::time_point reserved_until; ///< Room is made for serving tasks.
     std::uint32_t suspicion = 0; ///< Failures in a row that it is blamed for.
     core::time_point suspended_until;
-    std::uint32_t serving = 0;   ///< Runs with a tail target.
-    core::time_point calm_since; ///< No serving run was over its target.
+    std::uint32_t serving = 0;         ///< Runs with a tail target.
+    core::time_point calm_since;       ///< No serving run was over its target.
+    core::time_point learned_at;       ///< Of the last lesson on interference.
+    bool assessed = false;             ///< The members below are up to date.
+    std::vector<serving_class> served; ///< Classes with a tail target.
+    std::int64_t spare_cpu = 0; ///< Not used by committed tasks, estimated.
 
     [[nodiscard]] auto free() const -> core::resources
     {
@@ -179,6 +195,9 @@
     }
 };
 
+/** Returns the settings of the model of tails; see interference_model. */
+auto learning_settings() -> interference_settings;
+
 struct dispatcher::implementation
 {
     implementation(
@@ -300,7 +319,26 @@
         ready_step const& it, queue_config const& queue, core::time_point now)
         -> void;
     auto add_stop_orders(core::time_point now) -> void;
+    auto plan_run(
+        job_pointer const& job, std::uint32_t task, run_number number,
+        core::time_point now) -> run_entry;
+
+    // Interference (dispatch_interference.cpp)
+    auto learn_interference(worker_entry& worker, core::time_point now) -> void;
+    auto assess(worker_entry& worker) -> void;
+    auto base_tail(std::string const& task_class, std::int64_t target)
+        -> double&;
+    auto bears(worker_entry& worker, plan_step const& spec) -> bool;
+    auto coefficient(std::string const& serving, std::string const& filling)
+        -> double;
     auto add_pace_orders(worker_entry& worker, core::time_point now) -> void;
+    auto slow_down(
+        worker_entry& worker, run_entry const& serving, core::time_point now)
+        -> void;
+    auto speed_up(worker_entry& worker, core::time_point now) -> void;
+    auto set_pace(
+        worker_entry& worker, run_entry& run, std::uint32_t pace,
+        core::time_point now) -> void;
     auto order_for(
         worker_entry const& worker, run_entry const& run, run_order_kind kind)
         -> run_order;
@@ -338,6 +376,8 @@
     core::time_point next_cleanup;
     bool schedule_due = true;
     core::time_point next_schedule;
+    interference_model interference{learning_settings()};
+    std::map<std::string, double> base_tails; ///< Undisturbed, by class, ms.
     dispatch_counts totals;
 };
 
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -23,19 +23,10 @@
 // Up to this multiple of its objective a job still earns a part.
 constexpr auto late_factor = 3;
 
-// Shares of a serving task's target at which the tasks beside it are slowed
-// down, and at which they get their share back.
-constexpr auto slow_down_percent = 80;
-constexpr auto speed_up_percent = 50;
-constexpr auto calm_time = std::chrono::seconds{2};
-constexpr auto pace_step = std::uint32_t{20};
-constexpr auto least_pace = std::uint32_t{10};
-constexpr auto full_pace = std::uint32_t{100};
-
 // Costs of a placement; the worker with the lowest sum is taken.
 constexpr auto avoided_cost = 1000.0;
 constexpr auto far_cost = 100.0;
-constexpr auto beside_serving_cost = 50.0;
+constexpr auto beside_serving_cost = 0.5;
 constexpr auto suspicion_cost = 10.0;
 
 /** Order in which steps get room; lower first. */
@@ -174,6 +165,10 @@
         {
             continue;
         }
+        if (spec.uses_spare_cpu && !bears(*worker, spec))
+        {
+            continue;
+        }
         // A worker whose runs failed gets one trial at a time.
         if (worker->suspicion > 1 && !worker->runs.empty())
         {
@@ -200,8 +195,11 @@
             static_cast<double>(free.cpu_milli - spec.need.cpu_milli) /
             capacity;
         // Serving and filling tasks are spread, others are packed.
-        auto const spread = spec.long_running || spec.uses_spare_cpu;
-        auto cost = spread ? 1.0 - left : left;
+        auto cost = spec.long_running ? 1.0 - left : left;
+        if (spec.uses_spare_cpu)
+        {
+            cost = -static_cast<double>(worker->spare_cpu) / capacity;
+        }
         cost += id == task.avoided ? avoided_cost : 0.0;
         cost += suspicion_cost * worker->suspicion;
         if (!spec.near_rack.empty() && info.rack != spec.near_rack)
@@ -300,20 +298,42 @@
     run_number number, core::time_point now) -> void
 {
     auto& task = job->tasks[index];
-    auto& step = job->step_of(index);
-    auto const& spec = job->spec(step);
     task.state = task_state::bound;
     task.worker = &worker;
     task.last_run = number;
     job->started = true;
     ++job->bound;
     ++totals.starts;
+    auto run = plan_run(job, index, number, now);
+    worker.used += run.need;
+    worker.serving += run.tail_target_ms > 0 ? 1 : 0;
+    worker.lease_until = std::max(worker.lease_until, run.startable_until);
+    auto order = order_for(worker, run, run_order_kind::start);
+    order.command = job->record.plan.command;
+    order.checkpoint = run.checkpoint;
+    order.deadline_ms = clock_of(worker, now) +
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            settings.start_validity)
+                            .count();
+    orders.push_back(std::move(order));
+    worker.runs.push_back(std::move(run));
+    worker.assessed = false;
+}
+
+auto dispatcher::implementation::plan_run(
+    job_pointer const& job, std::uint32_t index, run_number number,
+    core::time_point now) -> run_entry
+{
+    auto const& step = job->step_of(index);
+    auto const& spec = job->spec(step);
     auto run = run_entry{};
     run.job = job;
     run.task = index;
     run.name = job->name_of(index);
     run.run = number;
     run.need = spec.need;
+    run.cpu_demand = spec.need.cpu_milli;
+    run.task_class = spec.task_class;
     run.uses_spare_cpu = spec.uses_spare_cpu;
     run.tail_target_ms = spec.tail_target_ms;
     if (spec.uses_spare_cpu)
@@ -322,22 +342,12 @@
     }
     run.ordered_at = now;
     run.percent_at = now;
+    run.paced_at = now;
     run.startable_until =
         now + settings.start_validity * (100 + clock_drift_percent) / 100 +
         start_margin;
     run.checkpoint = job->tasks[spec.gang ? step.first : index].checkpoint;
-    worker.used += run.need;
-    worker.serving += run.tail_target_ms > 0 ? 1 : 0;
-    worker.lease_until = std::max(worker.lease_until, run.startable_until);
-    auto order = order_for(worker, run, run_order_kind::start);
-    order.command = job->record.plan.command;
-    order.checkpoint = run.checkpoint;
-    order.deadline_ms = clock_of(worker, now) +
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                            settings.start_validity)
-                            .count();
-    orders.push_back(std::move(order));
-    worker.runs.push_back(std::move(run));
+    return run;
 }
 
 auto dispatcher::implementation::order_for(
@@ -441,56 +451,4 @@
     }
 }
 
-auto dispatcher::implementation::add_pace_orders(
-    worker_entry& worker, core::time_point now) -> void
-{
-    if (worker.serving == 0)
-    {
-        return;
-    }
-    auto hottest = std::int64_t{0};
-    for (auto const& run : worker.runs)
-    {
-        if (run.tail_target_ms > 0 && run.listed)
-        {
-            hottest = std::max(hottest, run.measure * 100 / run.tail_target_ms);
-        }
-    }
-    if (hottest >= speed_up_percent)
-    {
-        worker.calm_since = now;
-    }
-    auto const over = hottest >= slow_down_percent;
-    auto const calm = now - worker.calm_since >= calm_time;
-    for (auto& run : worker.runs)
-    {
-        if (!run.uses_spare_cpu || !run.listed || run.stop_wanted)
-        {
-            continue;
-        }
-        auto pace = run.pace;
-        if (over)
-        {
-            pace = std::min(pace, full_pace) / 4;
-            pace = pace < least_pace ? 0 : pace;
-        }
-        else if (calm)
-        {
-            pace = std::min(pace + pace_step, full_pace);
-        }
-        if (pace == run.pace)
-        {
-            continue;
-        }
-        run.pace = pace;
-        auto order = order_for(worker, run, run_order_kind::pace);
-        order.percent = pace;
-        orders.push_back(std::move(order));
-    }
-    if (calm)
-    {
-        worker.calm_since = now;
-    }
-}
-
 } // namespace godwitcleat::state
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -25,6 +25,8 @@
 constexpr auto most_suspension_doublings = std::uint32_t{2};
 // A run whose percentage stays the same for this long stands still.
 constexpr auto least_standstill = std::chrono::milliseconds{1800};
+// A run that may not work for this long does better on another worker.
+constexpr auto held_back_time = std::chrono::milliseconds{1500};
 constexpr auto standstill_percent = 8; // Of the declared run time.
 // After a jump the worker accepts a run that is higher than all former ones.
 constexpr auto run_jump = std::uint64_t{10};
@@ -258,6 +260,7 @@
     auto const busy = worker.seen_end != ends_before;
     worker.hold_at = busy ? now + settings.look_gap : now;
     watch_progress(worker, now);
+    learn_interference(worker, now);
     add_pace_orders(worker, now);
 }
 
@@ -329,50 +332,35 @@
     worker_entry& worker, running_row const& row, core::time_point now)
     -> run_entry&
 {
-    auto run = run_entry{};
+    auto const job = find(row.task.job.value);
+    auto const index = job ? job->index_of(row.task) : std::nullopt;
+    auto run = index ? plan_run(job, *index, row.run, now) : run_entry{};
     run.name = row.task;
     run.run = row.run;
-    run.ordered_at = now;
-    run.percent_at = now;
     run.startable_until = now;
     run.confirmed_at = now;
     run.stop_wanted = true;
-    run.job = find(row.task.job.value);
-    auto const index = run.job ? run.job->index_of(row.task) : std::nullopt;
-    if (!index)
-    {
-        run.job = nullptr;
-    }
-    if (run.job)
-    {
-        auto& job = *run.job;
-        auto& task = job.tasks[*index];
-        auto const& spec = job.spec(job.step_of(*index));
-        run.task = *index;
-        run.need = spec.need;
-        run.uses_spare_cpu = spec.uses_spare_cpu;
-        run.tail_target_ms = spec.tail_target_ms;
-        if (spec.uses_spare_cpu)
-        {
-            run.need.cpu_milli = 0;
-        }
+    if (index)
+    {
+        auto& task = job->tasks[*index];
         task.last_run = std::max(task.last_run, row.run);
-        job.started = true;
-        ++job.bound;
+        job->started = true;
+        ++job->bound;
         auto const free = task.state != task_state::bound &&
                           task.state != task_state::done &&
-                          !is_final(job.phase);
+                          !is_final(job->phase);
         if (free)
         {
             if (task.state == task_state::ready)
             {
-                std::erase(job.step_of(*index).ready, *index);
+                std::erase(job->step_of(*index).ready, *index);
             }
             task.state = task_state::bound;
             task.worker = &worker;
             run.stop_wanted = false;
         }
     }
+    worker.assessed = false;
     worker.used += run.need;
     worker.serving += run.tail_target_ms > 0 ? 1 : 0;
     event(
@@ -437,6 +425,7 @@
 {
     auto run = std::move(worker.runs[index]);
     worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
+    worker.assessed = false;
     worker.used -= run.need;
     worker.serving -= run.tail_target_ms > 0 ? 1 : 0;
     schedule_due = true;
@@ -652,8 +641,8 @@
     }
     else if (result != order_result::accepted)
     {
-        // The order is repeated with the next list.
-        run.pace = 101;
+        // The worker goes on at its former pace, so that it is told again.
+        run.paced_at = core::time_point{};
     }
     return true;
 }
@@ -750,6 +739,15 @@
 {
     for (auto& run : worker.runs)
     {
+        auto const held_back =
+            run.job && run.uses_spare_cpu && !run.stop_wanted && run.listed &&
+            run.pace == 0 && now - run.paced_at >= held_back_time;
+        if (held_back)
+        {
+            run.stop_wanted = true;
+            run.job->tasks[run.task].avoided = worker.info.worker;
+            continue;
+        }
         auto const may_stand = !run.job || run.stop_wanted || !run.listed ||
                                run.uses_spare_cpu || run.tail_target_ms > 0;
         if (may_stand)
