Count a stored failure once

Change: the stored progress of a task names the latest run that counts as a failure; ends of that run or earlier ones do not count.

Test: a_new_owner_counts_a_stored_failure_once failed before.

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -59,6 +59,7 @@
     visit("task", value.task);
     visit("failures", value.failures);
     visit("checkpoint", value.checkpoint);
+    visit("counted_run", value.counted_run);
 }
 
 auto visit_members(is<state::plan_progress> auto& value, auto&& visit) -> void
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -32,6 +32,7 @@
 {
     task_state state = task_state::blocked;
     std::uint32_t failures = 0;
+    run_number counted_run;         ///< Latest run that counts as a failure.
     run_number last_run;            ///< Highest run that was ordered or seen.
     worker_entry* worker = nullptr; ///< Of the bound run.
     core::worker_id avoided;        ///< Worker of the last run that went wrong.
@@ -274,9 +275,9 @@
     auto start_new_life(
         worker_entry& worker, worker_lists const& lists, core::time_point now)
         -> void;
-    auto
-    fail_task(job_pointer const& job, std::uint32_t task, core::time_point now)
-        -> void;
+    auto fail_task(
+        job_pointer const& job, std::uint32_t task, run_number run,
+        core::time_point now) -> void;
     auto keep_checkpoint(
         job_pointer const& job, std::uint32_t task, std::string checkpoint,
         core::time_point now) -> void;
@@ -290,7 +291,8 @@
         std::string checkpoint, core::time_point now) -> void;
     auto apply_end(
         job_pointer const& job, std::uint32_t task, worker_entry& worker,
-        run_end how, std::string checkpoint, core::time_point now) -> void;
+        run_number run, run_end how, std::string checkpoint,
+        core::time_point now) -> void;
     auto judge_worker(
         worker_entry& worker, job_entry& job, run_end how, core::time_point now)
         -> void;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -54,7 +54,8 @@
         }
         else if (task.failures > 0 || !task.checkpoint.empty())
         {
-            result.tasks.push_back({i, task.failures, task.checkpoint});
+            result.tasks.push_back(
+                {i, task.failures, task.checkpoint, task.counted_run.value});
         }
     }
     while (!bits.empty() && bits.back() == '\0')
@@ -205,6 +206,7 @@
         if (it.task < job.tasks.size())
         {
             job.tasks[it.task].failures = it.failures;
+            job.tasks[it.task].counted_run = run_number{it.counted_run};
             job.tasks[it.task].checkpoint = it.checkpoint;
             job.started = true;
         }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -320,7 +320,8 @@
             auto& task = job->tasks[*index];
             task.last_run = std::max(task.last_run, row.run);
             job->started = true;
-            apply_end(job, *index, worker, row.how, row.checkpoint, now);
+            apply_end(
+                job, *index, worker, row.run, row.how, row.checkpoint, now);
         }
     }
     auto const has_changed = job && job->version != version;
@@ -470,13 +471,16 @@
     }
     if (is_current || how == run_end::done || how == run_end::failed)
     {
-        apply_end(run.job, run.task, worker, how, std::move(checkpoint), now);
+        apply_end(
+            run.job, run.task, worker, run.run, how, std::move(checkpoint),
+            now);
     }
 }
 
 auto dispatcher::implementation::apply_end(
     job_pointer const& job, std::uint32_t index, worker_entry& worker,
-    run_end how, std::string checkpoint, core::time_point now) -> void
+    run_number run, run_end how, std::string checkpoint, core::time_point now)
+    -> void
 {
     auto& task = job->tasks[index];
     auto& step = job->step_of(index);
@@ -526,7 +530,7 @@
         task.avoided = worker.info.worker;
         if (!spec.long_running)
         {
-            fail_task(job, index, now);
+            fail_task(job, index, run, now);
         }
     }
     auto const waits =
@@ -560,12 +564,20 @@
 }
 
 auto dispatcher::implementation::fail_task(
-    job_pointer const& job, std::uint32_t index, core::time_point now) -> void
+    job_pointer const& job, std::uint32_t index, run_number run,
+    core::time_point now) -> void
 {
     auto const& step = job->step_of(index);
     auto const& spec = job->spec(step);
     auto const* const queue = find_queue(*job);
     auto& task = job->tasks[spec.gang ? step.first : index];
+    // A new owner hears a stored end again, and members of a gang fail
+    // together.
+    if (run <= task.counted_run)
+    {
+        return;
+    }
+    task.counted_run = run;
     ++task.failures;
     event(
         "A run has failed.", {{"job", job->record.plan.id.value},
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -328,6 +328,34 @@
     EXPECT_FALSE(world->phase("j1"));
 }
 
+// Guards against a failure that counts twice: it was stored, and the new owner
+// hears it again, because it was not acknowledged.
+TEST(dispatch, a_new_owner_counts_a_stored_failure_once)
+{
+    auto const world = two_workers();
+    world->behave = [](auto const&, state::run_number run)
+    {
+        auto const fails = run.value <= 2;
+        return tests::task_behaviour{fails ? 50 : 2000, fails};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    auto const stored_failures = [&]
+    {
+        auto const& all = world->stored.progress;
+        return all.empty() || all.front().second.tasks.empty()
+                   ? 0U
+                   : all.front().second.tasks.front().failures;
+    };
+    for (auto i = 0; i < 200 && stored_failures() < 2; ++i)
+    {
+        world->run_for(10);
+    }
+    ASSERT_EQ(stored_failures(), 2U);
+    world->begin_term();
+    world->run_for(5000);
+    EXPECT_EQ(world->phase("j1"), plan_phase::completed);
+}
+
 // Guards against a job that runs although its cancelling was answered before
 // its submit arrived.
 TEST(dispatch, a_job_that_was_cancelled_before_its_submit_never_runs)
