Order steps by whether their job can still be in time at learned run times

Change: the dispatcher learns the ratio of the run time to the declared one for each queue and judges by it whether a job can be in time; jobs that were begun come first.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -319,6 +319,8 @@
     auto choose_worker(
         job_entry& job, step_entry& step, task_entry const& task,
         queue_config const& queue, core::time_point now) -> worker_entry*;
+    auto run_factor(queue_id const& queue) -> double&;
+    auto learn_run_time(run_entry const& run, core::time_point now) -> void;
     [[nodiscard]] auto is_mostly_free() const -> bool;
     auto may_start(worker_entry const& worker, core::time_point now) const
         -> bool;
@@ -396,6 +398,7 @@
     core::time_point next_schedule;
     core::time_point latest; ///< Time of the latest pass.
     interference_model interference{learning_settings()};
+    std::map<queue_id, double> run_factors; ///< Run time to the declared one.
     std::map<std::string, double> base_tails; ///< Undisturbed, by class, ms.
     dispatch_counts totals;
 };
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -40,33 +40,37 @@
 {
     std::uint32_t group = 0; ///< 0: runs on and on, 1: in time, 2: late, 3.
     std::uint32_t priority = 0;
-    std::int64_t due_ms = 0;
+    std::uint32_t begun = 1; ///< 0: a task of the job was started already.
+    std::int64_t order_ms = 0;
 
     auto operator<=>(step_rank const&) const = default; // NOLINT
 };
 
 auto rank_of(
     job_entry const& job, step_entry const& step, queue_config const& queue,
-    std::int64_t now_ms) -> step_rank
+    double run_factor, std::int64_t now_ms) -> step_rank
 {
     auto const& spec = job.spec(step);
     auto const begin = std::max(job.record.accepted_ms, step.due_ms);
     if (spec.long_running)
     {
-        return {0, queue.priority, begin};
+        return {0, queue.priority, 0, begin};
     }
     auto const objective =
         static_cast<std::int64_t>(
             queue.stretch * static_cast<double>(job.chain_ms)) +
         queue.allowance_ms;
-    auto const end = now_ms + job.tail_ms[step.step];
+    auto const end =
+        now_ms + static_cast<std::int64_t>(
+                     run_factor * static_cast<double>(job.tail_ms[step.step]));
     auto const due = begin + objective;
+    auto const begun = job.started ? 0U : 1U;
     if (end <= due)
     {
-        return {1, queue.priority, due - job.tail_ms[step.step]};
+        return {1, queue.priority, begun, due};
     }
     auto const late = begin + late_factor * objective;
-    return {end <= late ? 2U : 3U, queue.priority, due};
+    return {end <= late ? 2U : 3U, queue.priority, begun, due};
 }
 
 } // namespace
@@ -104,7 +108,8 @@
         auto const* const queue = find_queue(*it.job);
         if (queue != nullptr && step.due_ms <= now_ms && !queue->needs_advice)
         {
-            ranked.emplace_back(rank_of(*it.job, step, *queue, now_ms), i);
+            ranked.emplace_back(rank_of(*it.job, step, *queue, run_factor(queue->queue), now_ms),
+                i);
         }
     }
     std::sort(ranked.begin(), ranked.end());
@@ -138,6 +143,11 @@
     }
 }
 
+auto dispatcher::implementation::run_factor(queue_id const& queue) -> double&
+{
+    return run_factors.try_emplace(queue, 1.0).first->second;
+}
+
 auto dispatcher::implementation::is_mostly_free() const -> bool
 {
     auto used = std::int64_t{0};
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -32,6 +32,10 @@
 // A run that may not work for this long does better on another worker.
 constexpr auto held_back_time = std::chrono::milliseconds{1500};
 constexpr auto standstill_percent = 8; // Of the declared run time.
+// Weight of one run in the factor on declared run times, and the largest ratio
+// that one run counts for.
+constexpr auto run_factor_rate = 0.03;
+constexpr auto most_run_factor = 4.0;
 // After a jump the worker accepts a run that is higher than all former ones.
 constexpr auto run_jump = std::uint64_t{10};
 
@@ -457,6 +461,10 @@
         return;
     }
     --run.job->bound;
+    if (how == run_end::done)
+    {
+        learn_run_time(run, now);
+    }
     if (checkpoint.empty())
     {
         checkpoint = std::move(run.checkpoint);
@@ -477,6 +485,20 @@
     }
 }
 
+auto dispatcher::implementation::learn_run_time(
+    run_entry const& run, core::time_point now) -> void
+{
+    auto const& spec = run.job->spec(run.job->step_of(run.task));
+    if (spec.expected_run_ms <= 0 || !run.checkpoint.empty())
+    {
+        return;
+    }
+    auto const ratio = static_cast<double>(to_ms(now - run.ordered_at)) /
+                       static_cast<double>(spec.expected_run_ms);
+    auto& factor = run_factor(run.job->record.plan.queue);
+    factor += run_factor_rate * (std::min(ratio, most_run_factor) - factor);
+}
+
 auto dispatcher::implementation::apply_end(
     job_pointer const& job, std::uint32_t index, worker_entry& worker,
     run_number run, run_end how, std::string checkpoint, core::time_point now)
