Place filling tasks by the latest figures of the serving tasks

Lessons were learned from figures that still showed runs that had ended.

Change: what is started now may use up 60% of the room below the target by the latest figure; what the figures do not show yet counts against it. No lesson is taken for 0.6 s after a filling run has ended.

--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -17,6 +17,7 @@
 
 // The workers' figures are means over half a second.
 constexpr auto lesson_interval = std::chrono::milliseconds{500};
+constexpr auto figure_lag = std::chrono::milliseconds{600};
 // Less than this share of a worker's processors disturbs nobody measurably.
 constexpr auto least_load = 0.005;
 constexpr auto base_rate = 0.05; // Weight of a new undisturbed tail.
@@ -25,6 +26,9 @@
 // Share of the room below a target that may be used up by expected excess. The
 // rest is for the serving tasks' own load, which changes within seconds.
 constexpr auto usable_room = 0.55;
+// Share of the room below a target, by its latest figure, that tasks which are
+// started now may use up.
+constexpr auto usable_room_now = 0.6;
 // Serving tasks use this share of their processors at most, usually.
 constexpr auto serving_use_percent = 65;
 
@@ -82,7 +86,9 @@
 auto dispatcher::implementation::learn_interference(
     worker_entry& worker, core::time_point now) -> void
 {
-    if (worker.serving == 0 || now - worker.learned_at < lesson_interval)
+    // A run that has just ended still shows in the others' figures.
+    if (worker.serving == 0 || now - worker.learned_at < lesson_interval ||
+        now - worker.spare_ended_at < figure_lag)
     {
         return;
     }
@@ -119,7 +125,34 @@
     worker.assessed = false;
 }
 
-auto dispatcher::implementation::assess(worker_entry& worker) -> void
+auto dispatcher::implementation::add_served(
+    worker_entry& worker, run_entry const& run) -> void
+{
+    auto const target = static_cast<double>(run.tail_target_ms);
+    auto const tail = std::max(1.0, static_cast<double>(run.measure));
+    auto const now_left =
+        usable_room_now * std::max(0.0, std::log(target / tail));
+    for (auto& it : worker.served)
+    {
+        if (it.task_class == run.task_class)
+        {
+            it.limit_now = std::min(it.limit_now, now_left);
+            return;
+        }
+    }
+    auto it = serving_class{};
+    it.task_class = run.task_class;
+    it.limit = usable_room *
+               std::max(
+                   0.0, std::log(
+                            target /
+                            base_tail(run.task_class, run.tail_target_ms)));
+    it.limit_now = now_left;
+    worker.served.push_back(std::move(it));
+}
+
+auto dispatcher::implementation::assess(
+    worker_entry& worker, core::time_point now) -> void
 {
     if (worker.assessed)
     {
@@ -130,28 +163,22 @@
     auto serving_cpu = std::int64_t{0};
     auto filling_cpu = std::int64_t{0};
     auto loads = std::map<std::string_view, std::int64_t>{};
+    auto recent = std::map<std::string_view, std::int64_t>{};
     for (auto const& run : worker.runs)
     {
         if (run.uses_spare_cpu)
         {
             loads[run.task_class] += run.cpu_demand;
             filling_cpu += run.cpu_demand;
+            if (now - run.ordered_at < figure_lag)
+            {
+                recent[run.task_class] += run.cpu_demand;
+            }
         }
-        if (run.tail_target_ms == 0)
-        {
-            continue;
-        }
-        serving_cpu += run.need.cpu_milli;
-        auto const known = std::any_of(
-            worker.served.begin(), worker.served.end(),
-            [&](auto const& it) { return it.task_class == run.task_class; });
-        if (!known)
+        if (run.tail_target_ms > 0)
         {
-            auto const target = static_cast<double>(run.tail_target_ms);
-            auto const base = base_tail(run.task_class, run.tail_target_ms);
-            worker.served.push_back(
-                {run.task_class, 0.0,
-                 usable_room * std::max(0.0, std::log(target / base))});
+            serving_cpu += run.need.cpu_milli;
+            add_served(worker, run);
         }
     }
     for (auto& it : worker.served)
@@ -161,6 +188,12 @@
             it.excess += interference.excess(
                 it.task_class, filling, share_of(worker, cpu));
         }
+        // The figures do not show what was started just now.
+        for (auto const& [filling, cpu] : recent)
+        {
+            it.recent += interference.excess(
+                it.task_class, filling, share_of(worker, cpu));
+        }
     }
     auto const unused = serving_cpu * (100 - serving_use_percent) / 100;
     worker.spare_cpu = worker.free().cpu_milli + unused - filling_cpu;
@@ -170,7 +203,7 @@
     worker_entry& worker, plan_step const& spec, bool waits_long,
     core::time_point now) -> bool
 {
-    assess(worker);
+    assess(worker, now);
     if (now < worker.hot_until)
     {
         return false;
@@ -188,9 +221,10 @@
         worker.served.begin(), worker.served.end(),
         [&](serving_class const& it)
         {
-            return it.excess +
-                       load * coefficient(it.task_class, spec.task_class) <=
-                   it.limit;
+            auto const more =
+                load * coefficient(it.task_class, spec.task_class);
+            return it.excess + more <= it.limit &&
+                   it.recent + more <= it.limit_now;
         });
 }
 
@@ -198,7 +232,6 @@
 auto dispatcher::implementation::disturbance(
     worker_entry& worker, plan_step const& spec) -> double
 {
-    assess(worker);
     auto const load = share_of(worker, spec.need.cpu_milli);
     auto result = 0.0;
     for (auto const& it : worker.served)
@@ -213,6 +246,7 @@
 auto dispatcher::implementation::add_pace_orders(
     worker_entry& worker, core::time_point now) -> void
 {
+    worker.assessed = false;
     if (worker.serving == 0)
     {
         return;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -142,6 +142,8 @@
     std::string task_class;
     double excess = 0.0; ///< Expected from the tasks beside it.
     double limit = 0.0;  ///< Excess up to which its target is kept.
+    double recent = 0.0; ///< Part of `excess` that no figure shows yet.
+    double limit_now = 0.0; ///< Excess above the latest figure.
 };
 
 /** One worker. */
@@ -176,6 +178,7 @@
     std::uint32_t serving = 0;         ///< Runs with a tail target.
     std::uint32_t spare_runs = 0;      ///< Runs that use spare processors.
     core::time_point calm_since;       ///< No serving run was over its target.
+    core::time_point spare_ended_at; ///< A run with spare processors ended.
     core::time_point learned_at;       ///< Of the last lesson on interference.
     bool assessed = false;             ///< The members below are up to date.
     std::vector<serving_class> served; ///< Classes with a tail target.
@@ -339,7 +342,8 @@
 
     // Interference (dispatch_interference.cpp)
     auto learn_interference(worker_entry& worker, core::time_point now) -> void;
-    auto assess(worker_entry& worker) -> void;
+    auto assess(worker_entry& worker, core::time_point now) -> void;
+    auto add_served(worker_entry& worker, run_entry const& run) -> void;
     auto base_tail(std::string const& task_class, std::int64_t target)
         -> double&;
     auto bears(
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -452,6 +452,10 @@
     auto run = std::move(worker.runs[index]);
     worker.runs.erase(worker.runs.begin() + static_cast<std::ptrdiff_t>(index));
     worker.assessed = false;
+    if (run.uses_spare_cpu)
+    {
+        worker.spare_ended_at = now;
+    }
     worker.used -= run.need;
     worker.serving -= run.tail_target_ms > 0 ? 1 : 0;
     worker.spare_runs -= run.uses_spare_cpu ? 1 : 0;
