--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -25,12 +25,12 @@
 constexpr auto first_base = 0.45;
 // Share of the room below a target that may be used up by expected excess. The
 // rest is for the serving tasks' own load, which changes within seconds.
-constexpr auto usable_room = 0.55;
+constexpr auto usable_room = 0.9;
 // Share of the room below a target, by its latest figure, that tasks which are
 // started now may use up.
-constexpr auto usable_room_now = 0.6;
+constexpr auto usable_room_now = 0.4;
 // Serving tasks use this share of their processors at most, usually.
-constexpr auto serving_use_percent = 65;
+constexpr auto serving_use_percent = 50;
 
 // Shares of a serving task's target at which the tasks beside it are slowed
 // down, stopped, and get their share back.
