--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -28,7 +28,7 @@
 constexpr auto usable_room = 0.9;
 // Share of the room below a target, by its latest figure, that tasks which are
 // started now may use up.
-constexpr auto usable_room_now = 0.4;
+constexpr auto usable_room_now = 0.33;
 // Serving tasks use this share of their processors at most, usually.
 constexpr auto serving_use_percent = 50;
 
@@ -142,11 +142,11 @@
     }
     auto it = serving_class{};
     it.task_class = run.task_class;
-    it.limit = usable_room *
-               std::max(
-                   0.0, std::log(
-                            target /
-                            base_tail(run.task_class, run.tail_target_ms)));
+    it.limit =
+        usable_room *
+        std::max(
+            0.0,
+            std::log(target / base_tail(run.task_class, run.tail_target_ms)));
     it.limit_now = now_left;
     worker.served.push_back(std::move(it));
 }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -140,9 +140,9 @@
 struct serving_class
 {
     std::string task_class;
-    double excess = 0.0; ///< Expected from the tasks beside it.
-    double limit = 0.0;  ///< Excess up to which its target is kept.
-    double recent = 0.0; ///< Part of `excess` that no figure shows yet.
+    double excess = 0.0;    ///< Expected from the tasks beside it.
+    double limit = 0.0;     ///< Excess up to which its target is kept.
+    double recent = 0.0;    ///< Part of `excess` that no figure shows yet.
     double limit_now = 0.0; ///< Excess above the latest figure.
 };
 
@@ -178,7 +178,7 @@
     std::uint32_t serving = 0;         ///< Runs with a tail target.
     std::uint32_t spare_runs = 0;      ///< Runs that use spare processors.
     core::time_point calm_since;       ///< No serving run was over its target.
-    core::time_point spare_ended_at; ///< A run with spare processors ended.
+    core::time_point spare_ended_at;   ///< A run with spare processors ended.
     core::time_point learned_at;       ///< Of the last lesson on interference.
     bool assessed = false;             ///< The members below are up to date.
     std::vector<serving_class> served; ///< Classes with a tail target.
@@ -402,7 +402,7 @@
     core::time_point next_schedule;
     core::time_point latest; ///< Time of the latest pass.
     interference_model interference{learning_settings()};
-    std::map<queue_id, double> run_factors; ///< Run time to the declared one.
+    std::map<queue_id, double> run_factors;   ///< Run time to the declared one.
     std::map<std::string, double> base_tails; ///< Undisturbed, by class, ms.
     dispatch_counts totals;
 };
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -108,7 +108,9 @@
         auto const* const queue = find_queue(*it.job);
         if (queue != nullptr && step.due_ms <= now_ms && !queue->needs_advice)
         {
-            ranked.emplace_back(rank_of(*it.job, step, *queue, run_factor(queue->queue), now_ms),
+            ranked.emplace_back(
+                rank_of(
+                    *it.job, step, *queue, run_factor(queue->queue), now_ms),
                 i);
         }
     }
