--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -613,14 +613,15 @@
         active = it.dispatcher.has_value();
         if (active)
         {
-            it.on_left = std::move(on_done);
+            it.on_left = on_done;
         }
     }
-    if (!active)
+    if (active)
     {
-        return it.term.leave(std::move(on_done));
+        it.request_pump();
+        return;
     }
-    it.request_pump();
+    it.term.leave(std::move(on_done));
 }
 
 auto dispatch_host::set_queues(state::queue_table_pointer queues) -> void
--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -154,8 +154,8 @@
         });
 }
 
-auto job_router::handle_frame(std::string payload, transport::frame_reply reply)
-    -> void
+auto job_router::handle_frame(
+    std::string_view payload, transport::frame_reply reply) -> void
 {
     auto call = protocol::decode<protocol::job_call>(payload);
     if (!call)
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -55,7 +55,7 @@
         dispatch_host::reply on_answer) -> void;
 
     /** Answers a call that another instance sent to the peer port. */
-    auto handle_frame(std::string payload, transport::frame_reply reply)
+    auto handle_frame(std::string_view payload, transport::frame_reply reply)
         -> void;
 
 private:
--- a/coordination/store_func.cpp
+++ b/coordination/store_func.cpp
@@ -5,8 +5,11 @@
 {
 
 auto store::watch(
-    std::string /*prefix*/, std::int64_t /*after*/, core::duration /*wait*/,
-    handler<store_changes> on_done) -> void
+    std::string /*prefix*/, // NOLINT(performance-unnecessary-value-param)
+    std::int64_t /*after*/, core::duration /*wait*/,
+    handler<store_changes>
+        on_done) // NOLINT(performance-unnecessary-value-param)
+    -> void
 {
     core::fail(
         core::error_kind::unavailable,
--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -60,8 +60,8 @@
 
     implementation(
         store& source, transport::reactor& event_loop, core::clock reader,
-        core::logger lines, std::string prefix, protocol::owner_record own,
-        term_settings figures, term_hooks calls)
+        core::logger lines, std::string const& prefix,
+        protocol::owner_record own, term_settings figures, term_hooks calls)
         : target(source)
         , loop(event_loop)
         , clock(std::move(reader))
@@ -216,8 +216,8 @@
                                         {
                                             it.publish_timer = it.later(
                                                 it.settings.renew_interval,
-                                                [](auto& self_)
-                                                { self_.publish(); });
+                                                [](auto& keeper)
+                                                { keeper.publish(); });
                                         }
                                     }));
 }
@@ -373,19 +373,22 @@
                 it.target.range(
                     it.owner_key, "", 1,
                     it.guarded(
-                        [granted, sent, next, revision](auto& self_, auto owner)
+                        [granted, sent, next,
+                         revision](auto& keeper, auto owner)
                         {
                             auto const named =
                                 owner && !owner->entries.empty()
                                     ? protocol::decode<protocol::owner_record>(
                                           owner->entries.front().value)
                                     : std::nullopt;
-                            if (named && named->boot_id == self_.self.boot_id &&
+                            if (named &&
+                                named->boot_id == keeper.self.boot_id &&
                                 named->term.value == next.term)
                             {
-                                return self_.own(granted, sent, next, revision);
+                                return keeper.own(
+                                    granted, sent, next, revision);
                             }
-                            self_.retry_later();
+                            keeper.retry_later();
                         }));
             }));
 }
@@ -499,22 +502,22 @@
                 it.target.commit(
                     std::move(transaction),
                     it.guarded(
-                        [sent, lease = *granted](auto& self_, auto answer)
+                        [sent, lease = *granted](auto& keeper, auto answer)
                         {
-                            self_.taking_again = false;
+                            keeper.taking_again = false;
                             if (!answer)
                             {
                                 return;
                             }
                             if (!answer->succeeded)
                             {
-                                return self_.lose(
+                                return keeper.lose(
                                     "another instance has taken the jobs");
                             }
-                            auto const lock = std::scoped_lock{self_.mutex};
-                            self_.lease = lease;
-                            self_.valid_until = sent + self_.settings.lease -
-                                                self_.settings.margin;
+                            auto const lock = std::scoped_lock{keeper.mutex};
+                            keeper.lease = lease;
+                            keeper.valid_until = sent + keeper.settings.lease -
+                                                 keeper.settings.margin;
                         }));
             }));
 }
@@ -597,7 +600,7 @@
                 {
                     it.write_timer = it.later(
                         it.settings.write_retry,
-                        [](auto& self_) { self_.check_written(); });
+                        [](auto& keeper) { keeper.check_written(); });
                     return;
                 }
                 auto const expected =
@@ -635,8 +638,8 @@
 
 term_keeper::term_keeper(
     store& target, transport::reactor& loop, core::clock clock,
-    core::logger log, std::string key_prefix, protocol::owner_record self,
-    term_settings settings, term_hooks hooks)
+    core::logger log, std::string const& key_prefix,
+    protocol::owner_record self, term_settings settings, term_hooks hooks)
     : implementation_(std::make_shared<implementation>(
           target, loop, std::move(clock), std::move(log), std::move(key_prefix),
           std::move(self), settings, std::move(hooks)))
--- a/coordination/term_base.hpp
+++ b/coordination/term_base.hpp
@@ -60,8 +60,8 @@
 public:
     term_keeper(
         store& target, transport::reactor& loop, core::clock clock,
-        core::logger log, std::string key_prefix, protocol::owner_record self,
-        term_settings settings, term_hooks hooks);
+        core::logger log, std::string const& key_prefix,
+        protocol::owner_record self, term_settings settings, term_hooks hooks);
     ~term_keeper();
     term_keeper(term_keeper const&) = delete;
     auto operator=(term_keeper const&) -> term_keeper& = delete;
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -164,16 +164,16 @@
     limits.connections = settings_.most_in_flight;
     gateway_listener_ = transport::http_server::listen(
         loop_, settings_.gateway, limits,
-        [this](auto request, auto reply)
-        { api_.handle(std::move(request), std::move(reply)); });
+        [this](auto const& request, auto reply)
+        { api_.handle(request, std::move(reply)); });
     readiness_listener_ = transport::http_server::listen(
         loop_, settings_.hosted->readiness, {}, answer_ready);
     control_listener_ = transport::http_server::listen(
         loop_, settings_.control, {}, answer_control);
     peer_listener_ = transport::frame_server::listen(
         loop_, settings_.peer, {},
-        [this](auto payload, auto reply)
-        { router_.handle_frame(std::move(payload), std::move(reply)); });
+        [this](auto const& payload, auto reply)
+        { router_.handle_frame(payload, std::move(reply)); });
     if (!gateway_listener_ || !readiness_listener_ || !control_listener_ ||
         !peer_listener_)
     {
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -41,8 +41,8 @@
 dispatcher::dispatcher(
     core::epoch term, dispatch_snapshot const& stored,
     dispatch_settings settings, dispatch_hooks hooks, core::time_point now)
-    : implementation_(std::make_unique<implementation>(
-          term, std::move(settings), std::move(hooks)))
+    : implementation_(
+          std::make_unique<implementation>(term, settings, std::move(hooks)))
 {
     implementation_->restore(stored, now);
 }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -214,7 +214,7 @@
     implementation(
         core::epoch owner_term, dispatch_settings figures, dispatch_hooks calls)
         : term(owner_term)
-        , settings(std::move(figures))
+        , settings(figures)
         , hooks(std::move(calls))
     {
     }
--- /dev/null
+++ b/tests/hosted_test.cpp
@@ -0,0 +1,430 @@
+/** @file hosted_test.cpp The whole path on a stand-in of the hosting platform.
+ */
+#include "programs/godwitcleatd/hosted_daemon_base.hpp"
+#include "standins/support/hosted_gateway_base.hpp"
+#include "standins/support/hosted_runner_base.hpp"
+#include "standins/support/memory_store_base.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace coordination = godwitcleat::coordination;
+namespace core = godwitcleat::core;
+namespace daemon_ = godwitcleat::daemon;
+namespace standins = godwitcleat::standins;
+namespace transport = godwitcleat::transport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto configuration =
+    R"({"version":%VERSION%,"routes":[{"name":"r1","host":"desk.example",)"
+    R"("prefix":"/jobs/","kind":"non_idempotent","timeout-ms":3000,)"
+    R"("target-duration-ms":500,"priority":0,"service":"svc","attempts":3,)"
+    R"("stretch":2.0}%MORE%],"services":[],"limits":{"body-bytes":65536}})";
+
+constexpr auto another_queue =
+    R"(,{"name":"r2","host":"desk.example","prefix":"/more/","service":"svc",)"
+    R"("attempts":1,"stretch":1.5,"target-duration-ms":100})";
+
+/** A stand-in of the platform with workers and daemons on it. */
+class hosted_fixture : public testing::Test
+{
+protected:
+    hosted_fixture()
+    {
+        store_address = *gateway.listen();
+        write_config(2, "");
+        for (auto i = 0; i < 3; ++i)
+        {
+            add_runner(fmt::format("i-{:08x}", i + 1));
+        }
+    }
+
+    ~hosted_fixture() override
+    {
+        daemons.clear();
+        runners.clear();
+        loop.stop();
+    }
+
+    auto write_config(int version, std::string const& more) -> void
+    {
+        auto text = std::string{configuration};
+        text.replace(text.find("%VERSION%"), 9, std::to_string(version));
+        text.replace(text.find("%MORE%"), 6, more);
+        store.commit({{}, {{"op/config", text, "", {}}}}, [](auto) {});
+    }
+
+    auto add_runner(std::string const& id) -> standins::hosted_runner&
+    {
+        auto settings = standins::runner_settings{};
+        settings.id = id;
+        auto& it = runners[id];
+        it = std::make_unique<standins::hosted_runner>(
+            store, loop, history, settings);
+        EXPECT_TRUE(it->start());
+        return *it;
+    }
+
+    // Ports are taken from the kernel, so that tests can run side by side.
+    static auto free_address() -> transport::endpoint
+    {
+        auto probe_loop = transport::reactor{1};
+        auto const probe = transport::http_server::listen(
+            probe_loop, {"127.0.0.1", 0}, {}, [](auto, auto) {});
+        return probe->local();
+    }
+
+    auto add_daemon(std::string const& name) -> void
+    {
+        auto settings = coordination::daemon_settings{};
+        settings.name = core::instance_id{name};
+        settings.data_centre = core::data_centre_id{"dc-1"};
+        settings.gateway = free_address();
+        settings.control = free_address();
+        settings.peer = free_address();
+        settings.advertise_gateway = settings.gateway;
+        settings.advertise_control = settings.control;
+        settings.advertise_peer = settings.peer;
+        settings.store = {store_address};
+        settings.store_timeout = 1s;
+        settings.drain_delay = 200ms;
+        settings.drain_timeout = 2s;
+        settings.threads = 1;
+        auto hosted = coordination::hosted_settings{};
+        hosted.readiness = free_address();
+        hosted.lease_limit = 2s;
+        hosted.owner_lease = 1s;
+        hosted.start_validity = 500ms;
+        hosted.stop_time = 100ms;
+        settings.hosted = hosted;
+        gateways[name] = settings.gateway;
+        readiness[name] = hosted.readiness;
+        daemons[name] = std::make_unique<daemon_::hosted_daemon>(
+            settings, core::null_logger());
+        ASSERT_TRUE(daemons[name]->start());
+    }
+
+    auto call(
+        transport::endpoint const& where, std::string method,
+        std::string target, std::string body = {}) -> transport::http_response
+    {
+        auto request = transport::http_request{};
+        request.method = std::move(method);
+        request.target = std::move(target);
+        request.headers.set("Host", "desk.example");
+        request.headers.set("Godwitcleat-Deadline-Ms", "3000");
+        request.body = std::move(body);
+        auto done = std::make_shared<std::promise<transport::http_result>>();
+        client.send(
+            where, std::move(request), 4s,
+            [done](auto result) { done->set_value(std::move(result)); });
+        auto result = done->get_future().get();
+        auto none = transport::http_response{};
+        none.status = 0;
+        return result.response.value_or(none);
+    }
+
+    auto submit(std::string const& daemon, std::string const& id, int tasks)
+        -> int
+    {
+        auto const body = fmt::format(
+            R"({{"spec":"text","steps":[{{"count":{0},"cpu":500,)"
+            R"("mem-mb":100,"estimate-ms":150}},{{"count":1,"cpu":500,)"
+            R"("mem-mb":100,"estimate-ms":150,"after":[0]}}]}})",
+            tasks);
+        return call(gateways[daemon], "POST", "/jobs/" + id, body).status;
+    }
+
+    auto phase(std::string const& daemon, std::string const& id) -> std::string
+    {
+        auto const answer = call(gateways[daemon], "GET", "/jobs/" + id);
+        return answer.status == 200 ? nlohmann::json::parse(answer.body)
+                                          .at("state")
+                                          .get<std::string>()
+                                    : std::to_string(answer.status);
+    }
+
+    // Waits up to 15 s, which covers a take-over and a lapsed lease.
+    static auto eventually(std::function<bool()> const& condition) -> bool
+    {
+        for (auto i = 0; i < 300 && !condition(); ++i)
+        {
+            std::this_thread::sleep_for(50ms);
+        }
+        return condition();
+    }
+
+    auto wait_ready(std::string const& name) -> bool
+    {
+        return eventually(
+            [&] {
+                return call(readiness[name], "GET", "/api/ready").status == 200;
+            });
+    }
+
+    auto owner() -> std::string
+    {
+        auto const entry = store.peek("godwitcleat/00/live/owner");
+        auto const record =
+            entry ? godwitcleat::protocol::decode<
+                        godwitcleat::protocol::owner_record>(entry->value)
+                  : std::nullopt;
+        return record ? record->instance.value : "";
+    }
+
+    // No task ran twice at once, and none after it was done.
+    auto check_history() -> void
+    {
+        auto by_task =
+            std::map<std::string, std::vector<standins::runner_start>>{};
+        for (auto const& it : history.all())
+        {
+            by_task[it.task].push_back(it);
+        }
+        for (auto const& [task, starts] : by_task)
+        {
+            for (auto i = std::size_t{1}; i < starts.size(); ++i)
+            {
+                EXPECT_FALSE(starts[i - 1].done) << task;
+                EXPECT_GE(starts[i].begun, starts[i - 1].ended) << task;
+            }
+        }
+    }
+
+    standins::memory_store store{core::system_clock()};
+    transport::reactor loop{2};
+    standins::hosted_gateway gateway{store, loop};
+    standins::runner_history history;
+    transport::http_client client{loop, {}};
+    transport::endpoint store_address;
+    std::map<std::string, std::unique_ptr<standins::hosted_runner>> runners;
+    std::map<std::string, std::unique_ptr<daemon_::hosted_daemon>> daemons;
+    std::map<std::string, transport::endpoint> gateways;
+    std::map<std::string, transport::endpoint> readiness;
+};
+
+} // namespace
+
+// Guards against a break anywhere between a submit and the end of its job, and
+// an instance that does not bring calls to the owner.
+TEST_F(hosted_fixture, serves_jobs_on_every_instance)
+{
+    add_daemon("a");
+    add_daemon("b");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(wait_ready("b"));
+    ASSERT_TRUE(eventually([&] { return !owner().empty(); }));
+    EXPECT_EQ(submit("a", "00000000000000a1", 5), 200);
+    EXPECT_EQ(submit("b", "00000000000000b1", 5), 200);
+    EXPECT_EQ(submit("b", "00000000000000a1", 5), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("b", "00000000000000a1") == "completed"; }));
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000b1") == "completed"; }));
+    EXPECT_EQ(history.all().size(), 12U);
+    auto const count = call(gateways["b"], "GET", "/jobs/");
+    EXPECT_EQ(count.status, 200);
+    EXPECT_EQ(count.body, R"({"pending-count":0})");
+    check_history();
+}
+
+// Guards against input that is accepted, that ends a process, or that is
+// answered by something else than a clear refusal.
+TEST_F(hosted_fixture, refuses_bad_input_and_changes_nothing)
+{
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    auto const id = std::string{"/jobs/00000000000000c1"};
+    auto const post = [&](std::string const& target, std::string body)
+    {
+        return call(gateways["a"], "POST", target, std::move(body)).status;
+    };
+    auto const good = R"({"spec":"x","steps":[{"count":1,"cpu":1}]})";
+    EXPECT_EQ(post("/nowhere/00000000000000c1", good), 404);
+    EXPECT_EQ(post("/jobs/not-an-id", good), 400);
+    EXPECT_EQ(post(id, "{"), 400);
+    EXPECT_EQ(post(id, "[]"), 400);
+    EXPECT_EQ(post(id, R"({"spec":"x","steps":[]})"), 400);
+    EXPECT_EQ(post(id, R"({"spec":"x","steps":[{"count":0}]})"), 400);
+    EXPECT_EQ(post(id, R"({"spec":7,"steps":[{"count":1}]})"), 400);
+    EXPECT_EQ(
+        post(id, R"({"spec":"x","steps":[{"count":1,"after":[0]}]})"), 400);
+    EXPECT_EQ(
+        post(
+            id,
+            R"({"spec":"x","steps":[{"count":1,"after":[1]},{"count":1}]})"),
+        400);
+    EXPECT_EQ(post(id, R"({"spec":"x","steps":[{"count":-1}]})"), 400);
+    EXPECT_EQ(post(id, R"({"spec":"x","steps":[{"count":1,"cpu":-5}]})"), 400);
+    EXPECT_EQ(
+        post(
+            id, R"({"spec":")" + std::string(5000, 'x') +
+                    R"(","steps":[{"count":1}]})"),
+        400);
+    EXPECT_EQ(post(id, std::string(70'000, ' ')), 413);
+    EXPECT_EQ(post(id, std::string(60'000, '[')), 400);
+    EXPECT_EQ(call(gateways["a"], "PUT", id, good).status, 400);
+    EXPECT_EQ(phase("a", "00000000000000c1"), "410");
+    EXPECT_EQ(call(gateways["a"], "DELETE", id).status, 410);
+    EXPECT_TRUE(history.all().empty());
+    // A gang that is wider than the fleet waits and disturbs nobody.
+    EXPECT_EQ(
+        post(
+            "/jobs/00000000000000c2",
+            R"({"spec":"x","steps":[{"count":99,"cpu":4000,"gang":true}]})"),
+        200);
+    EXPECT_EQ(submit("a", "00000000000000c3", 2), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000c3") == "completed"; }));
+    EXPECT_EQ(phase("a", "00000000000000c2"), "queued");
+}
+
+// Guards against jobs that the death of the owner loses or runs twice.
+TEST_F(hosted_fixture, jobs_survive_the_death_of_the_owner)
+{
+    add_daemon("a");
+    add_daemon("b");
+    add_daemon("c");
+    ASSERT_TRUE(wait_ready("c"));
+    ASSERT_TRUE(eventually([&] { return !owner().empty(); }));
+    for (auto i = 0; i < 10; ++i)
+    {
+        EXPECT_EQ(submit("a", fmt::format("{:016x}", i + 1), 8), 200);
+    }
+    auto const first = owner();
+    daemons.erase(first); // As by SIGKILL: nothing is handed over.
+    auto const left = daemons.begin()->first;
+    for (auto i = 0; i < 10; ++i)
+    {
+        EXPECT_TRUE(eventually(
+            [&] {
+                return phase(left, fmt::format("{:016x}", i + 1)) ==
+                       "completed";
+            }))
+            << i;
+    }
+    EXPECT_NE(owner(), first);
+    check_history();
+}
+
+// Guards against a planned stop that cuts requests or leaves the jobs alone.
+TEST_F(hosted_fixture, a_planned_stop_hands_the_jobs_over)
+{
+    add_daemon("a");
+    add_daemon("b");
+    ASSERT_TRUE(wait_ready("b"));
+    ASSERT_TRUE(eventually([&] { return !owner().empty(); }));
+    auto const first = owner();
+    auto const other = std::string{first == "a" ? "b" : "a"};
+    EXPECT_EQ(submit(first, "00000000000000d1", 8), 200);
+    auto stopped = std::promise<void>{};
+    daemons[first]->drain([&] { stopped.set_value(); });
+    EXPECT_EQ(call(readiness[first], "GET", "/api/ready").status, 503);
+    // The stopping instance still answers, through the new owner.
+    EXPECT_TRUE(eventually([&] { return owner() == other; }));
+    EXPECT_EQ(stopped.get_future().wait_for(4s), std::future_status::ready);
+    daemons.erase(first);
+    EXPECT_TRUE(eventually(
+        [&] { return phase(other, "00000000000000d1") == "completed"; }));
+    check_history();
+}
+
+// Guards against jobs that the loss of all processes at once loses.
+TEST_F(hosted_fixture, jobs_survive_the_death_of_every_process)
+{
+    add_daemon("a");
+    add_daemon("b");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return !owner().empty(); }));
+    for (auto i = 0; i < 5; ++i)
+    {
+        EXPECT_EQ(submit("a", fmt::format("{:016x}", i + 1), 8), 200);
+    }
+    daemons.clear();
+    add_daemon("a");
+    add_daemon("b");
+    for (auto i = 0; i < 5; ++i)
+    {
+        EXPECT_TRUE(eventually(
+            [&] {
+                return phase("b", fmt::format("{:016x}", i + 1)) == "completed";
+            }))
+            << i;
+    }
+    check_history();
+}
+
+// Guards against a task that is lost with its worker, or that runs twice.
+TEST_F(hosted_fixture, tasks_survive_the_death_of_a_worker)
+{
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    EXPECT_EQ(submit("a", "00000000000000e1", 20), 200);
+    ASSERT_TRUE(eventually([&] { return history.all().size() > 10; }));
+    runners.erase("i-00000001");
+    store.commit(
+        {{}, {{"servers/i-00000001", std::nullopt, "", {}}}}, [](auto) {});
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000e1") == "completed"; }));
+    check_history();
+}
+
+// Guards against a refusal that is untrue, and a submit that is held until its
+// deadline, while the store refuses writes.
+TEST_F(hosted_fixture, an_outage_of_the_store_refuses_at_once_and_truly)
+{
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    gateway.busy = true;
+    auto const begun = std::chrono::steady_clock::now();
+    EXPECT_EQ(submit("a", "00000000000000f1", 2), 503);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1500ms);
+    std::this_thread::sleep_for(2s); // The owner's lease lapses meanwhile.
+    gateway.busy = false;
+    EXPECT_TRUE(
+        eventually([&] { return submit("a", "00000000000000f2", 2) == 200; }));
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000f2") == "completed"; }));
+    EXPECT_EQ(phase("a", "00000000000000f1"), "410");
+    check_history();
+}
+
+// Guards against an instance that misses a configuration or falls back to an
+// older one, also after the store has dropped its history.
+TEST_F(hosted_fixture, a_configuration_is_in_force_within_2_s)
+{
+    add_daemon("a");
+    add_daemon("b");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(wait_ready("b"));
+    auto const status = [&](std::string const& name)
+    {
+        return call(gateways[name], "GET", "/more/").status;
+    };
+    EXPECT_EQ(status("a"), 404);
+    gateway.compact();
+    write_config(5, another_queue);
+    std::this_thread::sleep_for(2s); // The bound of the platform's users.
+    EXPECT_EQ(status("a"), 200);
+    EXPECT_EQ(status("b"), 200);
+    write_config(3, ""); // Versions never go back.
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(status("a"), 200);
+}
