Count failed runs by their numbers, heard in any order

A new owner heard the second failed run of a task before the first one and did not count the first, so that a task was started after its last allowed failure.

Change: the stored progress lists the failed runs of a task; each counts once.

Test: a_new_owner_counts_failures_in_any_order failed before (4 starts in place of 3).

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -57,9 +57,8 @@
 auto visit_members(is<state::task_progress> auto& value, auto&& visit) -> void
 {
     visit("task", value.task);
-    visit("failures", value.failures);
+    visit("failed_runs", value.failed_runs);
     visit("checkpoint", value.checkpoint);
-    visit("counted_run", value.counted_run);
 }
 
 auto visit_members(is<state::plan_progress> auto& value, auto&& visit) -> void
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -31,8 +31,7 @@
 struct task_entry
 {
     task_state state = task_state::blocked;
-    std::uint32_t failures = 0;
-    run_number counted_run;         ///< Latest run that counts as a failure.
+    std::vector<std::uint64_t> failed_runs; ///< Each counts as a failure.
     run_number last_run;            ///< Highest run that was ordered or seen.
     worker_entry* worker = nullptr; ///< Of the bound run.
     core::worker_id avoided;        ///< Worker of the last run that went wrong.
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -52,10 +52,9 @@
             byte = static_cast<char>(
                 static_cast<unsigned char>(byte) | 1U << (i % bits_per_byte));
         }
-        else if (task.failures > 0 || !task.checkpoint.empty())
+        else if (!task.failed_runs.empty() || !task.checkpoint.empty())
         {
-            result.tasks.push_back(
-                {i, task.failures, task.checkpoint, task.counted_run.value});
+            result.tasks.push_back({i, task.failed_runs, task.checkpoint});
         }
     }
     while (!bits.empty() && bits.back() == '\0')
@@ -205,8 +204,7 @@
     {
         if (it.task < job.tasks.size())
         {
-            job.tasks[it.task].failures = it.failures;
-            job.tasks[it.task].counted_run = run_number{it.counted_run};
+            job.tasks[it.task].failed_runs = it.failed_runs;
             job.tasks[it.task].checkpoint = it.checkpoint;
             job.started = true;
         }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -599,19 +599,19 @@
     auto& task = job->tasks[spec.gang ? step.first : index];
     // A new owner hears a stored end again, and members of a gang fail
     // together.
-    if (run <= task.counted_run)
+    auto& failed = task.failed_runs;
+    if (std::find(failed.begin(), failed.end(), run.value) != failed.end())
     {
         return;
     }
-    task.counted_run = run;
-    ++task.failures;
+    failed.push_back(run.value);
     event(
         "A run has failed.", {{"job", job->record.plan.id.value},
                               {"step", step.step},
                               {"task", index - step.first},
                               {"worker", job->tasks[index].avoided.value},
-                              {"failures", task.failures}});
-    if (queue != nullptr && task.failures >= queue->most_failures)
+                              {"failures", failed.size()}});
+    if (queue != nullptr && failed.size() >= queue->most_failures)
     {
         finish(job, plan_phase::failed, now);
         return;
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -80,9 +80,8 @@
 struct task_progress
 {
     std::uint32_t task = 0; ///< Index over all tasks of the job.
-    std::uint32_t failures = 0;
+    std::vector<std::uint64_t> failed_runs; ///< Each counts as a failure.
     std::string checkpoint;
-    std::uint64_t counted_run = 0; ///< Latest run that counts as a failure.
 
     auto operator==(task_progress const&) const -> bool = default;
 };
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -343,8 +343,8 @@
     {
         auto const& all = world->stored.progress;
         return all.empty() || all.front().second.tasks.empty()
-                   ? 0U
-                   : all.front().second.tasks.front().failures;
+                   ? std::size_t{0}
+                   : all.front().second.tasks.front().failed_runs.size();
     };
     for (auto i = 0; i < 200 && stored_failures() < 2; ++i)
     {
@@ -356,6 +356,37 @@
     EXPECT_EQ(world->phase("j1"), plan_phase::completed);
 }
 
+// Guards against a failure that does not count, because a later one of the same
+// task was heard first by a new owner.
+TEST(dispatch, a_new_owner_counts_failures_in_any_order)
+{
+    auto const world = two_workers();
+    world->behave = [](auto const&, auto)
+    {
+        return tests::task_behaviour{50, true};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->store_down = true; // No end is stored, so none is acknowledged.
+    while (world->starts.size() < 2)
+    {
+        world->run_for(10);
+    }
+    world->drained = {core::data_centre_id{"dc-1"}}; // No third run.
+    world->run_for(200);
+    ASSERT_EQ(world->starts.size(), 2U);
+    auto const first = world->starts[0].ends_with("w1") ? "w1" : "w2";
+    world->worker(first).reachable = false;
+    world->store_down = false;
+    world->begin_term();
+    world->run_for(100);
+    world->worker(first).reachable = true;
+    world->run_for(1000);
+    world->drained.clear();
+    world->run_for(10'000);
+    EXPECT_EQ(world->phase("j1"), plan_phase::failed);
+    EXPECT_EQ(world->starts.size(), 3U);
+}
+
 // Guards against a job that runs although its cancelling was answered before
 // its submit arrived.
 TEST(dispatch, a_job_that_was_cancelled_before_its_submit_never_runs)
