Reserve a worker for each long-running task that fits nowhere

Room was made for one task each 1.5 s, and short tasks of the same priority filled each gap.

Change: each waiting task reserves a worker of its own; short tasks there run out, and tasks of lower priority are evicted if that makes enough room.

Test: long_running_tasks_get_room_among_short_ones_within_3_s failed before.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -171,7 +171,7 @@
     core::time_point blocked_until; ///< No starts before this.
     std::optional<core::time_point> drain_seen; ///< First notice of its drain.
     core::time_point hot_until;      ///< A serving task was near its target.
-    core::time_point reserved_until; ///< Room is made for serving tasks.
+    core::time_point reserved_until; ///< Kept for a long-running task.
     std::uint32_t suspicion = 0; ///< Failures in a row that it is blamed for.
     core::time_point suspended_until;
     std::uint32_t serving = 0;         ///< Runs with a tail target.
@@ -334,6 +334,10 @@
     auto make_room(
         ready_step const& it, queue_config const& queue, core::time_point now)
         -> void;
+    [[nodiscard]] static auto is_short(run_entry const& run) -> bool;
+    auto evict_for(
+        worker_entry& worker, plan_step const& spec, queue_config const& queue)
+        -> void;
     auto add_stop_orders(core::time_point now) -> void;
     auto plan_run(
         job_pointer const& job, std::uint32_t task, run_number number,
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -18,7 +18,7 @@
 constexpr auto stop_retry = std::chrono::milliseconds{400};
 constexpr auto stop_overrun = std::chrono::milliseconds{1000};
 // Room that was made for a serving task is kept for it this long.
-constexpr auto reservation = std::chrono::milliseconds{1500};
+constexpr auto reservation = std::chrono::milliseconds{2500};
 constexpr auto runs_per_term = std::uint64_t{1000};
 // Up to this multiple of its objective a job still earns a part.
 constexpr auto late_factor = 3;
@@ -118,6 +118,9 @@
     mostly_free = is_mostly_free();
     // A step that fits nowhere shows that no larger one does either.
     auto least_unfit = std::numeric_limits<std::int64_t>::max();
+    auto reserved = static_cast<std::size_t>(std::count_if(
+        workers.begin(), workers.end(),
+        [now](auto const& it) { return now < it.second->reserved_until; }));
     for (auto const& [rank, i] : ranked)
     {
         auto const it = ready_steps[i];
@@ -136,7 +139,12 @@
         }
         if (spec.long_running)
         {
-            make_room(it, *find_queue(*it.job), now);
+            auto const waiting = it.job->steps[it.step].ready.size();
+            for (; reserved < waiting; ++reserved)
+            {
+                make_room(it, *find_queue(*it.job), now);
+            }
+            reserved -= waiting;
         }
         else if (is_plain)
         {
@@ -196,7 +204,7 @@
         {
             continue;
         }
-        if (now < worker->reserved_until && spec.tail_target_ms == 0)
+        if (now < worker->reserved_until && !spec.long_running)
         {
             continue;
         }
@@ -345,6 +353,10 @@
     worker.serving += run.tail_target_ms > 0 ? 1 : 0;
     worker.spare_runs += run.uses_spare_cpu ? 1 : 0;
     worker.lease_until = std::max(worker.lease_until, run.startable_until);
+    if (job->spec(job->step_of(index)).long_running)
+    {
+        worker.reserved_until = core::time_point{};
+    }
     auto order = order_for(worker, run, run_order_kind::start);
     order.command = job->record.plan.command;
     order.checkpoint = run.checkpoint;
@@ -401,41 +413,35 @@
     return order;
 }
 
+// Reserves a worker for a long-running task that fits nowhere: short tasks
+// there run out, and those of lower priority are evicted if that makes enough
+// room.
 auto dispatcher::implementation::make_room(
     ready_step const& it, queue_config const& queue, core::time_point now)
     -> void
 {
     auto const& spec = it.job->spec(it.job->steps[it.step]);
     auto* best = static_cast<worker_entry*>(nullptr);
-    auto best_loss = std::numeric_limits<std::int64_t>::max();
+    auto most_free = std::int64_t{-1};
     for (auto const& [id, worker] : workers)
     {
-        if (!may_start(*worker, now) || worker->info.service != queue.service ||
-            (!spec.label.empty() && !worker->info.labels.contains(spec.label)))
+        auto const has_label =
+            spec.label.empty() || worker->info.labels.contains(spec.label);
+        if (!may_start(*worker, now) || now < worker->reserved_until ||
+            worker->info.service != queue.service || !has_label)
         {
             continue;
         }
-        if (now < worker->reserved_until)
-        {
-            return; // Room is being made; one worker at a time.
-        }
         auto room = worker->free();
-        auto loss = std::int64_t{0};
         for (auto const& run : worker->runs)
         {
-            auto const* const other = run.job && run.tail_target_ms == 0
-                                          ? find_queue(*run.job)
-                                          : nullptr;
-            if (other != nullptr && other->priority > queue.priority)
-            {
-                room += run.need;
-                loss += run.need.cpu_milli;
-            }
+            room += is_short(run) ? run.need : core::resources{};
         }
-        if (spec.need.fits_in(room) && loss < best_loss)
+        auto const free = worker->free().cpu_milli;
+        if (spec.need.fits_in(room) && free > most_free)
         {
             best = worker.get();
-            best_loss = loss;
+            most_free = free;
         }
     }
     if (best == nullptr)
@@ -443,13 +449,42 @@
         return;
     }
     best->reserved_until = now + reservation;
-    auto room = best->free();
-    for (auto& run : best->runs)
+    evict_for(*best, spec, queue);
+    event(
+        "A worker is reserved for a long-running task.",
+        {{"worker", best->info.worker.value},
+         {"job", it.job->record.plan.id.value},
+         {"free_milli", most_free}});
+}
+
+auto dispatcher::implementation::is_short(run_entry const& run) -> bool
+{
+    return run.job && !run.job->spec(run.job->step_of(run.task)).long_running;
+}
+
+auto dispatcher::implementation::evict_for(
+    worker_entry& worker, plan_step const& spec, queue_config const& queue)
+    -> void
+{
+    auto const may_evict = [&](run_entry const& run)
     {
         auto const* const other =
-            run.job && run.tail_target_ms == 0 ? find_queue(*run.job) : nullptr;
-        if (spec.need.fits_in(room) || other == nullptr ||
-            other->priority <= queue.priority)
+            is_short(run) ? find_queue(*run.job) : nullptr;
+        return other != nullptr && other->priority > queue.priority;
+    };
+    auto room = worker.free();
+    for (auto const& run : worker.runs)
+    {
+        room += may_evict(run) ? run.need : core::resources{};
+    }
+    if (!spec.need.fits_in(room))
+    {
+        return; // The short tasks of the same priority have to end as well.
+    }
+    room = worker.free();
+    for (auto& run : worker.runs)
+    {
+        if (spec.need.fits_in(room) || !may_evict(run))
         {
             continue;
         }
@@ -457,11 +492,6 @@
         run.stop_wanted = true;
         ++totals.evictions;
     }
-    event(
-        "Runs are evicted for a serving task.",
-        {{"worker", best->info.worker.value},
-         {"job", it.job->record.plan.id.value},
-         {"loss_milli", best_loss}});
 }
 
 auto dispatcher::implementation::add_stop_orders(core::time_point now) -> void
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -547,6 +547,39 @@
     }
 }
 
+// Guards against long-running tasks that wait for ever because short tasks of
+// the same priority fill each gap. 3 s is the longest time in which one may be
+// away while there is room.
+TEST(dispatch, long_running_tasks_get_room_among_short_ones_within_3_s)
+{
+    auto world = tests::dispatch_world{};
+    for (auto i = 0; i < 4; ++i)
+    {
+        world.add_worker(fmt::format("w{}", i), room);
+    }
+    world.begin_term();
+    world.run_for(200);
+    world.behave = [](state::task_name const& task, auto)
+    {
+        auto const lasts = task.job.value.starts_with("l");
+        return tests::task_behaviour{lasts ? -1 : 300 + task.index % 7 * 50};
+    };
+    for (auto i = 0; i < 10; ++i)
+    {
+        ASSERT_TRUE(
+            world.submit(tests::make_plan(fmt::format("b{}", i), 100, 1000)));
+    }
+    auto plan = tests::make_plan("l1", 4, 3000);
+    plan.steps.front().long_running = true;
+    ASSERT_TRUE(world.submit(plan));
+    world.run_for(3000);
+    for (auto i = 0; i < 4; ++i)
+    {
+        EXPECT_EQ(count_starts(world, fmt::format("l1.0.0.{}", i)), 1) << i;
+    }
+    EXPECT_TRUE(world.violations.empty());
+}
+
 // Random faults of workers, the store and owners: no rule breaks and every job
 // ends.
 RC_GTEST_PROP(dispatch, keeps_the_rules_under_faults, ())
