--- a/core/log_base.cpp
+++ b/core/log_base.cpp
@@ -6,11 +6,14 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <array>
-#include <cstdio>
+#include <cstdint>
 #include <ctime>
 #include <iterator>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace godwitcleat::core
 {
@@ -98,15 +101,88 @@
     };
 }
 
-auto standard_output_sink() -> log_sink
+namespace
 {
-    return [](std::string_view line)
+
+// A pipe that can be written takes this much without blocking (PIPE_BUF).
+constexpr auto safe_write_bytes = std::size_t{4096};
+// About a second of lines of an owner under load.
+constexpr auto output_buffer_bytes = std::size_t{64} * 1024;
+
+/** Writes whole lines as far as the descriptor takes them at once. */
+class line_writer
+{
+public:
+    line_writer(int descriptor, std::size_t buffer_bytes)
+        : descriptor_(descriptor)
+        , buffer_bytes_(buffer_bytes)
+    {
+    }
+
+    auto add(std::string_view line) -> void
+    {
+        flush();
+        if (left_out_ > 0 && pending_.size() + notice_bytes <= buffer_bytes_)
+        {
+            pending_ += fmt::format("{} lines were left out\n", left_out_);
+            left_out_ = 0;
+        }
+        if (left_out_ > 0 || pending_.size() + line.size() + 1 > buffer_bytes_)
+        {
+            ++left_out_;
+            return;
+        }
+        pending_ += line;
+        pending_ += '\n';
+        flush();
+    }
+
+private:
+    static constexpr auto notice_bytes = std::size_t{64};
+
+    auto flush() -> void
     {
-        fmt::print(stdout, "{}\n", line);
-        std::fflush(stdout);
+        while (!pending_.empty() && is_writable())
+        {
+            auto const n = std::min(pending_.size(), safe_write_bytes);
+            auto const written = ::write(descriptor_, pending_.data(), n);
+            if (written <= 0)
+            {
+                return; // There is no other place to report it.
+            }
+            pending_.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+    [[nodiscard]] auto is_writable() const -> bool
+    {
+        auto query = pollfd{descriptor_, POLLOUT, 0};
+        return ::poll(&query, 1, 0) == 1 && (query.revents & POLLOUT) != 0;
+    }
+
+    int descriptor_;
+    std::size_t buffer_bytes_;
+    std::string pending_;
+    std::uint64_t left_out_ = 0;
+};
+
+} // namespace
+
+auto descriptor_sink(int descriptor, std::size_t buffer_bytes) -> log_sink
+{
+    // The logger calls its sink under a lock.
+    auto const writer = std::make_shared<line_writer>(descriptor, buffer_bytes);
+    return [writer](std::string_view line)
+    {
+        writer->add(line);
     };
 }
 
+auto standard_output_sink() -> log_sink
+{
+    return descriptor_sink(STDOUT_FILENO, output_buffer_bytes);
+}
+
 struct logger::shared_state
 {
     log_sink sink;
--- a/core/log_base.hpp
+++ b/core/log_base.hpp
@@ -52,7 +52,14 @@
 /** Returns a sink that writes lines to standard error. */
 auto standard_error_sink() -> log_sink;
 
-/** Returns a sink that writes lines to standard output. */
+/**
+ * Returns a sink that writes lines to @p descriptor and never waits for a
+ * reader. Up to @p buffer_bytes are kept for a slow one; further lines are left
+ * out and counted in a line of their own once there is room again.
+ */
+auto descriptor_sink(int descriptor, std::size_t buffer_bytes) -> log_sink;
+
+/** Returns a descriptor_sink for standard output. */
 auto standard_output_sink() -> log_sink;
 
 /**
--- a/programs/godwitcleatd/main.cpp
+++ b/programs/godwitcleatd/main.cpp
@@ -20,10 +20,10 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
-auto run_hosted(coordination::daemon_settings settings) -> int
+// Runs a daemon until a signal has drained it.
+template <class Daemon>
+auto run_until_signal(Daemon& daemon, core::logger const& log) -> int
 {
-    auto const log = core::logger{core::standard_output_sink(), settings.level};
-    auto daemon = daemon::hosted_daemon{std::move(settings), log};
     auto stopped = std::promise<void>{};
     daemon.loop().on_signal(
         {SIGTERM, SIGINT}, [&daemon, &stopped](int /*signal*/)
@@ -42,22 +42,16 @@
 {
     if (settings.hosted)
     {
-        return run_hosted(std::move(settings));
+        // A reader of the log that has ended must not end the process.
+        std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
+        auto const log =
+            core::logger{core::standard_output_sink(), settings.level};
+        auto daemon = daemon::hosted_daemon{std::move(settings), log};
+        return run_until_signal(daemon, log);
     }
     auto const log = core::logger{core::standard_error_sink(), settings.level};
     auto daemon = daemon::entry_daemon{std::move(settings), log};
-    auto stopped = std::promise<void>{};
-    daemon.loop().on_signal(
-        {SIGTERM, SIGINT}, [&daemon, &stopped](int /*signal*/)
-        { daemon.drain([&stopped] { stopped.set_value(); }); });
-    if (!daemon.start())
-    {
-        log.error(
-            "Daemon did not start.", {{"reason", core::last_reason().message}});
-        return exit_failed;
-    }
-    stopped.get_future().wait();
-    return exit_done;
+    return run_until_signal(daemon, log);
 }
 
 auto make_options() -> cxxopts::Options
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -8,7 +8,8 @@
     [state]="core state"
     [protocol]="core state protocol"
     [transport]="core transport"
-    [coordination]="core state protocol transport coordination")
+    [coordination]="core state protocol transport coordination"
+    [platform]="core state protocol transport coordination platform")
 bad=0
 for library in "${!allowed[@]}"; do
     while IFS=: read -r file line text; do
@@ -24,4 +25,10 @@
         fi
     done < <(grep -nHE '^#include "[a-z]+/' "$library"/*.?pp 2>/dev/null || true)
 done
+# Names of the hosting platform's wire belong to the adapter, its stand-ins and tests.
+if git grep -nE 'kv-(txn|range|watch|lease|keep)|run-start|ack-cursor|op/evacuate|hold-max-ms' \
+    -- '*.cpp' '*.hpp' | grep -vE '^(platform|tests|standins)/'; then
+    echo "names of the hosting platform stand outside platform/"
+    bad=1
+fi
 exit $bad
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -17,6 +17,21 @@
 struct worker_entry;
 using job_pointer = std::shared_ptr<job_entry>;
 
+/** A worker's clock may be 2% slow; the rest covers the age of the figure. */
+constexpr auto clock_drift_percent = 3;
+
+/** Returns the longest time that @p value on a worker's clock may take. */
+constexpr auto with_drift(core::duration value) -> core::duration
+{
+    return value * (100 + clock_drift_percent) / 100;
+}
+
+/** Returns whole milliseconds. */
+constexpr auto to_ms(core::duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 /** Phase of one task. */
 enum class task_state
 {
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -14,7 +14,6 @@
 // several ends into one pass.
 constexpr auto schedule_interval = std::chrono::milliseconds{8};
 constexpr auto start_margin = std::chrono::milliseconds{150};
-constexpr auto clock_drift_percent = 3;
 constexpr auto stop_retry = std::chrono::milliseconds{400};
 constexpr auto stop_overrun = std::chrono::milliseconds{1000};
 // Room that was made for a serving task is kept for it this long.
@@ -360,10 +359,7 @@
     auto order = order_for(worker, run, run_order_kind::start);
     order.command = job->record.plan.command;
     order.checkpoint = run.checkpoint;
-    order.deadline_ms = clock_of(worker, now) +
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                            settings.start_validity)
-                            .count();
+    order.deadline_ms = clock_of(worker, now) + to_ms(settings.start_validity);
     orders.push_back(std::move(order));
     worker.runs.push_back(std::move(run));
     worker.assessed = false;
@@ -393,8 +389,7 @@
     run.percent_at = now;
     run.paced_at = now;
     run.startable_until =
-        now + settings.start_validity * (100 + clock_drift_percent) / 100 +
-        start_margin;
+        now + with_drift(settings.start_validity) + start_margin;
     run.checkpoint = job->tasks[spec.gang ? step.first : index].checkpoint;
     return run;
 }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,7 +4,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+#include <chrono>
+#include <fcntl.h>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace core = godwitcleat::core;
@@ -76,6 +80,50 @@
     EXPECT_NE(line.find("target=\"/a\\nb c\""), std::string::npos);
 }
 
+namespace
+{
+
+// Reads what is in the pipe now.
+auto read_all(int descriptor) -> std::string
+{
+    auto result = std::string{};
+    auto buf = std::array<char, 4096>{};
+    for (auto n = read(descriptor, buf.data(), buf.size()); n > 0;
+         n = read(descriptor, buf.data(), buf.size()))
+    {
+        result.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against a reader of the log that stops reading and thereby stops the
+// process, and against lines that are left out without a word.
+TEST(log, a_reader_that_stops_costs_lines_only)
+{
+    auto ends = std::array<int, 2>{};
+    ASSERT_EQ(pipe(ends.data()), 0);
+    ASSERT_EQ(fcntl(ends[0], F_SETFL, O_NONBLOCK), 0);
+    auto const log = core::logger{
+        core::descriptor_sink(ends[1], 8192), core::log_level::info};
+    auto const begun = std::chrono::steady_clock::now();
+    for (auto i = 0; i < 10'000; ++i)
+    {
+        log.info("A line that nobody reads.", {{"number", i}});
+    }
+    // Without blocking, 10,000 lines take some 20 ms.
+    EXPECT_LT(
+        std::chrono::steady_clock::now() - begun, std::chrono::seconds{5});
+    read_all(ends[0]);
+    log.info("The reader is back.");
+    auto const text = read_all(ends[0]);
+    EXPECT_NE(text.find("lines were left out"), std::string::npos);
+    EXPECT_NE(text.find("The reader is back."), std::string::npos);
+    close(ends[0]);
+    close(ends[1]);
+}
+
 // Guards against an unbounded time line.
 TEST(timeline, keeps_the_newest_events)
 {
--- a/tests/settings_doc_test.cpp
+++ b/tests/settings_doc_test.cpp
@@ -206,7 +206,7 @@
 TEST(configuration_page, matches_the_daemon_settings)
 {
     auto const page = read_page("## 2.");
-    ASSERT_EQ(page.size(), 8U);
+    ASSERT_EQ(page.size(), 9U);
     compare(
         page, [](std::string const& text)
         { return coordination::parse_daemon_settings(text, "d.ini"); });
