--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -641,7 +641,7 @@
     core::logger log, std::string const& key_prefix,
     protocol::owner_record self, term_settings settings, term_hooks hooks)
     : implementation_(std::make_shared<implementation>(
-          target, loop, std::move(clock), std::move(log), std::move(key_prefix),
+          target, loop, std::move(clock), std::move(log), key_prefix,
           std::move(self), settings, std::move(hooks)))
 {
 }
