Say once when a batch is due; correct a comment on rejected jobs

Cause: the rule that keeps the earlier of two times for the next batch stood five times, and the comment on reject_unstored forbade what the host does: to reject jobs behind a write that gets no answer.

Change: commit_at holds the rule; the comment says which jobs are kept. Behaviour is unchanged.

--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -100,8 +100,8 @@
         -> void;
 
     /**
-     * Rejects the jobs that wait for their first write, all with unavailable.
-     * May be called only while no batch is in flight.
+     * Rejects the jobs whose first write was not offered in a batch, or was
+     * rejected, all with unavailable. Jobs of a batch in flight are kept.
      */
     auto reject_unstored(std::string_view cause) -> void;
 
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -60,7 +60,7 @@
     job_pointer const& job, core::time_point commit_by) -> void
 {
     ++job->version;
-    commit_due = commit_due ? std::min(*commit_due, commit_by) : commit_by;
+    commit_at(commit_by);
     if (job->dirty)
     {
         return;
@@ -175,7 +175,7 @@
     }
     if (!dirty.empty())
     {
-        commit_due = commit_due ? std::min(*commit_due, now) : now;
+        commit_at(now);
     }
 }
 
@@ -270,7 +270,7 @@
         });
     if (!forgotten.empty())
     {
-        commit_due = commit_due ? std::min(*commit_due, now) : now;
+        commit_at(now);
     }
 }
 
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -5,6 +5,7 @@
 #include "state/dispatch_base.hpp"
 #include "state/interference_base.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -254,6 +255,11 @@
     auto find(std::string_view id) const -> job_pointer;
     auto find_queue(job_entry const& job) const -> queue_config const*;
     auto changed(job_pointer const& job, core::time_point commit_by) -> void;
+    /** Offers a batch at @p latest_at at the latest. */
+    auto commit_at(core::time_point latest_at) -> void
+    {
+        commit_due = std::min(commit_due.value_or(latest_at), latest_at);
+    }
     auto take_batch(core::time_point now) -> std::optional<dispatch_batch>;
     auto committed(core::time_point now) -> void;
     auto rejected() -> void;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -334,7 +334,7 @@
     job->waiting.emplace_back(0, std::move(on_done));
     job->dirty = true;
     dirty.push_front(job);
-    commit_due = commit_due ? std::min(*commit_due, now) : now;
+    commit_at(now);
 }
 
 auto dispatcher::implementation::cancel(
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -74,7 +74,7 @@
         });
     if (workers_changed)
     {
-        commit_due = commit_due ? std::min(*commit_due, now) : now;
+        commit_at(now);
     }
 }
 
