Share the delayed call of guarded objects

Cause: term_keeper, dispatch_host and watched_range each had their own copy of a timer that stops with its object.

Change: guarded_base holds it. Behaviour is unchanged.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -72,21 +72,6 @@
         log.info(message, values);
     }
 
-    template <class Task>
-    auto later(core::duration delay, Task task) -> transport::timer_handle
-    {
-        return parts.loop.after(
-            delay,
-            [weak = weak_from_this(), task]
-            {
-                auto const it = weak.lock();
-                if (it && !it->closed)
-                {
-                    task(*it);
-                }
-            });
-    }
-
     dispatch_host_parts parts;
     core::logger log;
     dispatch_host_settings settings;
@@ -134,7 +119,7 @@
         "Jobs were not loaded; reading again.",
         {{"reason", core::last_reason().message}});
     load_timer = later(
-        settings.store_retry,
+        parts.loop, settings.store_retry,
         [number](auto& self)
         {
             if (self.active_term == number)
--- a/coordination/guarded_internal.hpp
+++ b/coordination/guarded_internal.hpp
@@ -2,6 +2,9 @@
 #ifndef GODWITCLEAT_COORDINATION_GUARDED_INTERNAL_HPP
 #define GODWITCLEAT_COORDINATION_GUARDED_INTERNAL_HPP
 
+#include "core/core.hpp"
+#include "transport/transport.hpp"
+
 #include <atomic>
 #include <memory>
 #include <utility>
@@ -29,6 +32,23 @@
         };
     }
 
+    /** Runs @p task with this object after @p delay, unless `closed` is set. */
+    template <class Task>
+    auto later(transport::reactor& loop, core::duration delay, Task task)
+        -> transport::timer_handle
+    {
+        return loop.after(
+            delay,
+            [self = this->weak_from_this(), task]
+            {
+                auto const alive = self.lock();
+                if (alive && !alive->closed)
+                {
+                    task(*alive);
+                }
+            });
+    }
+
     std::atomic<bool> closed = false; ///< Set when the owner is destroyed.
 };
 
--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -116,20 +116,6 @@
     auto written(std::optional<store_commit> answer) -> void;
     auto check_written() -> void;
     auto finish_write(write_result result) -> void;
-    template <class Task>
-    auto later(core::duration delay, Task task) -> transport::timer_handle
-    {
-        return loop.after(
-            delay,
-            [weak = weak_from_this(), task]
-            {
-                auto const it = weak.lock();
-                if (it && !it->closed)
-                {
-                    task(*it);
-                }
-            });
-    }
 
     store& target;
     transport::reactor& loop;
@@ -209,17 +195,17 @@
     auto transaction = store_transaction{};
     transaction.writes = {{member_key, protocol::encode(record), "", {}}};
     target.commit(
-        std::move(transaction), guarded(
-                                    [](auto& it, auto answer)
-                                    {
-                                        if (!answer)
-                                        {
-                                            it.publish_timer = it.later(
-                                                it.settings.renew_interval,
-                                                [](auto& keeper)
-                                                { keeper.publish(); });
-                                        }
-                                    }));
+        std::move(transaction),
+        guarded(
+            [](auto& it, auto answer)
+            {
+                if (!answer)
+                {
+                    it.publish_timer = it.later(
+                        it.loop, it.settings.renew_interval,
+                        [](auto& keeper) { keeper.publish(); });
+                }
+            }));
 }
 
 auto term_keeper::implementation::take_live(range_entries const& entries)
@@ -410,7 +396,7 @@
         term_revision = revision;
         named = self;
         renew_timer =
-            later(settings.renew_interval, [](auto& it) { it.renew(); });
+            later(loop, settings.renew_interval, [](auto& it) { it.renew(); });
     }
     log.info("This instance owns the jobs.", {{"term", next.term}});
     hooks.on_acquired(core::epoch{next.term});
@@ -424,8 +410,8 @@
         return;
     }
     state = phase::following;
-    retry_timer =
-        later(settings.retry_interval, [](auto& it) { it.try_to_take(); });
+    retry_timer = later(
+        loop, settings.retry_interval, [](auto& it) { it.try_to_take(); });
 }
 
 auto term_keeper::implementation::renew() -> void
@@ -440,7 +426,7 @@
         }
         held = lease;
         renew_timer =
-            later(settings.renew_interval, [](auto& it) { it.renew(); });
+            later(loop, settings.renew_interval, [](auto& it) { it.renew(); });
     }
     target.keep_alive(
         held, guarded([sent](auto& it, auto answer)
@@ -537,8 +523,8 @@
         "This instance no longer owns the jobs.",
         {{"term", current.term}, {"cause", cause}});
     hooks.on_lost(cause);
-    retry_timer =
-        later(settings.retry_interval, [](auto& it) { it.try_to_take(); });
+    retry_timer = later(
+        loop, settings.retry_interval, [](auto& it) { it.try_to_take(); });
 }
 
 auto term_keeper::implementation::send_write() -> void
@@ -586,7 +572,7 @@
     // The write may still happen, so that only the same one may follow.
     maybe_written = maybe_written || !not_done;
     write_timer =
-        later(settings.write_retry, [](auto& it) { it.send_write(); });
+        later(loop, settings.write_retry, [](auto& it) { it.send_write(); });
 }
 
 auto term_keeper::implementation::check_written() -> void
@@ -599,7 +585,7 @@
                 if (!answer)
                 {
                     it.write_timer = it.later(
-                        it.settings.write_retry,
+                        it.loop, it.settings.write_retry,
                         [](auto& keeper) { keeper.check_written(); });
                     return;
                 }
--- a/coordination/watched_range_base.cpp
+++ b/coordination/watched_range_base.cpp
@@ -34,20 +34,6 @@
     take_changes(std::optional<store_changes> answer, core::time_point sent)
         -> void;
     auto retry() -> void;
-    template <class Task>
-    auto later(core::duration delay, Task task) -> void
-    {
-        timer = loop.after(
-            delay,
-            [weak = weak_from_this(), task]
-            {
-                auto const self = weak.lock();
-                if (self && !self->closed)
-                {
-                    task(*self);
-                }
-            });
-    }
     auto report_loss(std::string_view call) -> void;
     auto report_return() -> void;
 
@@ -168,7 +154,8 @@
     }
     if (settings.gap > core::duration{} && !answer->written.empty())
     {
-        return later(settings.gap, [](auto& self) { self.watch(); });
+        timer = later(loop, settings.gap, [](auto& self) { self.watch(); });
+        return;
     }
     watch();
 }
@@ -176,7 +163,7 @@
 auto watched_range::implementation::retry() -> void
 {
     // A watch that failed may have missed changes, so the range is read.
-    later(settings.retry, [](auto& self) { self.read(); });
+    timer = later(loop, settings.retry, [](auto& self) { self.read(); });
 }
 
 auto watched_range::implementation::report_loss(std::string_view call) -> void
