Give types of the dispatcher names of their own

Two of three daemons ended at the first heartbeat with a heap overflow in the constructor of state::worker_entry. dispatch_internal.hpp and engine_internal.hpp both define state::worker_entry and state::task_entry; the linker merges their inline functions, so that the shard engine constructs its workers with the dispatcher's longer constructor. Unit tests link one of the two only, and the release build inlines the constructors. runner_settings and fake_worker of the stand-ins and tests had the same fault.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 lint: build
 	scripts/check_layers.sh
+	scripts/check_types.sh
 	scripts/lint.sh build/release $(JOBS)
 
 asan: deps
--- a/standins/support/hosted_runner_base.cpp
+++ b/standins/support/hosted_runner_base.cpp
@@ -53,7 +53,7 @@
 
 hosted_runner::hosted_runner(
     coordination::store& store, transport::reactor& loop,
-    runner_history& history, runner_settings settings)
+    runner_history& history, hosted_runner_settings settings)
     : store_(store)
     , loop_(loop)
     , history_(history)
--- a/standins/support/hosted_runner_base.hpp
+++ b/standins/support/hosted_runner_base.hpp
@@ -41,7 +41,7 @@
 };
 
 /** How a runner behaves. */
-struct runner_settings
+struct hosted_runner_settings
 {
     std::string id;
     std::string service = "svc";
@@ -61,7 +61,7 @@
 public:
     hosted_runner(
         coordination::store& store, transport::reactor& loop,
-        runner_history& history, runner_settings settings);
+        runner_history& history, hosted_runner_settings settings);
     ~hosted_runner();
     hosted_runner(hosted_runner const&) = delete;
     auto operator=(hosted_runner const&) -> hosted_runner& = delete;
@@ -110,7 +110,7 @@
     coordination::store& store_;
     transport::reactor& loop_;
     runner_history& history_;
-    runner_settings settings_;
+    hosted_runner_settings settings_;
     core::clock clock_ = core::system_clock();
     core::time_point born_;
     std::int64_t born_ms_ = 0;
--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -50,7 +50,7 @@
 constexpr auto least_pace = std::uint32_t{12};
 constexpr auto full_pace = std::uint32_t{100};
 
-auto share_of(worker_entry const& worker, std::int64_t cpu_milli) -> double
+auto share_of(dispatch_worker const& worker, std::int64_t cpu_milli) -> double
 {
     return static_cast<double>(cpu_milli) /
            std::max<double>(
@@ -84,7 +84,7 @@
 }
 
 auto dispatcher::implementation::learn_interference(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     // A run that has just ended still shows in the others' figures.
     if (worker.serving == 0 || now - worker.learned_at < lesson_interval ||
@@ -126,7 +126,7 @@
 }
 
 auto dispatcher::implementation::add_served(
-    worker_entry& worker, run_entry const& run) -> void
+    dispatch_worker& worker, run_entry const& run) -> void
 {
     auto const target = static_cast<double>(run.tail_target_ms);
     auto const tail = std::max(1.0, static_cast<double>(run.measure));
@@ -152,7 +152,7 @@
 }
 
 auto dispatcher::implementation::assess(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     if (worker.assessed)
     {
@@ -200,7 +200,7 @@
 }
 
 auto dispatcher::implementation::bears(
-    worker_entry& worker, plan_step const& spec, bool waits_long,
+    dispatch_worker& worker, plan_step const& spec, bool waits_long,
     core::time_point now) -> bool
 {
     assess(worker, now);
@@ -230,7 +230,7 @@
 
 // Returns the largest share of a serving class's room that the step would use.
 auto dispatcher::implementation::disturbance(
-    worker_entry& worker, plan_step const& spec) -> double
+    dispatch_worker& worker, plan_step const& spec) -> double
 {
     auto const load = share_of(worker, spec.need.cpu_milli);
     auto result = 0.0;
@@ -244,7 +244,7 @@
 }
 
 auto dispatcher::implementation::add_pace_orders(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     worker.assessed = false;
     if (worker.serving == 0)
@@ -293,7 +293,7 @@
 }
 
 auto dispatcher::implementation::slow_down(
-    worker_entry& worker, run_entry const& serving, bool stop_all,
+    dispatch_worker& worker, run_entry const& serving, bool stop_all,
     core::time_point now) -> void
 {
     // The class that is expected to disturb most is slowed first.
@@ -335,7 +335,7 @@
 }
 
 auto dispatcher::implementation::repeat_pace_orders(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     for (auto& run : worker.runs)
     {
@@ -351,7 +351,7 @@
 }
 
 auto dispatcher::implementation::speed_up(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     for (auto& run : worker.runs)
     {
@@ -367,7 +367,7 @@
 }
 
 auto dispatcher::implementation::set_pace(
-    worker_entry& worker, run_entry& run, std::uint32_t pace,
+    dispatch_worker& worker, run_entry& run, std::uint32_t pace,
     core::time_point now) -> void
 {
     if (pace == run.pace)
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -15,7 +15,7 @@
 {
 
 struct job_entry;
-struct worker_entry;
+struct dispatch_worker;
 using job_pointer = std::shared_ptr<job_entry>;
 
 /** A worker's clock may be 2% slow; the rest covers the age of the figure. */
@@ -44,13 +44,13 @@
 };
 
 /** One task of a job. */
-struct task_entry
+struct dispatch_task
 {
     task_state state = task_state::blocked;
     std::vector<std::uint64_t> failed_runs; ///< Each counts as a failure.
-    run_number last_run;            ///< Highest run that was ordered or seen.
-    worker_entry* worker = nullptr; ///< Of the bound run.
-    core::worker_id avoided;        ///< Worker of the last run that went wrong.
+    run_number last_run; ///< Highest run that was ordered or seen.
+    dispatch_worker* worker = nullptr; ///< Of the bound run.
+    core::worker_id avoided; ///< Worker of the last run that went wrong.
     std::string checkpoint;
 };
 
@@ -74,7 +74,7 @@
     plan_record record;
     plan_phase phase = plan_phase::queued;
     plan_phase stored_phase = plan_phase::queued; ///< What callers are told.
-    std::vector<task_entry> tasks;
+    std::vector<dispatch_task> tasks;
     std::vector<step_entry> steps;     ///< Of all occurrences, in order.
     std::vector<std::int64_t> tail_ms; ///< Longest chain from each step on.
     std::int64_t chain_ms = 0;
@@ -162,7 +162,7 @@
 };
 
 /** One worker. */
-struct worker_entry
+struct dispatch_worker
 {
     listed_worker info;
     bool listed = false;
@@ -271,68 +271,69 @@
     auto
     set_workers(std::span<listed_worker const> workers, core::time_point now)
         -> void;
-    auto token_of(worker_entry const& worker) const -> fencing_token;
-    auto clock_of(worker_entry const& worker, core::time_point now) const
+    auto token_of(dispatch_worker const& worker) const -> fencing_token;
+    auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
     auto take_holds(core::time_point now) -> std::vector<hold_order>;
-    auto make_hold(worker_entry& worker, core::time_point now) -> hold_order;
+    auto make_hold(dispatch_worker& worker, core::time_point now) -> hold_order;
     auto hold_answered(
         hold_order const& order, order_result result,
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
-    auto lose_contact(worker_entry& worker, core::time_point now) -> void;
+    auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
     auto take_lists(
-        worker_entry& worker, hold_order const& order,
+        dispatch_worker& worker, hold_order const& order,
         worker_lists const& lists, core::time_point now) -> void;
-    auto
-    take_end(worker_entry& worker, ended_row const& row, core::time_point now)
+    auto take_end(
+        dispatch_worker& worker, ended_row const& row, core::time_point now)
         -> void;
     auto take_running(
-        worker_entry& worker, running_row const& row, core::time_point now)
+        dispatch_worker& worker, running_row const& row, core::time_point now)
         -> void;
     auto
-    adopt(worker_entry& worker, running_row const& row, core::time_point now)
+    adopt(dispatch_worker& worker, running_row const& row, core::time_point now)
         -> run_entry&;
     auto resolve_missing(
-        worker_entry& worker, core::time_point sent_at, core::time_point now)
+        dispatch_worker& worker, core::time_point sent_at, core::time_point now)
         -> void;
     auto start_new_life(
-        worker_entry& worker, worker_lists const& lists, core::time_point now)
-        -> void;
+        dispatch_worker& worker, worker_lists const& lists,
+        core::time_point now) -> void;
     auto fail_task(
         job_pointer const& job, std::uint32_t task, run_number run,
         core::time_point now) -> void;
     auto keep_checkpoint(
         job_pointer const& job, std::uint32_t task, std::string checkpoint,
         core::time_point now) -> void;
-    auto find_run(worker_entry& worker, task_name const& name, run_number run)
+    auto
+    find_run(dispatch_worker& worker, task_name const& name, run_number run)
         -> std::optional<std::size_t>;
     auto lose_runs(
-        worker_entry& worker, std::string_view cause, core::time_point now)
+        dispatch_worker& worker, std::string_view cause, core::time_point now)
         -> void;
     auto end_run(
-        worker_entry& worker, std::size_t index, run_end how,
+        dispatch_worker& worker, std::size_t index, run_end how,
         std::string checkpoint, core::time_point now) -> void;
     auto apply_end(
-        job_pointer const& job, std::uint32_t task, worker_entry& worker,
+        job_pointer const& job, std::uint32_t task, dispatch_worker& worker,
         run_number run, run_end how, std::string checkpoint,
         core::time_point now) -> void;
     auto judge_worker(
-        worker_entry& worker, job_entry& job, run_end how, core::time_point now)
-        -> void;
+        dispatch_worker& worker, job_entry& job, run_end how,
+        core::time_point now) -> void;
     auto
-    retry_run(worker_entry& worker, std::size_t index, core::time_point now)
+    retry_run(dispatch_worker& worker, std::size_t index, core::time_point now)
         -> void;
     auto want_stops(job_entry& job) -> void;
     auto order_answered(
         run_order const& order, order_result result,
         std::optional<std::int64_t> clock_ms, core::time_point now) -> bool;
     auto start_answered(
-        worker_entry& worker, std::size_t index, order_result result,
+        dispatch_worker& worker, std::size_t index, order_result result,
         core::time_point now) -> void;
-    auto find_worker(core::worker_id const& id) -> worker_entry*;
+    auto find_worker(core::worker_id const& id) -> dispatch_worker*;
     auto tick(core::time_point now) -> void;
     auto finish_recovery(core::time_point now) -> void;
-    auto watch_progress(worker_entry& worker, core::time_point now) -> void;
+    auto watch_progress(dispatch_worker& worker, core::time_point now) -> void;
 
     // Placement (dispatch_schedule.cpp)
     auto take_orders(core::time_point now) -> std::vector<run_order>;
@@ -340,55 +341,57 @@
     auto place_step(ready_step const& it, core::time_point now) -> bool;
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
     auto choose_worker(
-        job_entry& job, step_entry& step, task_entry const& task,
-        queue_config const& queue, core::time_point now) -> worker_entry*;
+        job_entry& job, step_entry& step, dispatch_task const& task,
+        queue_config const& queue, core::time_point now) -> dispatch_worker*;
     auto run_factor(queue_id const& queue) -> double&;
     auto learn_run_time(run_entry const& run, core::time_point now) -> void;
     [[nodiscard]] auto is_mostly_free() const -> bool;
-    auto may_start(worker_entry const& worker, core::time_point now) const
+    auto may_start(dispatch_worker const& worker, core::time_point now) const
         -> bool;
     auto start(
-        job_pointer const& job, std::uint32_t task, worker_entry& worker,
+        job_pointer const& job, std::uint32_t task, dispatch_worker& worker,
         run_number run, core::time_point now) -> void;
-    auto next_run(job_entry const& job, task_entry const& task) const
+    auto next_run(job_entry const& job, dispatch_task const& task) const
         -> run_number;
     auto make_room(
         ready_step const& it, queue_config const& queue, core::time_point now)
         -> void;
     [[nodiscard]] static auto is_short(run_entry const& run) -> bool;
     auto evict_for(
-        worker_entry& worker, plan_step const& spec, queue_config const& queue)
-        -> void;
+        dispatch_worker& worker, plan_step const& spec,
+        queue_config const& queue) -> void;
     auto add_stop_orders(core::time_point now) -> void;
     auto plan_run(
         job_pointer const& job, std::uint32_t task, run_number number,
         core::time_point now) -> run_entry;
 
     // Interference (dispatch_interference.cpp)
-    auto learn_interference(worker_entry& worker, core::time_point now) -> void;
-    auto assess(worker_entry& worker, core::time_point now) -> void;
-    auto add_served(worker_entry& worker, run_entry const& run) -> void;
+    auto learn_interference(dispatch_worker& worker, core::time_point now)
+        -> void;
+    auto assess(dispatch_worker& worker, core::time_point now) -> void;
+    auto add_served(dispatch_worker& worker, run_entry const& run) -> void;
     auto base_tail(std::string const& task_class, std::int64_t target)
         -> double&;
     auto bears(
-        worker_entry& worker, plan_step const& spec, bool waits_long,
+        dispatch_worker& worker, plan_step const& spec, bool waits_long,
         core::time_point now) -> bool;
-    auto disturbance(worker_entry& worker, plan_step const& spec) -> double;
-    auto leave_draining(worker_entry& worker, core::time_point now) -> void;
+    auto disturbance(dispatch_worker& worker, plan_step const& spec) -> double;
+    auto leave_draining(dispatch_worker& worker, core::time_point now) -> void;
     auto coefficient(std::string const& serving, std::string const& filling)
         -> double;
-    auto add_pace_orders(worker_entry& worker, core::time_point now) -> void;
+    auto add_pace_orders(dispatch_worker& worker, core::time_point now) -> void;
     auto slow_down(
-        worker_entry& worker, run_entry const& serving, bool stop_all,
+        dispatch_worker& worker, run_entry const& serving, bool stop_all,
         core::time_point now) -> void;
-    auto repeat_pace_orders(worker_entry& worker, core::time_point now) -> void;
-    auto speed_up(worker_entry& worker, core::time_point now) -> void;
+    auto repeat_pace_orders(dispatch_worker& worker, core::time_point now)
+        -> void;
+    auto speed_up(dispatch_worker& worker, core::time_point now) -> void;
     auto set_pace(
-        worker_entry& worker, run_entry& run, std::uint32_t pace,
+        dispatch_worker& worker, run_entry& run, std::uint32_t pace,
         core::time_point now) -> void;
     auto order_for(
-        worker_entry const& worker, run_entry const& run, run_order_kind kind)
-        -> run_order;
+        dispatch_worker const& worker, run_entry const& run,
+        run_order_kind kind) -> run_order;
 
     auto event(std::string_view message, core::fields values) const -> void
     {
@@ -405,7 +408,7 @@
     std::set<core::data_centre_id> drained;
     std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
         jobs;
-    std::map<core::worker_id, std::unique_ptr<worker_entry>> workers;
+    std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
     std::vector<ready_step> ready_steps;
     std::vector<run_order> orders;
     std::deque<job_pointer> dirty;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -90,7 +90,7 @@
     }
     for (auto const& info : stored.workers)
     {
-        auto worker = std::make_unique<worker_entry>();
+        auto worker = std::make_unique<dispatch_worker>();
         worker->info = info;
         worker->stored = true;
         worker->lease_until = recovery_until;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 auto dispatcher::implementation::find_run(
-    worker_entry& worker, task_name const& name, run_number run)
+    dispatch_worker& worker, task_name const& name, run_number run)
     -> std::optional<std::size_t>
 {
     for (auto i = std::size_t{0}; i < worker.runs.size(); ++i)
@@ -41,7 +41,7 @@
 }
 
 auto dispatcher::implementation::take_end(
-    worker_entry& worker, ended_row const& row, core::time_point now) -> void
+    dispatch_worker& worker, ended_row const& row, core::time_point now) -> void
 {
     if (row.number <= worker.seen_end)
     {
@@ -72,7 +72,8 @@
 }
 
 auto dispatcher::implementation::take_running(
-    worker_entry& worker, running_row const& row, core::time_point now) -> void
+    dispatch_worker& worker, running_row const& row, core::time_point now)
+    -> void
 {
     auto const i = find_run(worker, row.task, row.run);
     auto& run = i ? worker.runs[*i] : adopt(worker, row, now);
@@ -91,7 +92,7 @@
 }
 
 auto dispatcher::implementation::adopt(
-    worker_entry& worker, running_row const& row, core::time_point now)
+    dispatch_worker& worker, running_row const& row, core::time_point now)
     -> run_entry&
 {
     auto const job = find(row.task.job.value);
@@ -137,7 +138,7 @@
 }
 
 auto dispatcher::implementation::resolve_missing(
-    worker_entry& worker, core::time_point sent_at, core::time_point now)
+    dispatch_worker& worker, core::time_point sent_at, core::time_point now)
     -> void
 {
     for (auto i = worker.runs.size(); i-- > 0;)
@@ -159,7 +160,8 @@
 }
 
 auto dispatcher::implementation::lose_runs(
-    worker_entry& worker, std::string_view cause, core::time_point now) -> void
+    dispatch_worker& worker, std::string_view cause, core::time_point now)
+    -> void
 {
     if (worker.runs.empty())
     {
@@ -177,13 +179,13 @@
 }
 
 auto dispatcher::implementation::retry_run(
-    worker_entry& worker, std::size_t index, core::time_point now) -> void
+    dispatch_worker& worker, std::size_t index, core::time_point now) -> void
 {
     end_run(worker, index, run_end::lapsed, {}, now);
 }
 
 auto dispatcher::implementation::end_run(
-    worker_entry& worker, std::size_t index, run_end how,
+    dispatch_worker& worker, std::size_t index, run_end how,
     std::string checkpoint, core::time_point now) -> void
 {
     auto run = std::move(worker.runs[index]);
@@ -241,7 +243,7 @@
 }
 
 auto dispatcher::implementation::apply_end(
-    job_pointer const& job, std::uint32_t index, worker_entry& worker,
+    job_pointer const& job, std::uint32_t index, dispatch_worker& worker,
     run_number run, run_end how, std::string checkpoint, core::time_point now)
     -> void
 {
@@ -357,7 +359,7 @@
 }
 
 auto dispatcher::implementation::judge_worker(
-    worker_entry& worker, job_entry& job, run_end how, core::time_point now)
+    dispatch_worker& worker, job_entry& job, run_end how, core::time_point now)
     -> void
 {
     if (how == run_end::done)
@@ -408,7 +410,7 @@
 }
 
 auto dispatcher::implementation::watch_progress(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     for (auto& run : worker.runs)
     {
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -170,7 +170,7 @@
 }
 
 auto dispatcher::implementation::may_start(
-    worker_entry const& worker, core::time_point now) const -> bool
+    dispatch_worker const& worker, core::time_point now) const -> bool
 {
     return worker.listed && worker.stored &&
            worker.contact == contact_state::live && !worker.info.draining &&
@@ -179,8 +179,8 @@
 }
 
 auto dispatcher::implementation::choose_worker(
-    job_entry& job, step_entry& step, task_entry const& task,
-    queue_config const& queue, core::time_point now) -> worker_entry*
+    job_entry& job, step_entry& step, dispatch_task const& task,
+    queue_config const& queue, core::time_point now) -> dispatch_worker*
 {
     auto const& spec = job.spec(step);
     auto need = spec.need;
@@ -191,7 +191,7 @@
     // A job must not wait for undisturbed room for ever.
     auto const waits_long =
         mostly_free && job.bound == 0 && now - step.ready_since >= longest_wait;
-    auto* best = static_cast<worker_entry*>(nullptr);
+    auto* best = static_cast<dispatch_worker*>(nullptr);
     auto best_cost = std::numeric_limits<double>::max();
     for (auto const& [id, worker] : workers)
     {
@@ -294,7 +294,7 @@
         return true; // Members of the former run are not over yet.
     }
     // Room is taken tentatively, so that members do not share it.
-    auto chosen = std::vector<worker_entry*>{};
+    auto chosen = std::vector<dispatch_worker*>{};
     auto const need = job.spec(step).need;
     for (auto const index : step.ready)
     {
@@ -329,7 +329,7 @@
 }
 
 auto dispatcher::implementation::next_run(
-    job_entry const& job, task_entry const& task) const -> run_number
+    job_entry const& job, dispatch_task const& task) const -> run_number
 {
     // Runs of a former owner that this one has not seen are lower.
     auto const terms = term.value - job.record.accepted_in.value;
@@ -337,7 +337,7 @@
 }
 
 auto dispatcher::implementation::start(
-    job_pointer const& job, std::uint32_t index, worker_entry& worker,
+    job_pointer const& job, std::uint32_t index, dispatch_worker& worker,
     run_number number, core::time_point now) -> void
 {
     auto& task = job->tasks[index];
@@ -395,7 +395,7 @@
 }
 
 auto dispatcher::implementation::order_for(
-    worker_entry const& worker, run_entry const& run, run_order_kind kind)
+    dispatch_worker const& worker, run_entry const& run, run_order_kind kind)
     -> run_order
 {
     auto order = run_order{};
@@ -416,7 +416,7 @@
     -> void
 {
     auto const& spec = it.job->spec(it.job->steps[it.step]);
-    auto* best = static_cast<worker_entry*>(nullptr);
+    auto* best = static_cast<dispatch_worker*>(nullptr);
     auto most_free = std::int64_t{-1};
     for (auto const& [id, worker] : workers)
     {
@@ -458,7 +458,7 @@
 }
 
 auto dispatcher::implementation::evict_for(
-    worker_entry& worker, plan_step const& spec, queue_config const& queue)
+    dispatch_worker& worker, plan_step const& spec, queue_config const& queue)
     -> void
 {
     auto const may_evict = [&](run_entry const& run)
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -41,7 +41,7 @@
         auto& worker = workers[info.worker];
         if (!worker)
         {
-            worker = std::make_unique<worker_entry>();
+            worker = std::make_unique<dispatch_worker>();
             worker->hold_at = now;
             workers_changed = true;
         }
@@ -79,20 +79,20 @@
 }
 
 auto dispatcher::implementation::find_worker(core::worker_id const& id)
-    -> worker_entry*
+    -> dispatch_worker*
 {
     auto const it = workers.find(id);
     return it == workers.end() ? nullptr : it->second.get();
 }
 
-auto dispatcher::implementation::token_of(worker_entry const& worker) const
+auto dispatcher::implementation::token_of(dispatch_worker const& worker) const
     -> fencing_token
 {
     return fencing_token{term.value * tokens_per_term + worker.rebirths};
 }
 
 auto dispatcher::implementation::clock_of(
-    worker_entry const& worker, core::time_point now) const -> std::int64_t
+    dispatch_worker const& worker, core::time_point now) const -> std::int64_t
 {
     return worker.clock_ms + to_ms(now - worker.clock_at);
 }
@@ -114,7 +114,7 @@
 }
 
 auto dispatcher::implementation::make_hold(
-    worker_entry& worker, core::time_point now) -> hold_order
+    dispatch_worker& worker, core::time_point now) -> hold_order
 {
     auto order = hold_order{};
     order.worker = worker.info.worker;
@@ -152,7 +152,7 @@
 }
 
 auto dispatcher::implementation::lose_contact(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     worker.contact = contact_state::none;
     ++worker.life;
@@ -207,7 +207,7 @@
 }
 
 auto dispatcher::implementation::start_new_life(
-    worker_entry& worker, worker_lists const& lists, core::time_point now)
+    dispatch_worker& worker, worker_lists const& lists, core::time_point now)
     -> void
 {
     event(
@@ -226,7 +226,7 @@
 }
 
 auto dispatcher::implementation::take_lists(
-    worker_entry& worker, hold_order const& order, worker_lists const& lists,
+    dispatch_worker& worker, hold_order const& order, worker_lists const& lists,
     core::time_point now) -> void
 {
     worker.clock_ms = lists.clock_ms;
@@ -308,7 +308,7 @@
 }
 
 auto dispatcher::implementation::start_answered(
-    worker_entry& worker, std::size_t index, order_result result,
+    dispatch_worker& worker, std::size_t index, order_result result,
     core::time_point now) -> void
 {
     auto& run = worker.runs[index];
@@ -369,7 +369,7 @@
 // Serving tasks move at the notice of a drain, others that can resume elsewhere
 // when the worker is about to leave.
 auto dispatcher::implementation::leave_draining(
-    worker_entry& worker, core::time_point now) -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     if (!worker.drain_seen)
     {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -448,7 +448,8 @@
 }
 
 // Serving tasks are far over their target while tasks beside them work.
-auto heavy_measure(tests::fake_worker const& worker, tests::fake_run const& run)
+auto heavy_measure(
+    tests::fake_dispatch_worker const& worker, tests::fake_run const& run)
     -> std::int64_t
 {
     if (!run.task.job.value.starts_with("s"))
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -70,7 +70,7 @@
 
     auto add_runner(std::string const& id) -> standins::hosted_runner&
     {
-        auto settings = standins::runner_settings{};
+        auto settings = standins::hosted_runner_settings{};
         settings.id = id;
         auto& it = runners[id];
         it = std::make_unique<standins::hosted_runner>(
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -58,7 +58,7 @@
 }
 
 auto dispatch_world::add_worker(std::string id, core::resources capacity)
-    -> fake_worker&
+    -> fake_dispatch_worker&
 {
     auto& worker = workers_[id];
     worker.info.worker = core::worker_id{id};
@@ -72,7 +72,7 @@
     return worker;
 }
 
-auto dispatch_world::worker(std::string const& id) -> fake_worker&
+auto dispatch_world::worker(std::string const& id) -> fake_dispatch_worker&
 {
     return workers_.at(id);
 }
@@ -141,7 +141,7 @@
     commit();
 }
 
-auto dispatch_world::work(fake_worker& worker) -> void
+auto dispatch_world::work(fake_dispatch_worker& worker) -> void
 {
     worker.clock_ms += step_ms;
     if (!worker.runs.empty() && worker.clock_ms > worker.deadline_ms)
@@ -170,7 +170,7 @@
 }
 
 auto dispatch_world::end(
-    fake_worker& worker, std::size_t index, state::run_end how) -> void
+    fake_dispatch_worker& worker, std::size_t index, state::run_end how) -> void
 {
     auto const& run = worker.runs[index];
     auto row = state::ended_row{};
@@ -265,7 +265,8 @@
     owner->order_answered(order, result, std::nullopt, now());
 }
 
-auto dispatch_world::start(fake_worker& worker, state::run_order const& order)
+auto dispatch_world::start(
+    fake_dispatch_worker& worker, state::run_order const& order)
     -> state::order_result
 {
     if (order.token < worker.token)
@@ -316,8 +317,8 @@
     return state::order_result::accepted;
 }
 
-auto dispatch_world::stop(fake_worker& worker, state::run_order const& order)
-    -> void
+auto dispatch_world::stop(
+    fake_dispatch_worker& worker, state::run_order const& order) -> void
 {
     for (auto i = std::size_t{0}; i < worker.runs.size(); ++i)
     {
@@ -329,7 +330,7 @@
 }
 
 auto dispatch_world::check_start(
-    fake_worker const& worker, state::run_order const& order) -> void
+    fake_dispatch_worker const& worker, state::run_order const& order) -> void
 {
     auto const name = text_of(order.task);
     auto used = need_of(order.task);
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -33,7 +33,7 @@
 };
 
 /** A fake worker with leases, fences, both lists and a clock of its own. */
-struct fake_worker
+struct fake_dispatch_worker
 {
     state::listed_worker info;
     bool reachable = true;      ///< Calls reach it and answers return.
@@ -69,8 +69,9 @@
 public:
     dispatch_world();
 
-    auto add_worker(std::string id, core::resources capacity) -> fake_worker&;
-    auto worker(std::string const& id) -> fake_worker&;
+    auto add_worker(std::string id, core::resources capacity)
+        -> fake_dispatch_worker&;
+    auto worker(std::string const& id) -> fake_dispatch_worker&;
     auto add_queue(state::queue_config queue) -> void;
 
     /** Begins a new term from what is stored. */
@@ -98,7 +99,8 @@
     std::function<task_behaviour(state::task_name const&, state::run_number)>
         behave;
     /** Returns the figure that a worker reports of a run; 0 by default. */
-    std::function<std::int64_t(fake_worker const&, fake_run const&)> measure;
+    std::function<std::int64_t(fake_dispatch_worker const&, fake_run const&)>
+        measure;
     std::vector<std::string> violations;
     std::vector<std::string> starts; ///< TASK@WORKER of each start done.
     bool store_down = false;
@@ -115,22 +117,25 @@
 
 private:
     auto step() -> void;
-    auto work(fake_worker& worker) -> void;
+    auto work(fake_dispatch_worker& worker) -> void;
     auto answer_holds() -> void;
     auto carry_out(state::run_order const& order) -> void;
-    auto start(fake_worker& worker, state::run_order const& order)
+    auto start(fake_dispatch_worker& worker, state::run_order const& order)
         -> state::order_result;
-    auto stop(fake_worker& worker, state::run_order const& order) -> void;
-    auto end(fake_worker& worker, std::size_t index, state::run_end how)
+    auto stop(fake_dispatch_worker& worker, state::run_order const& order)
+        -> void;
+    auto
+    end(fake_dispatch_worker& worker, std::size_t index, state::run_end how)
         -> void;
     auto commit() -> void;
-    auto check_start(fake_worker const& worker, state::run_order const& order)
+    auto check_start(
+        fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
     auto set_queues() -> void;
 
     std::int64_t now_ms_ = 1'000'000;
-    std::map<std::string, fake_worker> workers_;
+    std::map<std::string, fake_dispatch_worker> workers_;
     state::queue_table queues_;
     std::map<std::string, state::job_plan> plans_;
     std::set<std::string> done_; ///< Tasks with an acknowledged end as done.
