Pack serving tasks, so that filling tasks have workers of their own

Each filling task then runs beside some, is kept few by the expected disturbance, and 600 to 800 wait.

Serving tasks are now packed like others; filling tasks take workers without serving tasks first.

The new test of the dispatcher fails with tasks spread and, with packing alone, for a filling task beside a serving one.

--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -26,12 +26,16 @@
 // spare processors is placed without regard to the expected disturbance after
 // it has waited for this long; the pace then keeps it in check.
 constexpr auto mostly_free_percent = 55;
+
 constexpr auto longest_wait = std::chrono::milliseconds{1500};
 
 // Costs of a placement; the worker with the lowest sum is taken.
 constexpr auto avoided_cost = 1000.0;
 constexpr auto far_cost = 100.0;
 constexpr auto beside_filling_cost = 0.3;
+// Above the largest share of spare processors.
+constexpr auto beside_serving_cost = 1.0;
+
 constexpr auto suspicion_cost = 10.0;
 
 /** Order in which steps get room; lower first. */
@@ -236,12 +240,14 @@
         auto const left =
             static_cast<double>(free.cpu_milli - spec.need.cpu_milli) /
             capacity;
-        // Serving and filling tasks are spread, others are packed.
-        auto cost = spec.long_running ? 1.0 - left : left;
+        // Serving and other tasks are packed, which leaves whole workers to
+        // filling tasks; those are spread.
+        auto cost = left;
         if (spec.uses_spare_cpu)
         {
             cost = disturbance(*worker, spec) -
-                   static_cast<double>(worker->spare_cpu) / capacity;
+                   static_cast<double>(worker->spare_cpu) / capacity +
+                   (worker->serving > 0 ? beside_serving_cost : 0.0);
         }
         else if (spec.tail_target_ms > 0 && worker->spare_runs > 0)
         {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -465,6 +465,37 @@
 
 } // namespace
 
+// Guards against serving tasks on every worker, so that all filling tasks run
+// beside one and are kept few.
+TEST(dispatch, serving_tasks_leave_workers_free_for_filling_tasks)
+{
+    auto const world = two_workers();
+    world->behave = [](state::task_name const& name, auto)
+    {
+        return tests::task_behaviour{
+            name.job.value[0] == 's' ? -1 : 200, false};
+    };
+    world->measure = heavy_measure;
+    for (auto const* const id : {"s1", "s2", "s3"})
+    {
+        ASSERT_TRUE(world->submit(make_serving(id)));
+        world->run_for(100);
+    }
+    auto const serving =
+        world->starts.front().substr(world->starts.front().find('@'));
+    for (auto const& it : world->starts)
+    {
+        EXPECT_TRUE(it.ends_with(serving)) << it;
+    }
+    ASSERT_TRUE(world->submit(make_filling("f1", 8)));
+    world->run_for(1500);
+    for (auto const& it : world->starts)
+    {
+        EXPECT_EQ(it.starts_with('s'), it.ends_with(serving)) << it;
+    }
+    EXPECT_EQ(world->phase("f1"), plan_phase::completed);
+}
+
 // Guards against filling tasks that keep a serving task over its target. 4 s is
 // the longest time that is allowed; half of it is left for late figures.
 TEST(dispatch, filling_tasks_give_way_to_a_serving_task_within_2_s)
