Start tasks only while what is known of the workers is recent

Cause from the code: nothing bounds the age of the owner's copy of the workers. A watch without an answer is noticed after its wait and the timeout (1 s and 1 s, and 150 ms until the range is read), and a start may be carried out 1.5 s after it was sent. A test on the stand-in whose store answers all calls but watches shows starts after the bound without this change, and none with it.

The directory now says until when starts may rely on its copies: the last watch that was answered plus the bound of the platform (settings worker_notice_ms and data_centre_notice_ms). The deadline of each start is cut there; nothing is placed when less than 250 ms are left.

--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -253,6 +253,13 @@
                     reader, "start_validity_ms", it.start_validity, 100,
                     60'000);
                 read_ms(reader, "stop_ms", it.stop_time, 1, 60'000);
+                // The watches of both ranges are answered each 1.2 s.
+                read_ms(
+                    reader, "worker_notice_ms", it.worker_notice, 1600,
+                    600'000);
+                read_ms(
+                    reader, "data_centre_notice_ms", it.data_centre_notice,
+                    1600, 600'000);
                 read_ms(reader, "commit_delay_ms", it.commit_delay, 0, 10'000);
                 read_ms(reader, "look_gap_ms", it.look_gap, 0, 10'000);
                 read_ms(reader, "retention_ms", it.retention, 1000, 86'400'000);
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -24,6 +24,8 @@
     core::duration owner_lease = std::chrono::milliseconds{3000};
     core::duration start_validity = std::chrono::milliseconds{1500};
     core::duration stop_time = std::chrono::milliseconds{900};
+    core::duration worker_notice = std::chrono::milliseconds{2000};
+    core::duration data_centre_notice = std::chrono::milliseconds{5000};
     core::duration commit_delay = std::chrono::milliseconds{300};
     core::duration look_gap = std::chrono::milliseconds{40};
     core::duration retention = std::chrono::milliseconds{180'000};
--- a/coordination/watched_range_base.cpp
+++ b/coordination/watched_range_base.cpp
@@ -33,6 +33,7 @@
     auto
     take_changes(std::optional<store_changes> answer, core::time_point sent)
         -> void;
+    auto confirm(core::time_point sent) -> void;
     auto retry() -> void;
     auto report_loss(std::string_view call) -> void;
     auto report_return() -> void;
@@ -92,7 +93,6 @@
         }
         entries = std::move(fresh);
         revision = answer->revision;
-        confirmed = sent;
         read_at = sent;
     }
     report_return();
@@ -100,6 +100,7 @@
     {
         on_change(entries);
     }
+    confirm(sent);
     watch();
 }
 
@@ -145,13 +146,13 @@
             changed = entries.erase(it) > 0 || changed;
         }
         revision = std::max(revision, answer->revision);
-        confirmed = sent;
     }
     report_return();
     if (changed)
     {
         on_change(entries);
     }
+    confirm(sent);
     if (settings.gap > core::duration{} && !answer->written.empty())
     {
         timer = later(loop, settings.gap, [](auto& self) { self.watch(); });
@@ -160,6 +161,13 @@
     watch();
 }
 
+// Changes are handed on first, so that nobody takes an older copy as confirmed.
+auto watched_range::implementation::confirm(core::time_point sent) -> void
+{
+    auto const lock = std::scoped_lock{mutex};
+    confirmed = sent;
+}
+
 auto watched_range::implementation::retry() -> void
 {
     // A watch that failed may have missed changes, so the range is read.
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -86,7 +86,10 @@
           { router_.route(std::move(call), budget, std::move(on_answer)); },
           log_.with_prefix("gateway"), metrics_)
     , directory_(
-          store_, loop_, now_, log_.with_prefix("config"), directory_hooks())
+          store_, loop_, now_, log_.with_prefix("config"),
+          {settings_.hosted->worker_notice,
+           settings_.hosted->data_centre_notice},
+          directory_hooks())
 {
 }
 
@@ -114,9 +117,10 @@
         log_,
         metrics_,
         platform::make_worker_link(worker_client_, {}),
-        [this](bool owning)
+        [this](bool owning) { directory_.follow_workers(owning); },
+        [this]
         {
-            directory_.follow_workers(owning);
+            return directory_.starts_until();
         }};
 }
 
--- a/standins/support/hosted_gateway_base.cpp
+++ b/standins/support/hosted_gateway_base.cpp
@@ -288,7 +288,7 @@
     store_.expire_due();
     notice_changes();
     auto const lock = std::scoped_lock{mutex_};
-    if (silent || busy)
+    if (silent || busy || holds_watches)
     {
         return;
     }
--- a/standins/support/hosted_gateway_base.hpp
+++ b/standins/support/hosted_gateway_base.hpp
@@ -32,8 +32,9 @@
     /** Drops the history, so that watches have to begin again. */
     auto compact() -> void;
 
-    std::atomic<bool> busy = false;   ///< Answers 503 to all calls.
-    std::atomic<bool> silent = false; ///< Answers no call.
+    std::atomic<bool> busy = false;          ///< Answers 503 to all calls.
+    std::atomic<bool> silent = false;        ///< Answers no call.
+    std::atomic<bool> holds_watches = false; ///< Answers no watch.
 
 private:
     struct event
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -84,6 +84,11 @@
     implementation_->set_workers(workers, now);
 }
 
+auto dispatcher::limit_starts(core::time_point until) -> void
+{
+    implementation_->start_limit = until;
+}
+
 auto dispatcher::set_drained(std::set<core::data_centre_id> data_centres)
     -> void
 {
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -85,6 +85,12 @@
     set_workers(std::span<listed_worker const> workers, core::time_point now)
         -> void;
 
+    /**
+     * Lets workers carry out starts before `until` only. What is known of
+     * workers and drained data centres is too old afterwards.
+     */
+    auto limit_starts(core::time_point until) -> void;
+
     /** Starts nothing in these data centres. */
     auto set_drained(std::set<core::data_centre_id> data_centres) -> void;
 
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -337,6 +337,8 @@
 
     // Placement (dispatch_schedule.cpp)
     auto take_orders(core::time_point now) -> std::vector<run_order>;
+    [[nodiscard]] auto start_validity(core::time_point now) const
+        -> core::duration;
     auto schedule(core::time_point now) -> void;
     auto place_step(ready_step const& it, core::time_point now) -> bool;
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
@@ -406,6 +408,7 @@
     dispatch_hooks hooks;
     queue_table_pointer queues = std::make_shared<queue_table const>();
     std::set<core::data_centre_id> drained;
+    core::time_point start_limit = core::time_point::max();
     std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
         jobs;
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -14,6 +14,8 @@
 // several ends into one pass.
 constexpr auto schedule_interval = std::chrono::milliseconds{8};
 constexpr auto start_margin = std::chrono::milliseconds{150};
+// A start needs a round trip to a worker in another data centre.
+constexpr auto least_start_validity = std::chrono::milliseconds{250};
 constexpr auto stop_retry = std::chrono::milliseconds{400};
 constexpr auto stop_overrun = std::chrono::milliseconds{1000};
 // Room that was made for a serving task is kept for it this long.
@@ -26,7 +28,6 @@
 // spare processors is placed without regard to the expected disturbance after
 // it has waited for this long; the pace then keeps it in check.
 constexpr auto mostly_free_percent = 55;
-
 constexpr auto longest_wait = std::chrono::milliseconds{1500};
 
 // Costs of a placement; the worker with the lowest sum is taken.
@@ -35,7 +36,6 @@
 constexpr auto beside_filling_cost = 0.3;
 // Above the largest share of spare processors.
 constexpr auto beside_serving_cost = 1.0;
-
 constexpr auto suspicion_cost = 10.0;
 
 /** Order in which steps get room; lower first. */
@@ -84,14 +84,24 @@
     latest = now;
     if (schedule_due && now >= next_schedule)
     {
-        schedule_due = false;
         next_schedule = now + schedule_interval;
-        schedule(now);
+        schedule_due = start_validity(now) < least_start_validity;
+        if (!schedule_due)
+        {
+            schedule(now);
+        }
         add_stop_orders(now);
     }
     return std::exchange(orders, {});
 }
 
+// Returns how long a start that is sent now may be carried out.
+auto dispatcher::implementation::start_validity(core::time_point now) const
+    -> core::duration
+{
+    return std::min(settings.start_validity, start_limit - now);
+}
+
 auto dispatcher::implementation::schedule(core::time_point now) -> void
 {
     std::erase_if(
@@ -365,7 +375,7 @@
     auto order = order_for(worker, run, run_order_kind::start);
     order.command = job->record.plan.command;
     order.checkpoint = run.checkpoint;
-    order.deadline_ms = clock_of(worker, now) + to_ms(settings.start_validity);
+    order.deadline_ms = clock_of(worker, now) + to_ms(start_validity(now));
     orders.push_back(std::move(order));
     worker.runs.push_back(std::move(run));
     worker.assessed = false;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -195,6 +195,33 @@
     EXPECT_EQ(world->phase("j1"), plan_phase::completed);
 }
 
+// Guards against starts on a worker whose notice that it leaves has not
+// arrived, sent or delayed for longer than the platform allows.
+TEST(dispatch, starts_only_while_what_it_knows_of_workers_is_recent)
+{
+    auto const world = two_workers();
+    world->start_limit = world->now() + std::chrono::milliseconds{600};
+    world->worker("w1").delays_starts = true;
+    world->worker("w2").delays_starts = true;
+    ASSERT_TRUE(world->submit(tests::make_plan("early", 1, 1000)));
+    world->run_for(800);
+    world->carry_out_delayed("w1");
+    world->carry_out_delayed("w2");
+    EXPECT_EQ(count_starts(*world, "early.0.0.0"), 0);
+
+    world->worker("w1").delays_starts = false;
+    world->worker("w2").delays_starts = false;
+    ASSERT_TRUE(world->submit(tests::make_plan("late", 1, 1000)));
+    world->run_for(3000);
+    EXPECT_TRUE(world->starts.empty());
+
+    world->start_limit = core::time_point::max();
+    world->run_for(3000);
+    EXPECT_EQ(world->phase("early"), plan_phase::completed);
+    EXPECT_EQ(world->phase("late"), plan_phase::completed);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against ends of a worker's new life that are acknowledged unseen, and
 // against orders of the former life that take effect in the new one.
 TEST(dispatch, a_worker_that_is_born_again_runs_its_tasks_anew)
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -112,7 +112,7 @@
         settings.advertise_control = settings.control;
         settings.advertise_peer = settings.peer;
         settings.store = {store_address};
-        settings.store_timeout = 1s;
+        settings.store_timeout = store_timeout;
         settings.drain_delay = 200ms;
         settings.drain_timeout = 2s;
         settings.threads = 1;
@@ -122,6 +122,7 @@
         hosted.owner_lease = 1s;
         hosted.start_validity = 500ms;
         hosted.stop_time = 100ms;
+        hosted.worker_notice = worker_notice;
         settings.hosted = hosted;
         gateways[name] = settings.gateway;
         readiness[name] = hosted.readiness;
@@ -217,6 +218,8 @@
         }
     }
 
+    core::duration store_timeout = 1s;
+    core::duration worker_notice = 2s;
     standins::memory_store store{core::system_clock()};
     transport::reactor loop{2};
     standins::hosted_gateway gateway{store, loop};
@@ -397,6 +400,46 @@
     check_history();
 }
 
+// Guards against starts on a worker that leaves, by an owner whose watch gets
+// no answer while all other calls do.
+TEST_F(hosted_fixture, an_owner_without_watches_stops_starting_in_time)
+{
+    store_timeout = 4s;
+    worker_notice = 1500ms;
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    EXPECT_EQ(submit("a", "00000000000000a1", 4), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000a1") == "completed"; }));
+
+    gateway.holds_watches = true;
+    for (auto const& [id, it] : runners)
+    {
+        it->draining = true;
+    }
+    std::this_thread::sleep_for(500ms); // Each runner has written its entry.
+    auto const acknowledged = core::system_clock()();
+    for (auto i = 1; i <= 20; ++i)
+    {
+        EXPECT_EQ(submit("a", fmt::format("{:016x}", 0xb00 + i), 2), 200);
+        std::this_thread::sleep_for(100ms);
+    }
+    for (auto const& it : history.all())
+    {
+        EXPECT_LE((it.begun - acknowledged) / 1ms, worker_notice / 1ms)
+            << it.task << " on " << it.worker;
+    }
+    for (auto const& [id, it] : runners)
+    {
+        it->draining = false;
+    }
+    gateway.holds_watches = false;
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "0000000000000b14") == "completed"; }));
+    check_history();
+}
+
 // Guards against a refusal that is untrue, and a submit that is held until its
 // deadline, while the store refuses writes.
 TEST_F(hosted_fixture, an_outage_of_the_store_refuses_at_once_and_truly)
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -134,6 +134,10 @@
     owner->set_drained(drained);
     owner->tick(now());
     answer_holds();
+    if (start_limit)
+    {
+        owner->limit_starts(*start_limit);
+    }
     for (auto const& order : owner->take_orders(now()))
     {
         carry_out(order);
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -109,6 +109,8 @@
     std::unique_ptr<state::dispatcher> owner;
     state::dispatch_snapshot stored;
     std::set<core::data_centre_id> drained;
+    /** Given to the dispatcher as the end of what it may start. */
+    std::optional<core::time_point> start_limit;
 
     auto now() const -> core::time_point
     {
