--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -28,7 +28,7 @@
 constexpr auto usable_room = 0.9;
 // Share of the room below a target, by its latest figure, that tasks which are
 // started now may use up.
-constexpr auto usable_room_now = 0.33;
+constexpr auto usable_room_now = 0.25;
 // Serving tasks use this share of their processors at most, usually.
 constexpr auto serving_use_percent = 50;
 
