Acknowledge an end only after earlier changes of its job are stored

Cause: the owner is cut from the store; a cancel is taken in memory and waits for its write. Then the end of a task of that job arrives as done. It changes nothing in a cancelled job, so it was acknowledged to the worker at once. The next owner knows neither the cancel nor the end, and starts the task again. An end now waits for all changes of its job that are not stored, its own or earlier ones.

an_end_after_an_unstored_cancelling_is_not_acknowledged fails before the change and passes after it.

--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -49,7 +49,7 @@
     }
     worker.seen_end = row.number;
     auto const job = find(row.task.job.value);
-    auto const version = job ? job->version : 0;
+
     if (auto const i = find_run(worker, row.task, row.run))
     {
         end_run(worker, *i, row.how, row.checkpoint, now);
@@ -65,10 +65,11 @@
                 job, *index, worker, row.run, row.how, row.checkpoint, now);
         }
     }
-    auto const has_changed = job && job->version != version;
+    // The end may have changed nothing because of a change that is not stored,
+    // such as a cancelling; a new owner would not know that either.
+    auto const unstored = job && job->version > job->stored_version;
     worker.ends.push_back(
-        {row.number, has_changed ? job : nullptr,
-         has_changed ? job->version : 0});
+        {row.number, unstored ? job : nullptr, unstored ? job->version : 0});
 }
 
 auto dispatcher::implementation::take_running(
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -429,6 +429,31 @@
     EXPECT_EQ(world->phase("j1"), plan_phase::cancelled);
 }
 
+// Guards against a second run of a done task: its end came after the cancelling
+// of its job, which was never stored, and was acknowledged.
+TEST(dispatch, an_end_after_an_unstored_cancelling_is_not_acknowledged)
+{
+    auto const world = two_workers();
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 1U);
+    auto& worker =
+        world->worker(world->starts.front().ends_with("w1") ? "w1" : "w2");
+    worker.reachable = false;
+    world->run_for(200); // The task ends meanwhile.
+    ASSERT_EQ(worker.ended.size(), 1U);
+    world->store_down = true;
+    EXPECT_FALSE(world->cancel("j1"));
+    worker.reachable = true;
+    world->run_for(1000);
+    world->store_down = false;
+    world->begin_term();
+    world->run_for(2000);
+    EXPECT_EQ(world->phase("j1"), plan_phase::completed);
+    EXPECT_EQ(world->starts.size(), 1U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against serving tasks that end with their worker and are away until
 // its lease has lapsed.
 TEST(dispatch, a_long_running_task_leaves_a_draining_worker_at_once)
