--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -708,7 +708,7 @@
             break;
         }
         }
-        world.run_for(200 * (1 + which));
+        world.run_for(std::int64_t{200} * (1 + which));
     }
     world.store_down = false;
     for (auto i = 0; i < 4; ++i)
