Stop a worker before its mark as killed in processes_test

Cause: beside load, with sanitizers, the test failed with "no worker finished job survey-5". The script marked worker-1 as killed and then sent SIGKILL. The worker ended the task 52 ms after the mark (5156.579 s and 5156.631 s in the histories), before the signal came; the daemons took that end, and the check discards what a worker writes after its mark. The worker is now stopped, marked and killed, so that nothing can be written in between. The check is unchanged.

--- a/tests/processes_test.sh
+++ b/tests/processes_test.sh
@@ -120,8 +120,9 @@
 within 60 is_ready 3
 
 step "Kill worker 1 and restart it"
-# The mark comes before the signal, so that a slow script does not make the
-# tasks seem to run longer than they did.
+# The worker is stopped before the mark and killed after it: an end that it
+# wrote between the two would count as one of a dead worker.
+kill -STOP "$(pid_of worker-1)"
 "$check" "$marks" --mark-killed worker-1
 kill -9 "$(pid_of worker-1)"
 submit tally-3 500 500
