Read stored jobs and progress through one function

load_jobs and load_progress repeated the same loop, submit and cancel the same answer, and the host checked by hand what guarded() checks. guarded() now takes handlers with any number of arguments, so that later(), the pump and its timer use it.

Behaviour is unchanged.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -28,6 +28,17 @@
     return answer;
 }
 
+auto answer_when_stored(dispatch_host::reply on_answer)
+    -> state::dispatcher::done
+{
+    return [on_answer = std::move(on_answer)](bool stored)
+    {
+        on_answer(
+            stored ? protocol::job_answer{}
+                   : error_answer(core::last_reason()));
+    };
+}
+
 } // namespace
 
 struct dispatch_host::implementation
@@ -67,10 +78,14 @@
     auto report_counts(core::time_point now) -> void;
     auto submit(protocol::job_call call, reply on_answer) -> void;
     auto finish_leaving() -> void;
-    auto log_event(std::string_view message, core::fields values) -> void
-    {
-        log.info(message, values);
-    }
+    /**
+     * Hands the values under @p prefix to @p take, by key. Logs @p problem for
+     * one that cannot be read; a failed call loads all again.
+     */
+    template <class Value, class Take>
+    auto load(
+        std::string const& prefix, core::epoch number, std::string_view problem,
+        Take take) -> void;
 
     dispatch_host_parts parts;
     core::logger log;
@@ -129,73 +144,71 @@
         });
 }
 
-auto dispatch_host::implementation::load_jobs(core::epoch number) -> void
+template <class Value, class Take>
+auto dispatch_host::implementation::load(
+    std::string const& prefix, core::epoch number, std::string_view problem,
+    Take take) -> void
 {
-    auto const prefix = settings.key_prefix + "job/";
     parts.target.range(
         prefix, prefix_end(prefix), 0,
         guarded(
-            [number](auto& self, auto answer)
+            [number, problem, take](auto& self, auto answer)
             {
                 if (!answer)
                 {
                     return self.load_again(number);
                 }
-                auto jobs = std::vector<state::plan_record>{};
+                auto values = std::vector<std::pair<std::string, Value>>{};
                 for (auto const& it : answer->entries)
                 {
-                    auto record =
-                        protocol::decode<state::plan_record>(it.value);
-                    if (!record)
+                    auto value = protocol::decode<Value>(it.value);
+                    if (!value)
                     {
-                        self.log.error(
-                            "A stored job cannot be read.", {{"key", it.key}});
+                        self.log.error(problem, {{"key", it.key}});
                         continue;
                     }
-                    jobs.push_back(std::move(*record));
+                    values.emplace_back(it.key, std::move(*value));
                 }
+                take(self, std::move(values));
+            }));
+}
+
+auto dispatch_host::implementation::load_jobs(core::epoch number) -> void
+{
+    load<state::plan_record>(
+        settings.key_prefix + "job/", number, "A stored job cannot be read.",
+        [number](auto& self, auto values)
+        {
+            {
+                auto const lock = std::scoped_lock{self.mutex};
+                self.loading.jobs.clear();
+                for (auto& [key, record] : values)
                 {
-                    auto const lock = std::scoped_lock{self.mutex};
-                    self.loading.jobs = std::move(jobs);
+                    self.loading.jobs.push_back(std::move(record));
                 }
-                self.load_progress(number);
-            }));
+            }
+            self.load_progress(number);
+        });
 }
 
 auto dispatch_host::implementation::load_progress(core::epoch number) -> void
 {
     auto const prefix = settings.key_prefix + "progress/";
-    parts.target.range(
-        prefix, prefix_end(prefix), 0,
-        guarded(
-            [number, n = prefix.size()](auto& self, auto answer)
+    load<state::plan_progress>(
+        prefix, number, "Stored progress cannot be read.",
+        [number, n = prefix.size()](auto& self, auto values)
+        {
             {
-                if (!answer)
+                auto const lock = std::scoped_lock{self.mutex};
+                self.loading.progress.clear();
+                for (auto& [key, progress] : values)
                 {
-                    return self.load_again(number);
+                    self.loading.progress.emplace_back(
+                        core::job_id{key.substr(n)}, std::move(progress));
                 }
-                auto progress = std::vector<
-                    std::pair<core::job_id, state::plan_progress>>{};
-                for (auto const& it : answer->entries)
-                {
-                    auto value =
-                        protocol::decode<state::plan_progress>(it.value);
-                    if (!value)
-                    {
-                        self.log.error(
-                            "Stored progress cannot be read.",
-                            {{"key", it.key}});
-                        continue;
-                    }
-                    progress.emplace_back(
-                        core::job_id{it.key.substr(n)}, std::move(*value));
-                }
-                {
-                    auto const lock = std::scoped_lock{self.mutex};
-                    self.loading.progress = std::move(progress);
-                }
-                self.load_workers(number);
-            }));
+            }
+            self.load_workers(number);
+        });
 }
 
 auto dispatch_host::implementation::load_workers(core::epoch number) -> void
@@ -237,7 +250,7 @@
         auto hooks = state::dispatch_hooks{};
         hooks.on_event = [this](auto message, auto values)
         {
-            log_event(message, values);
+            log.info(message, values);
         };
         hooks.unix_ms = unix_ms;
         auto const now = parts.clock();
@@ -284,15 +297,7 @@
             return;
         }
     }
-    parts.loop.post(
-        [weak = weak_from_this()]
-        {
-            auto const self = weak.lock();
-            if (self && !self->closed)
-            {
-                self->pump();
-            }
-        });
+    parts.loop.post(guarded([](auto& self) { self.pump(); }));
 }
 
 auto dispatch_host::implementation::pump() -> void
@@ -530,12 +535,7 @@
     }
     dispatcher->submit(
         std::move(*call.plan), parts.clock(),
-        [on_answer = std::move(on_answer)](bool stored)
-        {
-            on_answer(
-                stored ? protocol::job_answer{}
-                       : error_answer(core::last_reason()));
-        });
+        answer_when_stored(std::move(on_answer)));
 }
 
 auto dispatch_host::implementation::finish_leaving() -> void
@@ -577,15 +577,7 @@
 {
     auto& it = *implementation_;
     it.pump_timer = it.parts.loop.every(
-        it.settings.pump_interval,
-        [weak = implementation_->weak_from_this()]
-        {
-            auto const self = weak.lock();
-            if (self && !self->closed)
-            {
-                self->pump();
-            }
-        });
+        it.settings.pump_interval, it.guarded([](auto& self) { self.pump(); }));
     it.term.start();
 }
 
@@ -678,12 +670,7 @@
     case protocol::job_call_kind::cancel:
         it.dispatcher->cancel(
             call.job, it.parts.clock(),
-            [on_answer = std::move(on_answer)](bool stored)
-            {
-                on_answer(
-                    stored ? protocol::job_answer{}
-                           : error_answer(core::last_reason()));
-            });
+            answer_when_stored(std::move(on_answer)));
         it.request_pump();
         return;
     case protocol::job_call_kind::phase:
--- a/coordination/guarded_internal.hpp
+++ b/coordination/guarded_internal.hpp
@@ -22,12 +22,12 @@
     auto guarded(Handler handler)
     {
         return [self = this->weak_from_this(),
-                handler = std::move(handler)](auto arg)
+                handler = std::move(handler)](auto... args)
         {
             auto const alive = self.lock();
             if (alive && !alive->closed)
             {
-                handler(*alive, std::move(arg));
+                handler(*alive, std::move(args)...);
             }
         };
     }
@@ -37,16 +37,7 @@
     auto later(transport::reactor& loop, core::duration delay, Task task)
         -> transport::timer_handle
     {
-        return loop.after(
-            delay,
-            [self = this->weak_from_this(), task]
-            {
-                auto const alive = self.lock();
-                if (alive && !alive->closed)
-                {
-                    task(*alive);
-                }
-            });
+        return loop.after(delay, guarded(std::move(task)));
     }
 
     std::atomic<bool> closed = false; ///< Set when the owner is destroyed.
