--- a/programs/godwitcleatctl/api_client_base.cpp
+++ b/programs/godwitcleatctl/api_client_base.cpp
@@ -5,7 +5,6 @@
 
 #include <fmt/format.h>
 
-#include <cctype>
 #include <future>
 #include <memory>
 #include <utility>
@@ -160,23 +159,4 @@
                            : answer_without_response(result, daemon, false);
 }
 
-auto percent_encode(std::string_view text) -> std::string
-{
-    constexpr std::string_view plain = "-._~";
-    auto result = std::string{};
-    for (auto const it : text)
-    {
-        auto const byte = static_cast<unsigned char>(it);
-        if (std::isalnum(byte) != 0 || plain.find(it) != std::string_view::npos)
-        {
-            result += it;
-        }
-        else
-        {
-            result += fmt::format("%{:02X}", byte);
-        }
-    }
-    return result;
-}
-
 } // namespace godwitcleat::ctl
--- a/programs/godwitcleatctl/api_client_base.hpp
+++ b/programs/godwitcleatctl/api_client_base.hpp
@@ -55,9 +55,6 @@
     core::duration timeout_;
 };
 
-/** Returns @p text with all but letters, digits and `-._~` as %XX. */
-auto percent_encode(std::string_view text) -> std::string;
-
 } // namespace godwitcleat::ctl
 
 #endif
--- a/programs/godwitcleatctl/job_command_func.cpp
+++ b/programs/godwitcleatctl/job_command_func.cpp
@@ -118,8 +118,8 @@
 auto read_jobs(api_client& client, std::optional<std::string> const& job)
     -> jobs_answer
 {
-    auto const target =
-        job ? "/v1/jobs?job=" + percent_encode(*job) : std::string{"/v1/jobs"};
+    auto const target = job ? "/v1/jobs?job=" + transport::percent_encode(*job)
+                            : std::string{"/v1/jobs"};
     auto result = jobs_answer{{}, client.get(target)};
     if (result.answer.status != exit_status::done)
     {
--- a/transport/http_func.cpp
+++ b/transport/http_func.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 
 namespace godwitcleat::transport
 {
@@ -119,6 +120,25 @@
 
 } // namespace
 
+auto percent_encode(std::string_view text, std::string_view plain)
+    -> std::string
+{
+    auto result = std::string{};
+    for (auto const it : text)
+    {
+        auto const byte = static_cast<unsigned char>(it);
+        if (std::isalnum(byte) != 0 || plain.find(it) != std::string_view::npos)
+        {
+            result += it;
+        }
+        else
+        {
+            result += fmt::format("%{:02X}", byte);
+        }
+    }
+    return result;
+}
+
 auto http_headers::get(std::string_view name) const -> std::string_view
 {
     auto const it = std::find_if(
--- a/transport/http_type.hpp
+++ b/transport/http_type.hpp
@@ -49,6 +49,13 @@
     std::string body;
 };
 
+/**
+ * Returns @p text for a part of a target: all but letters, digits and the
+ * characters of @p plain become %XX.
+ */
+auto percent_encode(std::string_view text, std::string_view plain = "-._~")
+    -> std::string;
+
 } // namespace godwitcleat::transport
 
 #endif
