Keep the bits of done tasks in one place; share two checks of the dispatcher

The bits were set in dispatch_batches and read in dispatch_jobs, each with its own constant. mark_done() grows the text as far as needed, which makes the removal of trailing bytes needless. Two loops failed all waiting calls, and two repeated which workers may take a step.

Behaviour is unchanged.

--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -55,13 +55,9 @@
     }
     for (auto const& [id, job] : implementation_->jobs)
     {
-        for (auto& [version, call] : std::exchange(job->waiting, {}))
-        {
-            core::fail(
-                core::error_kind::unknown_outcome,
-                "the owner of the jobs has changed; ask again");
-            call(false);
-        }
+        job->fail_waiting(
+            core::error_kind::unknown_outcome,
+            "the owner of the jobs has changed; ask again");
     }
 }
 
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr auto bits_per_byte = std::uint32_t{8};
 // An estimate of what a step takes in a record, to bound a batch.
 constexpr auto bytes_per_step = std::size_t{96};
 constexpr auto bytes_per_task = std::size_t{24};
@@ -24,26 +23,18 @@
         result.phase = job.phase;
         return result;
     }
-    auto bits = std::string((job.tasks.size() + 7) / bits_per_byte, '\0');
     for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
     {
         auto const& task = job.tasks[i];
         if (task.state == task_state::done)
         {
-            auto& byte = bits[i / bits_per_byte];
-            byte = static_cast<char>(
-                static_cast<unsigned char>(byte) | 1U << (i % bits_per_byte));
+            mark_done(result, i);
         }
         else if (!task.failed_runs.empty() || !task.checkpoint.empty())
         {
             result.tasks.push_back({i, task.failed_runs, task.checkpoint});
         }
     }
-    while (!bits.empty() && bits.back() == '\0')
-    {
-        bits.pop_back();
-    }
-    result.done = std::move(bits);
     return result;
 }
 
@@ -219,11 +210,17 @@
     {
         jobs.erase(job->record.plan.id.value);
         ++totals.jobs_refused;
-        for (auto& [version, call] : std::exchange(job->waiting, {}))
-        {
-            core::fail(core::error_kind::unavailable, std::string{cause});
-            call(false);
-        }
+        job->fail_waiting(core::error_kind::unavailable, cause);
+    }
+}
+
+auto job_entry::fail_waiting(core::error_kind kind, std::string_view cause)
+    -> void
+{
+    for (auto& [version, call] : std::exchange(waiting, {}))
+    {
+        core::fail(kind, std::string{cause});
+        call(false);
     }
 }
 
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -100,6 +100,8 @@
     }
     [[nodiscard]] auto step_of(std::uint32_t task) -> step_entry&;
     [[nodiscard]] auto name_of(std::uint32_t task) -> task_name;
+    /** Answers all calls that wait with a failure. */
+    auto fail_waiting(core::error_kind kind, std::string_view cause) -> void;
     /** Returns the index of a named task, or std::nullopt. */
     [[nodiscard]] auto index_of(task_name const& name) const
         -> std::optional<std::uint32_t>;
@@ -337,6 +339,9 @@
 
     // Placement (dispatch_schedule.cpp)
     auto take_orders(core::time_point now) -> std::vector<run_order>;
+    [[nodiscard]] auto may_take(
+        dispatch_worker const& worker, plan_step const& spec,
+        queue_config const& queue, core::time_point now) const -> bool;
     [[nodiscard]] auto start_validity(core::time_point now) const
         -> core::duration;
     auto schedule(core::time_point now) -> void;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -12,22 +12,10 @@
 namespace
 {
 
-constexpr auto bits_per_byte = std::uint32_t{8};
 // An unheard worker's lease may last this much longer than asked for: its clock
 // may be 2% slow, and the figure for it a little old.
 constexpr auto lease_margin = std::chrono::milliseconds{300};
 
-auto is_done(std::string const& bits, std::uint32_t task) -> bool
-{
-    auto const at = task / bits_per_byte;
-    if (at >= bits.size())
-    {
-        return false;
-    }
-    auto const byte = static_cast<unsigned char>(bits[at]);
-    return (byte >> (task % bits_per_byte) & 1U) != 0;
-}
-
 } // namespace
 
 auto job_entry::step_of(std::uint32_t task) -> step_entry&
@@ -148,7 +136,7 @@
     job.phase = progress.phase;
     for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
     {
-        if (is_done(progress.done, i))
+        if (is_done(progress, i))
         {
             job.tasks[i].state = task_state::done;
             --job.step_of(i).open;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -192,6 +192,15 @@
            !drained.contains(worker.info.data_centre);
 }
 
+auto dispatcher::implementation::may_take(
+    dispatch_worker const& worker, plan_step const& spec,
+    queue_config const& queue, core::time_point now) const -> bool
+{
+    auto const& info = worker.info;
+    return may_start(worker, now) && info.service == queue.service &&
+           (spec.label.empty() || info.labels.contains(spec.label));
+}
+
 auto dispatcher::implementation::choose_worker(
     job_entry& job, step_entry& step, dispatch_task const& task,
     queue_config const& queue, core::time_point now) -> dispatch_worker*
@@ -211,9 +220,7 @@
     {
         auto const& info = worker->info;
         auto const free = worker->free();
-        if (!may_start(*worker, now) || info.service != queue.service ||
-            !need.fits_in(free) ||
-            (!spec.label.empty() && !info.labels.contains(spec.label)))
+        if (!may_take(*worker, spec, queue, now) || !need.fits_in(free))
         {
             continue;
         }
@@ -436,10 +443,8 @@
     auto most_free = std::int64_t{-1};
     for (auto const& [id, worker] : workers)
     {
-        auto const has_label =
-            spec.label.empty() || worker->info.labels.contains(spec.label);
-        if (!may_start(*worker, now) || now < worker->reserved_until ||
-            worker->info.service != queue.service || !has_label)
+        if (!may_take(*worker, spec, queue, now) ||
+            now < worker->reserved_until)
         {
             continue;
         }
--- a/state/plan_func.cpp
+++ b/state/plan_func.cpp
@@ -1,4 +1,4 @@
-/** @file plan_func.cpp Checks jobs of several steps. */
+/** @file plan_func.cpp Checks and progress of jobs of several steps. */
 #include "state/plan_type.hpp"
 
 #include <fmt/format.h>
@@ -11,6 +11,8 @@
 namespace
 {
 
+constexpr auto bits_per_byte = std::uint32_t{8};
+
 auto invalid(std::string message) -> std::nullopt_t
 {
     return core::fail(core::error_kind::invalid_input, std::move(message));
@@ -104,6 +106,29 @@
     return true;
 }
 
+auto mark_done(plan_progress& progress, std::uint32_t task) -> void
+{
+    auto const at = task / bits_per_byte;
+    if (at >= progress.done.size())
+    {
+        progress.done.resize(at + 1, '\0');
+    }
+    auto& byte = progress.done[at];
+    byte = static_cast<char>(
+        static_cast<unsigned char>(byte) | 1U << (task % bits_per_byte));
+}
+
+auto is_done(plan_progress const& progress, std::uint32_t task) -> bool
+{
+    auto const at = task / bits_per_byte;
+    if (at >= progress.done.size())
+    {
+        return false;
+    }
+    auto const byte = static_cast<unsigned char>(progress.done[at]);
+    return (byte >> (task % bits_per_byte) & 1U) != 0;
+}
+
 auto longest_chain_ms(job_plan const& plan) -> std::int64_t
 {
     auto ends = std::vector<std::int64_t>{};
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -96,6 +96,12 @@
     auto operator==(plan_progress const&) const -> bool = default;
 };
 
+/** Sets the bit of task @p task. */
+auto mark_done(plan_progress& progress, std::uint32_t task) -> void;
+
+/** Returns true if the bit of task @p task is set. */
+auto is_done(plan_progress const& progress, std::uint32_t task) -> bool;
+
 /** Names one task of a job. */
 struct task_name
 {
