Share the worker's name of a start in the dispatcher's tests

Four tests derived it with a conditional, one with a substring. The assertions are unchanged.

Behaviour is unchanged.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -26,6 +26,12 @@
         [&](auto const& it) { return it.starts_with(task + "@"); });
 }
 
+// Returns the worker of an entry TASK@WORKER of dispatch_world::starts.
+auto worker_of(std::string const& start) -> std::string
+{
+    return start.substr(start.find('@') + 1);
+}
+
 auto two_workers() -> std::unique_ptr<tests::dispatch_world>
 {
     auto world = std::make_unique<tests::dispatch_world>();
@@ -159,7 +165,7 @@
     world->run_for(1000);
     ASSERT_EQ(world->starts.size(), 2U);
     ASSERT_FALSE(world->starts[0].ends_with(world->starts[1].substr(9)));
-    auto const later = world->starts[1].ends_with("w1") ? "w1" : "w2";
+    auto const later = worker_of(world->starts[1]);
     world->worker(later).reachable = false;
     world->store_down = false;
     world->begin_term();
@@ -401,7 +407,7 @@
     world->drained = {core::data_centre_id{"dc-1"}}; // No third run.
     world->run_for(200);
     ASSERT_EQ(world->starts.size(), 2U);
-    auto const first = world->starts[0].ends_with("w1") ? "w1" : "w2";
+    auto const first = worker_of(world->starts[0]);
     world->worker(first).reachable = false;
     world->store_down = false;
     world->begin_term();
@@ -437,8 +443,7 @@
     ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
     world->run_for(100);
     ASSERT_EQ(world->starts.size(), 1U);
-    auto& worker =
-        world->worker(world->starts.front().ends_with("w1") ? "w1" : "w2");
+    auto& worker = world->worker(worker_of(world->starts.front()));
     worker.reachable = false;
     world->run_for(200); // The task ends meanwhile.
     ASSERT_EQ(worker.ended.size(), 1U);
@@ -468,7 +473,7 @@
     ASSERT_TRUE(world->submit(plan));
     world->run_for(100);
     ASSERT_EQ(world->starts.size(), 1U);
-    auto const first = world->starts.front().ends_with("w1") ? "w1" : "w2";
+    auto const first = worker_of(world->starts.front());
     world->worker(first).info.draining = true;
     world->run_for(1000);
     ASSERT_EQ(world->starts.size(), 2U);
@@ -533,8 +538,7 @@
         ASSERT_TRUE(world->submit(make_serving(id)));
         world->run_for(100);
     }
-    auto const serving =
-        world->starts.front().substr(world->starts.front().find('@'));
+    auto const serving = worker_of(world->starts.front());
     for (auto const& it : world->starts)
     {
         EXPECT_TRUE(it.ends_with(serving)) << it;
