Count a job as waiting until a worker has begun one of its tasks

Cause: a job left the count of waiting jobs, and read as active, when its first start was ordered.

Change: an accepted start, a list or an end that names the run now marks the job as begun; the order of steps still goes by ordered starts.

Test: dispatch.a_job_waits_until_a_worker_has_begun_a_task failed before.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -81,7 +81,8 @@
     std::uint32_t open_steps = 0;
     std::uint32_t bound = 0; ///< Runs that are not over.
     bool restored = false;   ///< Accepted by an earlier owner.
-    bool started = false;
+    bool ordered = false; ///< This owner has ordered a start.
+    bool started = false; ///< A worker is known to have begun a task.
     bool submitted = false; ///< False: only its cancelling is known.
     bool cancel_requested = false;
     core::worker_id blamed; ///< Worker of the job's first failure.
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -50,6 +50,10 @@
     worker.seen_end = row.number;
     auto const job = find(row.task.job.value);
 
+    if (job)
+    {
+        job->started = true;
+    }
     if (auto const i = find_run(worker, row.task, row.run))
     {
         end_run(worker, *i, row.how, row.checkpoint, now);
@@ -60,7 +64,6 @@
         {
             auto& task = job->tasks[*index];
             task.last_run = std::max(task.last_run, row.run);
-            job->started = true;
             apply_end(
                 job, *index, worker, row.run, row.how, row.checkpoint, now);
         }
@@ -80,6 +83,10 @@
     auto& run = i ? worker.runs[*i] : adopt(worker, row, now);
     run.seen_in = worker.lists;
     run.listed = true;
+    if (run.job)
+    {
+        run.job->started = true;
+    }
     if (!row.checkpoint.empty())
     {
         run.checkpoint = row.checkpoint;
@@ -108,7 +115,6 @@
     {
         auto& task = job->tasks[*index];
         task.last_run = std::max(task.last_run, row.run);
-        job->started = true;
         ++job->bound;
         auto const free = task.state != task_state::bound &&
                           task.state != task_state::done &&
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -43,7 +43,7 @@
 {
     std::uint32_t group = 0; ///< 0: runs on and on, 1: in time, 2: late, 3.
     std::uint32_t priority = 0;
-    std::uint32_t begun = 1; ///< 0: a task of the job was started already.
+    std::uint32_t begun = 1; ///< 0: a start was ordered for the job already.
     std::int64_t order_ms = 0;
 
     auto operator<=>(step_rank const&) const = default; // NOLINT
@@ -67,7 +67,7 @@
         now_ms + static_cast<std::int64_t>(
                      run_factor * static_cast<double>(job.tail_ms[step.step]));
     auto const due = begin + objective;
-    auto const begun = job.started ? 0U : 1U;
+    auto const begun = job.ordered || job.started ? 0U : 1U;
     if (end <= due)
     {
         return {1, queue.priority, begun, due};
@@ -367,7 +367,7 @@
     task.state = task_state::bound;
     task.worker = &worker;
     task.last_run = number;
-    job->started = true;
+    job->ordered = true;
     ++job->bound;
     ++totals.starts;
     auto run = plan_run(job, index, number, now);
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -314,7 +314,13 @@
     auto& run = worker.runs[index];
     switch (result)
     {
-    case order_result::accepted: run.confirmed_at = now; return;
+    case order_result::accepted:
+        run.confirmed_at = now;
+        if (run.job)
+        {
+            run.job->started = true;
+        }
+        return;
     case order_result::unknown:
         ++totals.starts_unknown;
         worker.blocked_until =
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -94,6 +94,30 @@
     EXPECT_EQ(world->starts.size(), 8U);
 }
 
+// Guards against a count of waiting jobs that leaves out jobs whose starts were
+// ordered and not carried out.
+TEST(dispatch, a_job_waits_until_a_worker_has_begun_a_task)
+{
+    auto const world = two_workers();
+    auto const waiting = [&]
+    {
+        return world->owner->pending(state::queue_id{"q"});
+    };
+    world->worker("w1").delays_starts = true;
+    world->worker("w2").delays_starts = true;
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 2, 1000)));
+    world->run_for(100);
+    EXPECT_EQ(waiting(), 1U);
+    EXPECT_EQ(world->phase("j1"), plan_phase::queued);
+    world->worker("w1").delays_starts = false;
+    world->worker("w2").delays_starts = false;
+    // The validity of the delayed starts has to pass first.
+    world->run_for(2500);
+    EXPECT_EQ(waiting(), 0U);
+    EXPECT_EQ(world->phase("j1"), plan_phase::completed);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a healthy job that fails, and one that never does.
 TEST(dispatch, a_job_fails_after_its_last_allowed_failure)
 {
