Serve histograms of times and the types of metrics

Collectors of the usual kind need a type for each metric and cumulative buckets. Metrics gain observe_time with buckets from 5 ms to 30 s, labels in names, and the text page names the types. Test: metrics.writes_histograms_as_collectors_read_them.

--- a/core/metrics_base.cpp
+++ b/core/metrics_base.cpp
@@ -14,11 +14,13 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <iterator>
 #include <map>
 #include <mutex>
+#include <numeric>
 
 namespace godwitcleat::core
 {
@@ -66,6 +68,65 @@
     }
 }
 
+// Upper bounds in seconds: from one round trip to the longest deadlines.
+constexpr std::array time_buckets{0.005, 0.01, 0.025, 0.05, 0.1,  0.25,
+                                  0.5,   1.0,  2.5,   5.0,  10.0, 30.0};
+
+/** Counts of times by bucket; the last one has no upper bound. */
+struct time_histogram
+{
+    std::array<std::uint64_t, time_buckets.size() + 1> counts{};
+    double sum_s = 0.0;
+
+    auto add(double seconds) -> void
+    {
+        auto const* const it =
+            std::lower_bound(time_buckets.begin(), time_buckets.end(), seconds);
+        ++counts.at(static_cast<std::size_t>(it - time_buckets.begin()));
+        sum_s += seconds;
+    }
+
+    [[nodiscard]] auto count() const -> std::uint64_t
+    {
+        return std::accumulate(counts.begin(), counts.end(), std::uint64_t{0});
+    }
+};
+
+// Writes the type of the metric @p name once for all of its labels.
+auto write_type(
+    std::string& text, std::string& last, std::string_view name,
+    std::string_view type) -> void
+{
+    name = name.substr(0, name.find('{'));
+    if (name != last)
+    {
+        last = name;
+        fmt::format_to(
+            std::back_inserter(text), "# TYPE godwitcleat_{} {}\n", name, type);
+    }
+}
+
+auto write_histogram(
+    std::string& text, std::string_view name, time_histogram const& values)
+    -> void
+{
+    auto const line = [&](std::string_view suffix, auto value)
+    {
+        fmt::format_to(
+            std::back_inserter(text), "godwitcleat_{}_{} {}\n", name, suffix,
+            value);
+    };
+    auto below = std::uint64_t{0};
+    for (auto i = std::size_t{0}; i < time_buckets.size(); ++i)
+    {
+        below += values.counts.at(i);
+        line(fmt::format("bucket{{le=\"{}\"}}", time_buckets.at(i)), below);
+    }
+    line("bucket{le=\"+Inf\"}", values.count());
+    line("sum", values.sum_s);
+    line("count", values.count());
+}
+
 } // namespace
 
 struct metrics::implementation
@@ -74,6 +135,7 @@
     std::map<std::string, std::uint64_t, std::less<>> counters;
     std::map<std::string, double, std::less<>> gauges;
     std::map<std::string, distribution, std::less<>> distributions;
+    std::map<std::string, time_histogram, std::less<>> histograms;
 };
 
 metrics::metrics()
@@ -113,6 +175,20 @@
     it->second(value);
 }
 
+auto metrics::observe_time(std::string_view name, duration value) -> void
+{
+    auto const seconds = std::chrono::duration<double>(value).count();
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    auto it = implementation_->histograms.find(name);
+    if (it == implementation_->histograms.end())
+    {
+        it = implementation_->histograms
+                 .emplace(std::string{name}, time_histogram{})
+                 .first;
+    }
+    it->second.add(seconds);
+}
+
 auto metrics::samples() const -> std::vector<metric_sample>
 {
     auto const lock = std::scoped_lock{implementation_->mutex};
@@ -129,19 +205,50 @@
     {
         append(result, name, values);
     }
+    for (auto const& [name, values] : implementation_->histograms)
+    {
+        result.push_back(
+            {name + "_count", static_cast<double>(values.count())});
+        result.push_back({name + "_sum", values.sum_s});
+    }
     return result;
 }
 
 auto metrics::text() const -> std::string
 {
-    auto result = std::string{};
-    for (auto const& it : samples())
+    auto text = std::string{};
+    auto last = std::string{};
+    auto const write =
+        [&](std::string_view name, std::string_view type, auto value)
     {
+        write_type(text, last, name, type);
         fmt::format_to(
-            std::back_inserter(result), "godwitcleat_{} {}\n", it.name,
-            it.value);
+            std::back_inserter(text), "godwitcleat_{} {}\n", name, value);
+    };
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    for (auto const& [name, value] : implementation_->counters)
+    {
+        write(name, "counter", value);
     }
-    return result;
+    for (auto const& [name, value] : implementation_->gauges)
+    {
+        write(name, "gauge", value);
+    }
+    for (auto const& [name, values] : implementation_->distributions)
+    {
+        auto parts = std::vector<metric_sample>{};
+        append(parts, name, values);
+        for (auto const& it : parts)
+        {
+            write(it.name, "gauge", it.value);
+        }
+    }
+    for (auto const& [name, values] : implementation_->histograms)
+    {
+        write_type(text, last, name, "histogram");
+        write_histogram(text, name, values);
+    }
+    return text;
 }
 
 } // namespace godwitcleat::core
--- a/core/metrics_base.hpp
+++ b/core/metrics_base.hpp
@@ -1,7 +1,9 @@
-/** @file metrics_base.hpp Counters, gauges and distributions by name. */
+/** @file metrics_base.hpp Counters, gauges, distributions and histograms. */
 #ifndef GODWITCLEAT_CORE_METRICS_BASE_HPP
 #define GODWITCLEAT_CORE_METRICS_BASE_HPP
 
+#include "core/clock_type.hpp"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,7 +22,8 @@
 
 /**
  * Metrics of one process. Names are created at first use; names must come
- * from code, never from input, so that their number is bounded. Thread-safe.
+ * from code, never from input, so that their number is bounded. A name may end
+ * with labels, as in `calls{kind="read"}`. Thread-safe.
  */
 class metrics
 {
@@ -39,10 +42,16 @@
     /** Adds a value to the distribution @p name (count, mean, p50, p99). */
     auto observe(std::string_view name, double value) -> void;
 
-    /** Returns all values, sorted by name. */
+    /**
+     * Adds a time to the histogram @p name, which has no labels. Its buckets
+     * reach from 5 ms to 30 s.
+     */
+    auto observe_time(std::string_view name, duration value) -> void;
+
+    /** Returns all values, sorted by name; histograms as count and sum. */
     [[nodiscard]] auto samples() const -> std::vector<metric_sample>;
 
-    /** Returns all values in the Prometheus text format. */
+    /** Returns all values in the Prometheus text format, with their types. */
     [[nodiscard]] auto text() const -> std::string;
 
 private:
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -137,6 +137,35 @@
     EXPECT_EQ(kept.front().sequence, 3U);
 }
 
+// Guards against a metrics page that the usual collectors refuse: a type once
+// for each name, cumulative buckets, and a last bucket that equals the count.
+TEST(metrics, writes_histograms_as_collectors_read_them)
+{
+    using namespace std::chrono_literals;
+    auto values = core::metrics{};
+    values.count("calls{kind=\"a\"}");
+    values.count("calls{kind=\"b\"}", 2);
+    values.observe_time("wait_seconds", 4ms);
+    values.observe_time("wait_seconds", 5ms);
+    values.observe_time("wait_seconds", 700ms);
+    values.observe_time("wait_seconds", 60s);
+    auto const text = values.text();
+    auto const has = [&](std::string const& part)
+    {
+        return text.find(part) != std::string::npos;
+    };
+    EXPECT_EQ(
+        text.find("# TYPE godwitcleat_calls counter"),
+        text.rfind("# TYPE godwitcleat_calls counter"));
+    EXPECT_TRUE(has("godwitcleat_calls{kind=\"b\"} 2\n")) << text;
+    EXPECT_TRUE(has("# TYPE godwitcleat_wait_seconds histogram\n"));
+    EXPECT_TRUE(has("godwitcleat_wait_seconds_bucket{le=\"0.005\"} 2\n"));
+    EXPECT_TRUE(has("godwitcleat_wait_seconds_bucket{le=\"0.5\"} 2\n"));
+    EXPECT_TRUE(has("godwitcleat_wait_seconds_bucket{le=\"1\"} 3\n")) << text;
+    EXPECT_TRUE(has("godwitcleat_wait_seconds_bucket{le=\"+Inf\"} 4\n"));
+    EXPECT_TRUE(has("godwitcleat_wait_seconds_count 4\n"));
+}
+
 // Guards against quantiles that are far off for common distributions.
 TEST(metrics, estimates_quantiles)
 {
