--- a/standins/support/hosted_gateway_base.cpp
+++ b/standins/support/hosted_gateway_base.cpp
@@ -91,10 +91,11 @@
 {
 }
 
-auto hosted_gateway::listen() -> std::optional<transport::endpoint>
+auto hosted_gateway::listen(transport::endpoint const& where)
+    -> std::optional<transport::endpoint>
 {
     server_ = transport::http_server::listen(
-        loop_, {"127.0.0.1", 0}, {},
+        loop_, where, {},
         [this](auto const& request, auto reply)
         { handle(request, std::move(reply)); });
     if (!server_)
--- a/standins/support/hosted_gateway_base.hpp
+++ b/standins/support/hosted_gateway_base.hpp
@@ -26,8 +26,9 @@
 public:
     hosted_gateway(memory_store& target, transport::reactor& loop);
 
-    /** Listens on a free port of loopback; std::nullopt with unavailable. */
-    auto listen() -> std::optional<transport::endpoint>;
+    /** Listens, by default on a free port; std::nullopt with unavailable. */
+    auto listen(transport::endpoint const& where = {"127.0.0.1", 0})
+        -> std::optional<transport::endpoint>;
 
     /** Drops the history, so that watches have to begin again. */
     auto compact() -> void;
--- a/standins/support/hosted_runner_base.cpp
+++ b/standins/support/hosted_runner_base.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace godwitcleat::standins
@@ -16,6 +17,8 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds{5};
 constexpr auto beat_interval = std::chrono::milliseconds{200};
+constexpr auto serving_tail_ms = 8;
+constexpr auto used_milli = 1000;
 // The platform's limit of a lease in the tests.
 constexpr auto lease_limit_ms = std::int64_t{2000};
 
@@ -33,6 +36,16 @@
 auto runner_history::begin(runner_start start) -> std::size_t
 {
     auto const lock = std::scoped_lock{mutex_};
+    if (on_line)
+    {
+        on_line(json{
+            {"event", "start"},
+            {"at_us", core::wall_clock_us()},
+            {"task", start.task},
+            {"run", start.run},
+            {"worker", start.worker}}
+                    .dump());
+    }
     starts_.push_back(std::move(start));
     return starts_.size() - 1;
 }
@@ -41,8 +54,19 @@
     -> void
 {
     auto const lock = std::scoped_lock{mutex_};
-    starts_.at(index).ended = at;
-    starts_.at(index).done = done;
+    auto& it = starts_.at(index);
+    it.ended = at;
+    it.done = done;
+    if (on_line)
+    {
+        on_line(json{
+            {"event", done ? "done" : "end"},
+            {"at_us", core::wall_clock_us()},
+            {"task", it.task},
+            {"run", it.run},
+            {"worker", it.worker}}
+                    .dump());
+    }
 }
 
 auto runner_history::all() const -> std::vector<runner_start>
@@ -109,8 +133,10 @@
         {"remaining-ms", draining ? 1000 : 0},
         {"cold-ms", 0},
         {"capacity",
-         {{"cpu", settings_.cpu_milli}, {"mem-mb", 64'000}, {"gpu", 0}}},
-        {"labels", {"a", "r1-1"}},
+         {{"cpu", settings_.cpu_milli},
+          {"mem-mb", settings_.memory_mb},
+          {"gpu", 0}}},
+        {"labels", {"a", settings_.rack}},
         {"born", born_ms_},
         {"seq", ++beats_}};
     store_.commit(
@@ -199,11 +225,8 @@
     deadline_ms_ =
         std::max(deadline_ms_, std::min(deadline, clock_ms() + lease_limit_ms));
     auto const now = clock_();
-    auto const index =
-        history_.begin({task, number, settings_.id, now, {}, false});
     running_.push_back(
-        {task, number, now + std::chrono::milliseconds{settings_.run_ms},
-         index});
+        make_run(task, number, root.value("spec", std::string{})));
     ++orders_;
     auto const lost =
         static_cast<double>(orders_ % 100) < settings_.late_share * 100;
@@ -215,6 +238,37 @@
     held_.push_back({now + std::chrono::seconds{2}, ~0ULL, reply});
 }
 
+auto hosted_runner::make_run(
+    std::string task, std::uint64_t number, std::string const& command) -> run
+{
+    constexpr auto work = std::string_view{"work "};
+    auto const now = clock_();
+    auto result = run{};
+    result.until = now + std::chrono::milliseconds{settings_.run_ms};
+    result.outcome = "done";
+    if (command == "fail")
+    {
+        result.until = now;
+        result.outcome = "failed";
+    }
+    else if (command == "serve")
+    {
+        result.until = core::time_point::max();
+    }
+    else if (command.starts_with(work))
+    {
+        auto ms = std::int64_t{0};
+        std::from_chars(
+            command.data() + work.size(), command.data() + command.size(), ms);
+        result.until = now + std::chrono::milliseconds{ms};
+    }
+    result.history =
+        history_.begin({task, number, settings_.id, now, {}, false});
+    result.task = std::move(task);
+    result.number = number;
+    return result;
+}
+
 auto hosted_runner::stop(
     std::string const& body, transport::http_reply const& reply) -> void
 {
@@ -258,7 +312,7 @@
         }
         else if (now >= running_[i].until)
         {
-            end(i, "done");
+            end(i, running_[i].outcome);
         }
     }
     std::erase_if(
@@ -285,7 +339,11 @@
         {"ended", json::array()}};
     for (auto const& it : running_)
     {
-        root["running"].push_back({it.task, it.number, "", 50, 0});
+        // Serving tasks report their tail in ms, others their milli-cores.
+        auto const serves = it.until == core::time_point::max();
+        root["running"].push_back(
+            {it.task, it.number, "", 50,
+             serves ? serving_tail_ms : used_milli});
     }
     for (auto const& it : ended_)
     {
--- a/standins/support/hosted_runner_base.hpp
+++ b/standins/support/hosted_runner_base.hpp
@@ -31,6 +31,9 @@
 class runner_history
 {
 public:
+    /** Called with each start and each end as a line of JSON; may be empty. */
+    std::function<void(std::string const&)> on_line;
+
     auto begin(runner_start start) -> std::size_t;
     auto end(std::size_t index, core::time_point at, bool done) -> void;
     [[nodiscard]] auto all() const -> std::vector<runner_start>;
@@ -46,15 +49,19 @@
     std::string id;
     std::string service = "svc";
     std::string data_centre = "dc-1";
+    std::string rack = "r1-1";
     std::int64_t cpu_milli = 4000;
-    std::int64_t run_ms = 150; ///< Of each task.
-    double late_share = 0.0;   ///< Of the starts that get no answer in time.
+    std::int64_t memory_mb = 64'000;
+    /** Of a task whose command does not say it; see hosted_runner. */
+    std::int64_t run_ms = 150;
+    double late_share = 0.0; ///< Of the starts that get no answer in time.
 };
 
 /**
  * Registers itself in the store, obeys fences and leases, keeps both lists and
  * holds answers. It starts whatever it is told, as a runner that does not
- * guard its capacity. Thread-safe.
+ * guard its capacity. The command "work N" runs for N ms, "fail" fails at once,
+ * and "serve" runs until it is stopped. Thread-safe.
  */
 class hosted_runner
 {
@@ -77,6 +84,7 @@
         std::string task;
         std::uint64_t number = 0;
         core::time_point until;
+        std::string outcome; ///< How it ends at `until`.
         std::size_t history = 0;
     };
     struct ended
@@ -101,6 +109,9 @@
         -> void;
     auto stop(std::string const& body, transport::http_reply const& reply)
         -> void;
+    [[nodiscard]] auto
+    make_run(std::string task, std::uint64_t number, std::string const& command)
+        -> run;
     auto tick() -> void;
     auto beat() -> void;
     auto end(std::size_t index, std::string how) -> void;
