Let instances with enough processors own the jobs

Change: each instance names its processors (key processors). Answers to writes of a term that is over are ignored.

Tests: three in term_test.

--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -146,6 +146,10 @@
                 it.name = core::instance_id{reader.required_text("name")};
                 it.data_centre =
                     core::data_centre_id{reader.required_text("data_centre")};
+                constexpr auto milli = 1000.0;
+                it.cpu_milli = static_cast<std::uint32_t>(
+                    milli *
+                    reader.decimal("processors", 1.0, 0.001, 1024.0, "cores"));
                 it.gateway = required_address(reader, "gateway");
                 it.control = required_address(reader, "control");
                 it.peer = required_address(reader, "peer");
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -38,6 +38,7 @@
 {
     core::instance_id name;
     core::data_centre_id data_centre;
+    std::uint32_t cpu_milli = 1000;        ///< Processors of the instance.
     transport::endpoint gateway;           ///< Listens here for callers.
     transport::endpoint control;           ///< Operators and workers.
     transport::endpoint peer;              ///< Other daemons.
--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -68,6 +68,7 @@
         , log(std::move(lines))
         , live_prefix(prefix + "live/")
         , owner_key(live_prefix + "owner")
+        , candidate_key(live_prefix + "candidate")
         , member_key(live_prefix + "member/" + own.instance.value)
         , term_key(prefix + "term")
         , self(std::move(own))
@@ -88,7 +89,17 @@
                           named->boot_id != self.boot_id);
     }
 
+    /** Returns true if this process has begun a term after @p number. */
+    [[nodiscard]] auto is_over(std::uint64_t number) const -> bool
+    {
+        auto const lock = std::scoped_lock{mutex};
+        return current.term != number;
+    }
+
     auto take_live(range_entries const& entries) -> void;
+    auto is_asked_to_yield(range_entries const& entries) -> bool;
+    auto ask_for_jobs() -> void;
+    auto yield() -> void;
     auto take_members(range_entries const& entries) -> void;
     auto publish() -> void;
     auto try_to_take() -> void;
@@ -113,8 +124,9 @@
     auto take_again() -> void;
     auto lose(std::string_view cause) -> void;
     auto send_write() -> void;
-    auto written(std::optional<store_commit> answer) -> void;
-    auto check_written() -> void;
+    auto written(std::optional<store_commit> answer, std::uint64_t in_term)
+        -> void;
+    auto check_written(std::uint64_t in_term) -> void;
     auto finish_write(write_result result) -> void;
 
     store& target;
@@ -123,6 +135,7 @@
     core::logger log;
     std::string live_prefix;
     std::string owner_key;
+    std::string candidate_key; ///< Names an instance that asks for the jobs.
     std::string member_key;
     std::string term_key;
     protocol::owner_record self;
@@ -136,6 +149,8 @@
     std::vector<protocol::owner_record> members; ///< Without this instance.
     store_lease lease;
     core::time_point valid_until;
+    std::optional<core::time_point> free_since; ///< No owner was seen since.
+    std::int64_t owned_revision = 0;            ///< Of the take-over.
     term_value current;
     std::int64_t term_revision = 0;
     bool taking_again = false;
@@ -146,6 +161,7 @@
 
     transport::timer_handle publish_timer;
     transport::timer_handle retry_timer;
+    transport::timer_handle ask_timer;
     transport::timer_handle renew_timer;
     transport::timer_handle write_timer;
     watched_range followed;
@@ -232,7 +248,72 @@
     {
         lose("the store names another owner");
     }
+    if (is_asked_to_yield(entries))
+    {
+        return yield();
+    }
     try_to_take();
+    ask_for_jobs();
+}
+
+auto term_keeper::implementation::is_asked_to_yield(
+    range_entries const& entries) -> bool
+{
+    auto const it = entries.find(candidate_key);
+    if (it == entries.end())
+    {
+        return false;
+    }
+    auto const candidate =
+        protocol::decode<protocol::owner_record>(it->second.value);
+    auto const lock = std::scoped_lock{mutex};
+    // An older request was made to a former owner.
+    return candidate && state == phase::owning && is_weaker(self, *candidate) &&
+           it->second.modify_revision > owned_revision;
+}
+
+// Asks a weaker owner to hand the jobs over, again and again while it is one.
+auto term_keeper::implementation::ask_for_jobs() -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (state != phase::following || !named || !is_weaker(*named, self))
+        {
+            return;
+        }
+        ask_timer = later(
+            loop, settings.preference.ask_interval,
+            [](auto& it) { it.ask_for_jobs(); });
+    }
+    target.grant(
+        settings.lease,
+        guarded(
+            [](auto& it, auto granted)
+            {
+                if (!granted)
+                {
+                    return; // It is asked for again.
+                }
+                auto record = it.self;
+                record.term = {};
+                auto transaction = store_transaction{};
+                // One candidate at a time is enough.
+                transaction.compares = {{it.candidate_key, 0}};
+                transaction.writes = {
+                    {it.candidate_key, protocol::encode(record), "", *granted}};
+                it.target.commit(std::move(transaction), [](auto) {});
+            }));
+}
+
+auto term_keeper::implementation::yield() -> void
+{
+    auto held = store_lease{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        held = lease;
+    }
+    lose("an instance with more processors asks for the jobs");
+    target.revoke(held, [](auto) {});
 }
 
 auto term_keeper::implementation::try_to_take() -> void
@@ -241,6 +322,19 @@
         auto const lock = std::scoped_lock{mutex};
         if (state != phase::following || !is_free())
         {
+            free_since.reset();
+            return;
+        }
+        free_since = free_since.value_or(clock());
+        // The jobs that this instance's earlier process owned are its own.
+        auto const wait =
+            named ? core::duration{}
+                  : wait_before_taking(self, members, settings.preference);
+        auto const waited = clock() - *free_since;
+        if (waited < wait)
+        {
+            retry_timer =
+                later(loop, wait - waited, [](auto& it) { it.try_to_take(); });
             return;
         }
         state = phase::taking;
@@ -383,17 +477,22 @@
     store_lease granted, core::time_point sent, term_value const& next,
     std::int64_t revision) -> void
 {
+    // A write of an earlier term can have no effect any more.
+    finish_write(write_result::lost);
     {
         auto const lock = std::scoped_lock{mutex};
         if (state != phase::taking)
         {
             return;
         }
+        write_timer = {};
         state = phase::owning;
         lease = granted;
         valid_until = sent + settings.lease - settings.margin;
         current = next;
         term_revision = revision;
+        owned_revision = revision;
+        free_since.reset();
         named = self;
         renew_timer =
             later(loop, settings.renew_interval, [](auto& it) { it.renew(); });
@@ -539,12 +638,17 @@
     }
     target.commit(
         std::move(transaction),
-        guarded([](auto& it, auto answer) { it.written(std::move(answer)); }));
+        guarded([in_term = current.term](auto& it, auto answer)
+                { it.written(std::move(answer), in_term); }));
 }
 
-auto term_keeper::implementation::written(std::optional<store_commit> answer)
-    -> void
+auto term_keeper::implementation::written(
+    std::optional<store_commit> answer, std::uint64_t in_term) -> void
 {
+    if (is_over(in_term))
+    {
+        return;
+    }
     if (answer && answer->succeeded)
     {
         auto const lock = std::unique_lock{mutex};
@@ -554,7 +658,7 @@
     if (answer)
     {
         return answer->succeeded ? finish_write(write_result::stored)
-                                 : check_written();
+                                 : check_written(in_term);
     }
     auto const kind = core::last_reason().kind;
     auto const not_done = kind == core::error_kind::unavailable ||
@@ -575,18 +679,23 @@
         later(loop, settings.write_retry, [](auto& it) { it.send_write(); });
 }
 
-auto term_keeper::implementation::check_written() -> void
+auto term_keeper::implementation::check_written(std::uint64_t in_term) -> void
 {
     target.range(
         term_key, "", 1,
         guarded(
-            [](auto& it, auto answer)
+            [in_term](auto& it, auto answer)
             {
+                if (it.is_over(in_term))
+                {
+                    return;
+                }
                 if (!answer)
                 {
                     it.write_timer = it.later(
                         it.loop, it.settings.write_retry,
-                        [](auto& keeper) { keeper.check_written(); });
+                        [in_term](auto& keeper)
+                        { keeper.check_written(in_term); });
                     return;
                 }
                 auto const expected =
--- a/coordination/term_base.hpp
+++ b/coordination/term_base.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_COORDINATION_TERM_BASE_HPP
 
 #include "coordination/store_type.hpp"
+#include "coordination/term_policy_func.hpp"
 #include "core/core.hpp"
 #include "protocol/protocol.hpp"
 #include "transport/transport.hpp"
@@ -29,6 +30,7 @@
     core::duration retry_interval = std::chrono::milliseconds{150};
     /** An unanswered write is sent again after this. */
     core::duration write_retry = std::chrono::milliseconds{60};
+    term_preference preference;
 };
 
 /** Outcome of a fenced write. */
@@ -36,7 +38,7 @@
 {
     stored,     ///< Stored exactly once.
     not_stored, ///< Certainly not stored; may be tried again.
-    lost        ///< Another instance has a later term; never stored.
+    lost        ///< A later term has begun; not stored from now on.
 };
 
 /** Hooks of a term. Called on threads of the store, without locks. */
@@ -53,7 +55,9 @@
  * the store and names the owner to the other instances. The term key carries
  * the number of the term and of the owner's last write: each write requires the
  * term key to be unchanged and replaces it, so that a write that the store
- * carries out late, or one of a former owner, has no effect. Thread-safe.
+ * carries out late, or one of a former owner, has no effect. An instance with
+ * far more processors than the owner asks for the jobs by the candidate key,
+ * and the owner hands them over. Thread-safe.
  */
 class term_keeper
 {
--- a/core/ini_base.cpp
+++ b/core/ini_base.cpp
@@ -172,6 +172,24 @@
     return entry->value;
 }
 
+namespace
+{
+
+// Returns the value of @p text if it is a number from @p least to @p most.
+template <class Number>
+auto parse_number(std::string_view text, Number least, Number most)
+    -> std::optional<Number>
+{
+    auto result = Number{};
+    auto const* const end = text.data() + text.size();
+    auto const [rest, ec] = std::from_chars(text.data(), end, result);
+    auto const good =
+        ec == std::errc{} && rest == end && result >= least && result <= most;
+    return good ? std::optional{result} : std::nullopt;
+}
+
+} // namespace
+
 auto ini_reader::number(
     std::string_view key, std::int64_t fallback, std::int64_t least,
     std::int64_t most, std::string_view unit) -> std::int64_t
@@ -181,19 +199,35 @@
     {
         return fallback;
     }
-    auto const& value = entry->value;
-    auto result = std::int64_t{0};
-    auto const* end = value.data() + value.size();
-    auto const [rest, ec] = std::from_chars(value.data(), end, result);
-    if (ec != std::errc{} || rest != end || result < least || result > most)
+    auto const result = parse_number(entry->value, least, most);
+    if (!result)
     {
         problem(
             key, fmt::format(
-                     "is \"{}\"; use a whole number from {} to {} ({})", value,
-                     least, most, unit));
+                     "is \"{}\"; use a whole number from {} to {} ({})",
+                     entry->value, least, most, unit));
+    }
+    return result.value_or(fallback);
+}
+
+auto ini_reader::decimal(
+    std::string_view key, double fallback, double least, double most,
+    std::string_view unit) -> double
+{
+    auto const* entry = find(key);
+    if (entry == nullptr)
+    {
         return fallback;
     }
-    return result;
+    auto const result = parse_number(entry->value, least, most);
+    if (!result)
+    {
+        problem(
+            key, fmt::format(
+                     "is \"{}\"; use a number from {} to {} ({})", entry->value,
+                     least, most, unit));
+    }
+    return result.value_or(fallback);
 }
 
 auto ini_reader::yes_no(std::string_view key, bool fallback) -> bool
--- a/core/ini_base.hpp
+++ b/core/ini_base.hpp
@@ -68,6 +68,11 @@
         std::string_view key, std::int64_t fallback, std::int64_t least,
         std::int64_t most, std::string_view unit) -> std::int64_t;
 
+    /** Returns a number that may have decimals, as `0.25`. */
+    auto decimal(
+        std::string_view key, double fallback, double least, double most,
+        std::string_view unit) -> double;
+
     /** Returns yes/no as a bool. */
     auto yes_no(std::string_view key, bool fallback) -> bool;
 
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -105,7 +105,8 @@
         settings_.name,
         boot_id_,
         transport::to_string(settings_.advertise_peer),
-        {}};
+        {},
+        settings_.cpu_milli};
 }
 
 auto hosted_daemon::host_parts() -> coordination::dispatch_host_parts
--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -105,6 +105,7 @@
     visit("boot_id", value.boot_id);
     visit("address", value.address);
     visit("term", value.term);
+    visit("cpu_milli", value.cpu_milli);
 }
 
 } // namespace godwitcleat::protocol
--- a/protocol/plan_message_type.hpp
+++ b/protocol/plan_message_type.hpp
@@ -47,6 +47,7 @@
     std::string boot_id; ///< Changes with each start of the process.
     std::string address; ///< ADDRESS:PORT of its peer port.
     core::epoch term;
+    std::uint32_t cpu_milli = 0; ///< Its processors; 0: not told.
 
     auto operator==(owner_record const&) const -> bool = default;
 };
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -70,8 +70,8 @@
     std::int64_t due_ms = 0;     ///< Unix time before which it may not start.
     std::vector<std::uint32_t> ready; ///< Tasks that wait for room.
     class_number task_class;
-    bool listed = false;              ///< In implementation::ready_steps.
-    core::time_point ready_since;     ///< When `ready` last became non-empty.
+    bool listed = false;          ///< In implementation::ready_steps.
+    core::time_point ready_since; ///< When `ready` last became non-empty.
 };
 
 /** What is known of a queue. */
@@ -95,9 +95,9 @@
     std::uint32_t open_steps = 0;
     std::uint32_t bound = 0; ///< Runs that are not over.
     bool restored = false;   ///< Accepted by an earlier owner.
-    bool ordered = false; ///< This owner has ordered a start.
-    bool started = false; ///< A worker is known to have begun a task.
-    bool submitted = false; ///< False: only its cancelling is known.
+    bool ordered = false;    ///< This owner has ordered a start.
+    bool started = false;    ///< A worker is known to have begun a task.
+    bool submitted = false;  ///< False: only its cancelling is known.
     bool cancel_requested = false;
     core::worker_id blamed; ///< Worker of the job's first failure.
     bool record_stored = false;
@@ -481,7 +481,7 @@
     interference_model interference{learning_settings()};
     std::map<queue_id, queue_state> queue_states;
     std::unordered_map<std::string, class_number> class_numbers;
-    std::vector<std::string> class_names{{}};     ///< By class_number.
+    std::vector<std::string> class_names{{}};  ///< By class_number.
     std::map<class_number, double> base_tails; ///< Undisturbed, in ms.
     /** Read from `interference` since the latest tick, by pair of classes. */
     std::unordered_map<std::uint64_t, double> coefficients;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -414,8 +414,8 @@
     {
         return {};
     }
-    auto const [it, inserted] = class_numbers.try_emplace(
-        task_class, class_number{class_names.size()});
+    auto const [it, inserted] =
+        class_numbers.try_emplace(task_class, class_number{class_names.size()});
     if (inserted)
     {
         class_names.push_back(task_class);
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -15,8 +15,8 @@
 constexpr auto schedule_interval = std::chrono::milliseconds{8};
 constexpr auto start_margin = std::chrono::milliseconds{150};
 // A step that uses spare processors and fits nowhere is not tried again for
-// this long: looking at 350 workers for each of 500 such steps in each pass took
-// a third of a core.
+// this long: looking at 350 workers for each of 500 such steps in each pass
+// took a third of a core.
 constexpr auto unfit_time = std::chrono::milliseconds{50};
 // A start needs a round trip to a worker in another data centre.
 constexpr auto least_start_validity = std::chrono::milliseconds{250};
@@ -217,8 +217,7 @@
         [&](unfit_need const& it)
         {
             return it.uses_spare_cpu == spec.uses_spare_cpu &&
-                   (!spec.uses_spare_cpu ||
-                    it.task_class == step.task_class) &&
+                   (!spec.uses_spare_cpu || it.task_class == step.task_class) &&
                    it.need.fits_in(spec.need) && it.service == service;
         });
 }
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -102,12 +102,17 @@
 {
     keeper(
         coordination::store& target, transport::reactor& loop,
-        std::string const& name)
+        std::string const& name, std::uint32_t cpu_milli = 0)
         : store(target)
         , term(
               store, loop, core::suspend_aware_clock(), core::null_logger(),
               "p/",
-              {core::instance_id{name}, name + "-boot", "127.0.0.1:1", {}}, {},
+              {core::instance_id{name},
+               name + "-boot",
+               "127.0.0.1:1",
+               {},
+               cpu_milli},
+              {},
               {[this](core::epoch number) { acquired = number.value; },
                [this](std::string_view)
                {
@@ -255,7 +260,7 @@
         core::suspend_aware_clock(),
         core::null_logger(),
         "p/",
-        {core::instance_id{"first"}, "another-boot", "127.0.0.1:1", {}},
+        {core::instance_id{"first"}, "another-boot", "127.0.0.1:1", {}, 0},
         {},
         {[&](core::epoch number) { acquired = number.value; },
          [](std::string_view) {
@@ -267,3 +272,60 @@
     }
     EXPECT_EQ(acquired, 2U); // Within 1 s; the lease lasts 3 s.
 }
+
+// Guards against jobs that are owned by an instance too small to reach the
+// workers in time, because it was the first to see that the owner was gone.
+TEST_F(term_fixture, a_weaker_instance_leaves_a_free_ownership_to_others)
+{
+    auto weak = keeper{store, loop, "weak", 69};
+    auto strong = keeper{store, loop, "strong", 500};
+    auto owner = keeper{store, loop, "owner", 500};
+    owner.term.start();
+    ASSERT_TRUE(eventually([&] { return owner.acquired.load() == 1; }));
+    weak.term.start();
+    ASSERT_TRUE(eventually([&] { return !weak.term.members().empty(); }));
+    strong.term.start();
+    ASSERT_TRUE(eventually([&] { return strong.term.owner().has_value(); }));
+    owner.term.leave([] {});
+    EXPECT_TRUE(eventually([&] { return strong.acquired.load() == 2; }));
+    EXPECT_EQ(weak.acquired.load(), 0U);
+}
+
+// Guards against jobs without owner while the stronger instances are away.
+TEST_F(term_fixture, a_weaker_instance_owns_the_jobs_if_nobody_else_does)
+{
+    auto weak = keeper{store, loop, "weak", 69};
+    {
+        auto owner = keeper{store, loop, "owner", 500};
+        owner.term.start();
+        ASSERT_TRUE(eventually([&] { return owner.acquired.load() == 1; }));
+        weak.term.start();
+        ASSERT_TRUE(eventually([&] { return weak.term.owner().has_value(); }));
+    }
+    // The killed owner's lease has to lapse first.
+    EXPECT_TRUE(
+        eventually([&] { return weak.acquired.load() == 2; }) ||
+        eventually([&] { return weak.acquired.load() == 2; }));
+}
+
+// Guards against a weak owner that keeps the jobs once a stronger instance is
+// back, and against one that two candidates make give them up twice.
+TEST_F(term_fixture, a_weaker_owner_hands_the_jobs_to_a_stronger_instance)
+{
+    auto weak = keeper{store, loop, "weak", 69};
+    weak.term.start();
+    ASSERT_TRUE(eventually([&] { return weak.acquired.load() == 1; }));
+    auto strong = keeper{store, loop, "strong", 500};
+    auto another = keeper{store, loop, "another", 500};
+    strong.term.start();
+    another.term.start();
+    ASSERT_TRUE(eventually(
+        [&] {
+            return strong.acquired.load() == 2 || another.acquired.load() == 2;
+        }));
+    EXPECT_FALSE(weak.term.is_valid());
+    std::this_thread::sleep_for(1500ms);
+    EXPECT_TRUE(strong.term.is_valid() || another.term.is_valid());
+    EXPECT_FALSE(weak.term.is_valid());
+    EXPECT_EQ(strong.acquired.load() + another.acquired.load(), 2U);
+}
