Take up a changed settings file while running

Cause: the platform changes the settings file with and without SIGHUP; the daemon logged the signal and kept the old settings until its next start.

Change: the file is read again on SIGHUP and each second; a valid one is taken up, with a line that names the keys that need a restart, a broken one changes nothing. Test: hosted_test settings_are_reloaded_with_and_without_a_signal.

--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -375,6 +375,46 @@
     return file ? settings_reader{*file}.read() : std::nullopt;
 }
 
+auto keys_that_need_a_restart(
+    daemon_settings const& before, daemon_settings const& now)
+    -> std::vector<std::string>
+{
+    auto result = std::vector<std::string>{};
+    auto const check = [&](bool same, char const* key)
+    {
+        if (!same)
+        {
+            result.emplace_back(key);
+        }
+    };
+    check(before.name == now.name, "[instance] name");
+    check(before.data_centre == now.data_centre, "[instance] data_centre");
+    check(before.cpu_milli == now.cpu_milli, "[instance] processors");
+    check(before.gateway == now.gateway, "[instance] gateway");
+    check(before.control == now.control, "[instance] control");
+    check(before.peer == now.peer, "[instance] peer");
+    check(
+        before.advertise_peer == now.advertise_peer,
+        "[instance] advertise_peer");
+    check(before.store == now.store, "[store] addresses");
+    check(before.store_timeout == now.store_timeout, "[store] timeout_ms");
+    check(before.threads == now.threads, "[limits] threads");
+    check(
+        before.most_in_flight == now.most_in_flight,
+        "[gateway] most_in_flight");
+    check(before.hosted.has_value() == now.hosted.has_value(), "[hosted]");
+    if (before.hosted && now.hosted)
+    {
+        check(
+            before.hosted->readiness == now.hosted->readiness,
+            "[hosted] readiness");
+        check(
+            before.hosted->owner_lease == now.hosted->owner_lease,
+            "[hosted] owner_lease_ms");
+    }
+    return result;
+}
+
 auto load_daemon_settings(std::string const& path)
     -> std::optional<daemon_settings>
 {
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -86,6 +86,14 @@
 auto parse_daemon_settings(std::string_view text, std::string_view path)
     -> std::optional<daemon_settings>;
 
+/**
+ * Returns the keys in which @p now differs from @p before and that a running
+ * daemon cannot take up, as `[section] key`.
+ */
+auto keys_that_need_a_restart(
+    daemon_settings const& before, daemon_settings const& now)
+    -> std::vector<std::string>;
+
 /** Reads the file @p path; also fails with not_found. */
 auto load_daemon_settings(std::string const& path)
     -> std::optional<daemon_settings>;
--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -603,6 +603,17 @@
     it.term.leave(std::move(on_done));
 }
 
+auto dispatch_host::set_settings(state::dispatch_settings settings) -> void
+{
+    auto& it = *implementation_;
+    auto const lock = std::scoped_lock{it.mutex};
+    it.settings.dispatch = settings;
+    if (it.dispatcher)
+    {
+        it.dispatcher->set_settings(settings);
+    }
+}
+
 auto dispatch_host::set_queues(state::queue_table_pointer queues) -> void
 {
     auto& it = *implementation_;
--- a/coordination/dispatch_host_base.hpp
+++ b/coordination/dispatch_host_base.hpp
@@ -74,6 +74,8 @@
     /** Stops accepting and deciding, stores what is open, leaves the term. */
     auto leave(std::function<void()> on_done) -> void;
 
+    /** Decides by other figures from now on. */
+    auto set_settings(state::dispatch_settings settings) -> void;
     auto set_queues(state::queue_table_pointer queues) -> void;
     auto set_workers(std::vector<state::listed_worker> workers) -> void;
     auto set_drained(std::set<core::data_centre_id> data_centres) -> void;
--- a/core/ini_base.cpp
+++ b/core/ini_base.cpp
@@ -123,7 +123,7 @@
     return std::move(state.file);
 }
 
-auto read_ini(std::string const& path) -> std::optional<ini_file>
+auto read_file(std::string const& path) -> std::optional<std::string>
 {
     auto stream = std::ifstream{path, std::ios::binary};
     if (!stream)
@@ -134,8 +134,13 @@
                 "cannot open \"{}\"; check the path and its permissions",
                 path));
     }
-    auto const text = std::string{std::istreambuf_iterator<char>{stream}, {}};
-    return parse_ini(text, path);
+    return std::string{std::istreambuf_iterator<char>{stream}, {}};
+}
+
+auto read_ini(std::string const& path) -> std::optional<ini_file>
+{
+    auto const text = read_file(path);
+    return text ? parse_ini(*text, path) : std::nullopt;
 }
 
 ini_reader::ini_reader(std::string path, ini_section const& section)
--- a/core/ini_base.hpp
+++ b/core/ini_base.hpp
@@ -45,6 +45,9 @@
 auto parse_ini(std::string_view text, std::string_view path)
     -> std::optional<ini_file>;
 
+/** Returns the content of a file, or std::nullopt with not_found. */
+auto read_file(std::string const& path) -> std::optional<std::string>;
+
 /** Reads and parses the file @p path; also fails with not_found. */
 auto read_ini(std::string const& path) -> std::optional<ini_file>;
 
--- a/core/log_base.cpp
+++ b/core/log_base.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <ctime>
 #include <iterator>
@@ -186,7 +187,7 @@
 struct logger::shared_state
 {
     log_sink sink;
-    log_level least;
+    std::atomic<log_level> least;
     std::mutex mutex;
 };
 
@@ -204,6 +205,11 @@
     return copy;
 }
 
+auto logger::set_level(log_level least) const -> void
+{
+    shared_->least = least;
+}
+
 auto logger::debug(std::string_view message, fields values) const -> void
 {
     write(log_level::debug, message, values);
--- a/core/log_base.hpp
+++ b/core/log_base.hpp
@@ -75,6 +75,9 @@
     /** Returns a logger for another part, with its own prefix. */
     [[nodiscard]] auto with_prefix(std::string_view prefix) const -> logger;
 
+    /** Drops lines below @p least from now on, in all copies. */
+    auto set_level(log_level least) const -> void;
+
     auto debug(std::string_view message, fields values = {}) const -> void;
     auto info(std::string_view message, fields values = {}) const -> void;
     auto warn(std::string_view message, fields values = {}) const -> void;
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -1,6 +1,8 @@
 /** @file hosted_daemon_base.cpp The daemon on a platform that hosts workers. */
 #include "programs/godwitcleatd/hosted_daemon_base.hpp"
 
+#include <fmt/ranges.h>
+
 #include <chrono>
 #include <csignal>
 #include <utility>
@@ -12,6 +14,8 @@
 {
 
 constexpr auto drain_poll_interval = std::chrono::milliseconds{50};
+// A changed settings file is noticed within this without a signal.
+constexpr auto settings_interval = std::chrono::milliseconds{1000};
 // Beside the watches and the renewal, a few reads and one write are open.
 constexpr auto store_connections = std::size_t{8};
 // One hold and a burst of starts; more starts wait for a connection.
@@ -65,8 +69,10 @@
 } // namespace
 
 hosted_daemon::hosted_daemon(
-    coordination::daemon_settings settings, core::logger log)
+    coordination::daemon_settings settings, core::logger log,
+    std::string settings_path)
     : settings_(std::move(settings))
+    , settings_path_(std::move(settings_path))
     , log_(std::move(log))
     , loop_(settings_.threads)
     , store_client_(loop_, store_limits())
@@ -202,14 +208,83 @@
          {"boot_id", boot_id_},
          {"gateway", transport::to_string(settings_.gateway)},
          {"store", transport::to_string(settings_.store.front())}});
-    loop_.on_signal(
-        {SIGHUP}, [this](int /*signal*/)
-        { log_.info("Settings are unchanged until the next start."); });
+    follow_settings();
     directory_.start();
     host_.start();
     return true;
 }
 
+// The platform changes the file with and without a signal.
+auto hosted_daemon::follow_settings() -> void
+{
+    loop_.on_each_signal(SIGHUP, [this] { reload("signal"); });
+    if (settings_path_.empty())
+    {
+        return;
+    }
+    settings_text_ = core::read_file(settings_path_).value_or("");
+    timers_.push_back(loop_.every(
+        settings_interval,
+        [this]
+        {
+            auto const text = core::read_file(settings_path_);
+            auto changed = false;
+            {
+                auto const lock = std::scoped_lock{reload_mutex_};
+                changed = text && *text != settings_text_;
+            }
+            if (changed)
+            {
+                reload("the file has changed");
+            }
+        }));
+}
+
+auto hosted_daemon::reload(std::string_view cause) -> void
+{
+    auto const lock = std::scoped_lock{reload_mutex_};
+    auto text = core::read_file(settings_path_);
+    auto settings =
+        text ? coordination::parse_daemon_settings(*text, settings_path_)
+             : std::nullopt;
+    if (!settings || !settings->hosted)
+    {
+        log_.warn(
+            "Settings were not reloaded; the former ones stay in force.",
+            {{"cause", cause},
+             {"reason", settings ? "section [hosted] is missing"
+                                 : core::last_reason().message}});
+        settings_text_ = text.value_or(settings_text_);
+        return;
+    }
+    settings_text_ = std::move(*text);
+    auto const late =
+        coordination::keys_that_need_a_restart(settings_, *settings);
+    log_.info(
+        "Settings are reloaded.",
+        {{"cause", cause},
+         {"changed", settings_ != *settings},
+         {"need_restart", fmt::format("{}", fmt::join(late, ", "))}});
+    take_settings(std::move(*settings));
+}
+
+auto hosted_daemon::take_settings(coordination::daemon_settings settings)
+    -> void
+{
+    settings_.level = settings.level;
+    settings_.drain_delay = settings.drain_delay;
+    settings_.drain_timeout = settings.drain_timeout;
+    auto const fixed = *settings_.hosted;
+    settings_.hosted = std::move(settings.hosted);
+    settings_.hosted->readiness = fixed.readiness;
+    settings_.hosted->owner_lease = fixed.owner_lease;
+    log_.set_level(settings_.level);
+    host_.set_settings(host_settings(*settings_.hosted).dispatch);
+    directory_.set_limits(
+        {settings_.hosted->worker_notice,
+         settings_.hosted->data_centre_notice});
+}
+
 auto hosted_daemon::drain(std::function<void()> on_done) -> void
 {
     log_.info(
--- a/programs/godwitcleatd/hosted_daemon_base.hpp
+++ b/programs/godwitcleatd/hosted_daemon_base.hpp
@@ -20,7 +20,10 @@
 class hosted_daemon
 {
 public:
-    hosted_daemon(coordination::daemon_settings settings, core::logger log);
+    /** @param settings_path is read again when it changes; empty: never. */
+    hosted_daemon(
+        coordination::daemon_settings settings, core::logger log,
+        std::string settings_path = {});
     ~hosted_daemon();
     hosted_daemon(hosted_daemon const&) = delete;
     auto operator=(hosted_daemon const&) -> hosted_daemon& = delete;
@@ -47,8 +50,14 @@
     auto listen() -> std::optional<bool>;
     auto is_ready() const -> bool;
     auto finish_drain(std::function<void()> on_done) -> void;
+    auto follow_settings() -> void;
+    auto reload(std::string_view cause) -> void;
+    auto take_settings(coordination::daemon_settings settings) -> void;
 
     coordination::daemon_settings settings_;
+    std::string settings_path_;
+    std::mutex reload_mutex_;
+    std::string settings_text_; ///< Of the file as it was last read.
     core::logger log_;
     core::clock now_ = core::suspend_aware_clock();
     std::string boot_id_ = core::unique_id();
--- a/programs/godwitcleatd/main.cpp
+++ b/programs/godwitcleatd/main.cpp
@@ -38,7 +38,7 @@
     return exit_done;
 }
 
-auto run(coordination::daemon_settings settings) -> int
+auto run(coordination::daemon_settings settings, std::string path) -> int
 {
     if (settings.hosted)
     {
@@ -46,7 +46,8 @@
         std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
         auto const log =
             core::logger{core::standard_output_sink(), settings.level};
-        auto daemon = daemon::hosted_daemon{std::move(settings), log};
+        auto daemon =
+            daemon::hosted_daemon{std::move(settings), log, std::move(path)};
         return run_until_signal(daemon, log);
     }
     auto const log = core::logger{core::standard_error_sink(), settings.level};
@@ -91,10 +92,10 @@
                 stderr, "option --settings FILE is missing; see --help\n");
             return exit_usage;
         }
-        auto settings = coordination::load_daemon_settings(
-            arguments.count("settings") > 0
-                ? arguments["settings"].as<std::string>()
-                : std::string{from_environment});
+        auto path = arguments.count("settings") > 0
+                        ? arguments["settings"].as<std::string>()
+                        : std::string{from_environment};
+        auto settings = coordination::load_daemon_settings(path);
         if (!settings)
         {
             fmt::print(stderr, "{}\n", core::last_reason().message);
@@ -105,7 +106,7 @@
             fmt::print("settings are valid\n");
             return exit_done;
         }
-        return run(std::move(*settings));
+        return run(std::move(*settings), std::move(path));
     }
     catch (cxxopts::exceptions::exception const& error)
     {
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -65,6 +65,11 @@
 
 auto dispatcher::operator=(dispatcher&&) noexcept -> dispatcher& = default;
 
+auto dispatcher::set_settings(dispatch_settings settings) -> void
+{
+    implementation_->settings = settings;
+}
+
 auto dispatcher::set_queues(queue_table_pointer queues) -> void
 {
     implementation_->set_queues(std::move(queues));
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -78,6 +78,9 @@
     dispatcher(dispatcher&&) noexcept;
     auto operator=(dispatcher&&) noexcept -> dispatcher&;
 
+    /** Goes by other figures from now on. */
+    auto set_settings(dispatch_settings settings) -> void;
+
     /** Takes the queues of a newer configuration; an older one is ignored. */
     auto set_queues(queue_table_pointer queues) -> void;
 
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -9,11 +9,15 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <chrono>
+#include <csignal>
+#include <fstream>
 #include <functional>
 #include <future>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
@@ -461,6 +465,63 @@
     check_history();
 }
 
+// Guards against a changed settings file that ends the daemon or is not noticed
+// without a signal, and against a broken file that replaces good settings.
+TEST_F(hosted_fixture, settings_are_reloaded_with_and_without_a_signal)
+{
+    auto const path = testing::TempDir() + "reload.ini";
+    auto lines = std::make_shared<std::string>();
+    auto mutex = std::make_shared<std::mutex>();
+    auto const log = core::logger{
+        [lines, mutex](std::string_view line)
+        {
+            auto const lock = std::scoped_lock{*mutex};
+            *lines += std::string{line} + "\n";
+        },
+        core::log_level::info};
+    auto const seen = [&](std::string const& part)
+    {
+        return eventually(
+            [&]
+            {
+                auto const lock = std::scoped_lock{*mutex};
+                return lines->find(part) != std::string::npos;
+            });
+    };
+    auto const where = std::array{
+        free_address(), free_address(), free_address(), free_address()};
+    auto const write = [&](std::string const& more, std::string const& name)
+    {
+        std::ofstream{path} << fmt::format(
+            "[instance]\nname = {}\ndata_centre = dc-1\ngateway = {}\n"
+            "peer = {}\ncontrol = {}\n[store]\naddresses = {}\n"
+            "[hosted]\nreadiness = {}\n{}",
+            name, transport::to_string(where[0]),
+            transport::to_string(where[1]), transport::to_string(where[2]),
+            transport::to_string(store_address),
+            transport::to_string(where[3]), more);
+    };
+    write("", "a");
+    auto daemon = daemon_::hosted_daemon{
+        *coordination::load_daemon_settings(path), log, path};
+    ASSERT_TRUE(daemon.start());
+    write("stop_ms = 300\n", "a");
+    EXPECT_TRUE(seen("Settings are reloaded. cause=\"the file has changed\" "
+                     "changed=true need_restart=\"\""))
+        << *lines;
+    write("stop_ms = nonsense\n", "a");
+    EXPECT_TRUE(seen("Settings were not reloaded")) << *lines;
+    EXPECT_TRUE(seen("stop_ms")) << *lines;
+    write("stop_ms = 400\n", "b");
+    EXPECT_TRUE(seen("need_restart=\"[instance] name\"")) << *lines;
+    std::raise(SIGHUP);
+    EXPECT_TRUE(seen("cause=signal changed=")) << *lines;
+    std::raise(SIGHUP); // The second signal must not end the process either.
+    EXPECT_TRUE(eventually(
+        [&]
+        { return call(where[3], "GET", "/api/ready").status == 200; }));
+}
+
 // Guards against an instance that misses a configuration or falls back to an
 // older one, also after the store has dropped its history.
 TEST_F(hosted_fixture, a_configuration_is_in_force_within_2_s)
--- a/transport/reactor_base.cpp
+++ b/transport/reactor_base.cpp
@@ -170,6 +170,35 @@
     implementation_->signals.push_back(std::move(set));
 }
 
+namespace
+{
+
+auto wait_for_signal(asio::signal_set& set, std::function<void()> handler)
+    -> void
+{
+    set.async_wait(
+        [&set, handler = std::move(handler)](
+            boost::system::error_code ec, int /*number*/)
+        {
+            if (!ec)
+            {
+                handler();
+                wait_for_signal(set, handler);
+            }
+        });
+}
+
+} // namespace
+
+auto reactor::on_each_signal(int signal, std::function<void()> handler) -> void
+{
+    auto set =
+        std::make_unique<asio::signal_set>(*implementation_->context, signal);
+    wait_for_signal(*set, std::move(handler));
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    implementation_->signals.push_back(std::move(set));
+}
+
 auto reactor::stop() -> void
 {
     implementation_->context->stop();
--- a/transport/reactor_base.hpp
+++ b/transport/reactor_base.hpp
@@ -59,6 +59,9 @@
         std::initializer_list<int> signals, std::function<void(int)> handler)
         -> void;
 
+    /** Calls @p handler each time that @p signal arrives. */
+    auto on_each_signal(int signal, std::function<void()> handler) -> void;
+
     /** Stops the loop and joins the threads; no handler runs afterwards. */
     auto stop() -> void;
 
