Answer a call by its deadline when the owner's write gets no answer

Cause: a call that the answering instance itself owns waited for the store without a limit. With a silent store a submit got no answer at all; tests/explain_test.sh showed status 000 after 5 s, where the caller waits for 3 s.

Change: each call has a timer at its deadline; it is answered 504 if a try may have taken effect, else 503. Test: hosted_test a_silent_store_does_not_hold_a_submit_past_its_deadline.

--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -2,6 +2,7 @@
 #include "coordination/job_router_base.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <utility>
 
@@ -15,9 +16,11 @@
     dispatch_host::reply on_answer;
     core::time_point begun;
     core::time_point deadline;
-    bool maybe_done = false; ///< An earlier try may have taken effect.
+    std::atomic<bool> maybe_done = false; ///< A try may have taken effect.
     std::size_t tries = 0;
+    std::atomic<bool> answered = false;
     transport::timer_handle timer;
+    transport::timer_handle deadline_timer;
 };
 
 job_router::job_router(
@@ -41,17 +44,49 @@
     it->on_answer = std::move(on_answer);
     it->begun = clock_();
     it->deadline = it->begun + budget;
+    // The owner answers a submit once it is stored, which may be too late.
+    it->deadline_timer =
+        loop_.after(budget, [this, it] { answer_without_owner(it); });
     try_once(it);
 }
 
+auto job_router::finish(
+    std::shared_ptr<attempt> const& it, protocol::job_answer answer) -> void
+{
+    if (it->answered.exchange(true))
+    {
+        return;
+    }
+    it->deadline_timer = {}; // Its task holds the attempt.
+    it->on_answer(std::move(answer));
+}
+
+auto job_router::answer_without_owner(std::shared_ptr<attempt> const& it)
+    -> void
+{
+    auto answer = protocol::job_answer{};
+    answer.error = it->maybe_done ? core::error_kind::unknown_outcome
+                                  : core::error_kind::unavailable;
+    answer.message = it->maybe_done
+                         ? "the owner of the jobs did not answer in time; ask "
+                           "again with the same id"
+                         : "the owner of the jobs cannot be reached; retry";
+    finish(it, std::move(answer));
+}
+
 auto job_router::try_once(std::shared_ptr<attempt> const& it) -> void
 {
     if (host_.is_active())
     {
+        auto const before = it->maybe_done.exchange(true);
         // A copy, because the call may have to be sent again.
         return host_.call(
             it->call,
-            [this, it](auto answer) { answered(it, std::move(answer)); });
+            [this, it, before](auto answer)
+            {
+                it->maybe_done = before;
+                answered(it, std::move(answer));
+            });
     }
     auto const where = choose_instance(*it);
     ++it->tries;
@@ -97,9 +132,10 @@
         {
             if (!payload)
             {
-                it->maybe_done =
-                    it->maybe_done ||
-                    core::last_reason().kind != core::error_kind::unavailable;
+                if (core::last_reason().kind != core::error_kind::unavailable)
+                {
+                    it->maybe_done = true;
+                }
                 return retry(it);
             }
             auto answer = protocol::decode<protocol::job_answer>(*payload);
@@ -128,7 +164,7 @@
     {
         answer.error = core::error_kind::unknown_outcome;
     }
-    it->on_answer(std::move(answer));
+    finish(it, std::move(answer));
 }
 
 auto job_router::retry(std::shared_ptr<attempt> const& it) -> void
@@ -138,12 +174,7 @@
         !it->maybe_done && now - it->begun >= settings_.refuse_after;
     if (refuses || now + settings_.retry >= it->deadline)
     {
-        auto answer = protocol::job_answer{};
-        answer.error = it->maybe_done ? core::error_kind::unknown_outcome
-                                      : core::error_kind::unavailable;
-        answer.message = "the owner of the jobs cannot be reached; retry";
-        it->on_answer(std::move(answer));
-        return;
+        return answer_without_owner(it);
     }
     it->timer = loop_.after(
         settings_.retry,
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -71,6 +71,9 @@
     answered(std::shared_ptr<attempt> const& it, protocol::job_answer answer)
         -> void;
     auto retry(std::shared_ptr<attempt> const& it) -> void;
+    auto finish(std::shared_ptr<attempt> const& it, protocol::job_answer answer)
+        -> void;
+    auto answer_without_owner(std::shared_ptr<attempt> const& it) -> void;
 
     dispatch_host& host_;
     frame_call call_peer_;
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -498,8 +498,8 @@
             "[hosted]\nreadiness = {}\n{}",
             name, transport::to_string(where[0]),
             transport::to_string(where[1]), transport::to_string(where[2]),
-            transport::to_string(store_address),
-            transport::to_string(where[3]), more);
+            transport::to_string(store_address), transport::to_string(where[3]),
+            more);
     };
     write("", "a");
     auto daemon = daemon_::hosted_daemon{
@@ -518,8 +518,27 @@
     EXPECT_TRUE(seen("cause=signal changed=")) << *lines;
     std::raise(SIGHUP); // The second signal must not end the process either.
     EXPECT_TRUE(eventually(
-        [&]
-        { return call(where[3], "GET", "/api/ready").status == 200; }));
+        [&] { return call(where[3], "GET", "/api/ready").status == 200; }));
+}
+
+// Guards against a submit that gets no answer at all because the store gives
+// none to its write. The caller waits for 3 s.
+TEST_F(hosted_fixture, a_silent_store_does_not_hold_a_submit_past_its_deadline)
+{
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    gateway.silent = true;
+    auto const begun = std::chrono::steady_clock::now();
+    EXPECT_EQ(submit("a", "00000000000000f3", 2), 504);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
+    gateway.silent = false;
+    // The repeated submit is the same job, whatever became of the first.
+    EXPECT_TRUE(
+        eventually([&] { return submit("a", "00000000000000f3", 2) == 200; }));
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000f3") == "completed"; }));
+    check_history();
 }
 
 // Guards against an instance that misses a configuration or falls back to an
