Explain a failed request from logs and metrics

Lines for each job handed in and each start of its tasks, at most 200 a second of one kind, with a count of those left out.

--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -249,6 +249,11 @@
             {
                 auto& it = settings_.hosted.emplace();
                 it.readiness = required_address(reader, "readiness");
+                auto const metrics = reader.text("metrics", "");
+                if (!metrics.empty())
+                {
+                    it.metrics = parse(reader, "metrics", metrics);
+                }
                 read_ms(
                     reader, "lease_limit_ms", it.lease_limit, 1000, 600'000);
                 read_ms(
@@ -408,6 +413,8 @@
         check(
             before.hosted->readiness == now.hosted->readiness,
             "[hosted] readiness");
+        check(
+            before.hosted->metrics == now.hosted->metrics, "[hosted] metrics");
         check(
             before.hosted->owner_lease == now.hosted->owner_lease,
             "[hosted] owner_lease_ms");
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -20,6 +20,7 @@
 struct hosted_settings
 {
     transport::endpoint readiness; ///< Listens here for the balancer.
+    std::optional<transport::endpoint> metrics; ///< For collectors, if set.
     core::duration lease_limit = std::chrono::milliseconds{6000};
     core::duration owner_lease = std::chrono::milliseconds{3000};
     core::duration start_validity = std::chrono::milliseconds{1500};
--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -2,6 +2,7 @@
 #include "coordination/dispatch_host_base.hpp"
 
 #include "coordination/guarded_internal.hpp"
+#include "coordination/line_budget_base.hpp"
 
 #include <fmt/format.h>
 
@@ -20,6 +21,17 @@
     return core::wall_clock_us() / us_per_ms;
 }
 
+auto name_of(state::job_time kind) -> std::string_view
+{
+    switch (kind)
+    {
+    case state::job_time::to_stored: return "job_to_stored_seconds";
+    case state::job_time::to_first_start: return "job_to_first_start_seconds";
+    case state::job_time::to_end: return "job_to_end_seconds";
+    }
+    return "job_seconds";
+}
+
 auto error_answer(core::failure const& reason) -> protocol::job_answer
 {
     auto answer = protocol::job_answer{};
@@ -89,11 +101,13 @@
 
     dispatch_host_parts parts;
     core::logger log;
+    line_budget lines;
     dispatch_host_settings settings;
 
     mutable std::recursive_mutex mutex; ///< Replies may call back at once.
     std::optional<state::dispatcher> dispatcher;
     core::epoch active_term; ///< Of `dispatcher` or of the load.
+    core::time_point acquired_at;
     state::dispatch_snapshot loading;
     state::queue_table_pointer queues;
     std::vector<state::listed_worker> workers;
@@ -123,7 +137,9 @@
         writing = false;
         refused_since.reset();
         workers_given = false;
+        acquired_at = parts.clock();
     }
+    parts.metrics.count("take_overs_total");
     parts.on_owning(true);
     load_jobs(number);
 }
@@ -250,10 +266,18 @@
         auto hooks = state::dispatch_hooks{};
         hooks.on_event = [this](auto message, auto values)
         {
-            log.info(message, values);
+            if (lines.allow(message, parts.clock()))
+            {
+                log.info(message, values);
+            }
         };
         hooks.unix_ms = unix_ms;
+        hooks.on_time = [this](auto kind, auto value)
+        {
+            parts.metrics.observe_time(name_of(kind), value);
+        };
         auto const now = parts.clock();
+        parts.metrics.observe_time("take_over_seconds", now - acquired_at);
         log.info(
             "Jobs are loaded.", {{"term", number.value},
                                  {"jobs", loading.jobs.size()},
@@ -402,6 +426,12 @@
                     {
                         return;
                     }
+                    if (order.kind == state::run_order_kind::start)
+                    {
+                        self.parts.metrics.count(fmt::format(
+                            "worker_start_results_total{{result=\"{}\"}}",
+                            state::to_string(answer.result)));
+                    }
                     owned = self.dispatcher->order_answered(
                         order, answer.result, answer.clock_ms,
                         self.parts.clock());
@@ -488,6 +518,10 @@
         return;
     }
     next_counts = now + settings.count_interval;
+    for (auto const& [kind, count] : lines.take_left_out())
+    {
+        log.warn("Lines were left out.", {{"kind", kind}, {"lines", count}});
+    }
     auto const it = dispatcher->counts(now);
     auto const set = [this](std::string_view name, auto value)
     {
@@ -704,6 +738,15 @@
     on_answer(std::move(answer));
 }
 
+auto dispatch_host::pending_by_queue() const
+    -> std::map<state::queue_id, std::uint64_t>
+{
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->dispatcher
+               ? implementation_->dispatcher->pending_by_queue()
+               : std::map<state::queue_id, std::uint64_t>{};
+}
+
 auto dispatch_host::owner() const -> std::optional<protocol::owner_record>
 {
     return implementation_->term.owner();
--- a/coordination/dispatch_host_base.hpp
+++ b/coordination/dispatch_host_base.hpp
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <span>
@@ -86,6 +87,10 @@
      */
     auto call(protocol::job_call call, reply on_answer) -> void;
 
+    /** Returns the waiting jobs by queue; empty on other instances. */
+    [[nodiscard]] auto pending_by_queue() const
+        -> std::map<state::queue_id, std::uint64_t>;
+
     /** Returns the owner that the store names, if any. */
     [[nodiscard]] auto owner() const -> std::optional<protocol::owner_record>;
 
--- a/programs/godwitcleatctl/main.cpp
+++ b/programs/godwitcleatctl/main.cpp
@@ -2,6 +2,7 @@
 #include "api_client_base.hpp"
 #include "command_type.hpp"
 #include "config_command_func.hpp"
+#include "explain_command_func.hpp"
 #include "job_command_func.hpp"
 #include "output_func.hpp"
 #include "transport/transport.hpp"
@@ -37,7 +38,8 @@
     auto result = std::vector<ctl::command>{};
     for (auto&& group :
          {ctl::config_commands(), ctl::drain_commands(), ctl::job_commands(),
-          ctl::view_commands(), ctl::timeline_commands()})
+          ctl::view_commands(), ctl::timeline_commands(),
+          ctl::explain_commands()})
     {
         std::copy(group.begin(), group.end(), std::back_inserter(result));
     }
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <sys/resource.h>
 #include <utility>
 
 namespace godwitcleat::daemon
@@ -27,6 +28,42 @@
 constexpr auto peer_connect_timeout = std::chrono::milliseconds{300};
 constexpr auto waiting_orders = std::size_t{512};
 
+auto set_process_metrics(core::metrics& metrics) -> void
+{
+    auto use = rusage{};
+    if (::getrusage(RUSAGE_SELF, &use) != 0)
+    {
+        return;
+    }
+    constexpr auto us_per_s = 1e6;
+    constexpr auto bytes_per_kb = 1024.0;
+    auto const seconds = [](timeval const& value)
+    {
+        return static_cast<double>(value.tv_sec) +
+               static_cast<double>(value.tv_usec) / us_per_s;
+    };
+    metrics.set(
+        "process_cpu_seconds", seconds(use.ru_utime) + seconds(use.ru_stime));
+    metrics.set(
+        "process_peak_memory_bytes",
+        static_cast<double>(use.ru_maxrss) * bytes_per_kb);
+}
+
+// Escapes a text for use between the quotes of a label.
+auto label_value(std::string_view text) -> std::string
+{
+    auto result = std::string{};
+    for (auto const letter : text)
+    {
+        if (letter == '"' || letter == '\\')
+        {
+            result += '\\';
+        }
+        result += letter == '\n' ? ' ' : letter;
+    }
+    return result;
+}
+
 auto store_limits() -> transport::http_client_limits
 {
     auto limits = transport::http_client_limits{};
@@ -78,7 +115,9 @@
     , store_client_(loop_, store_limits())
     , worker_client_(loop_, worker_limits())
     , peer_client_(loop_, peer_limits())
-    , store_(store_client_, {settings_.store.front(), settings_.store_timeout})
+    , store_(
+          store_client_, {settings_.store.front(), settings_.store_timeout},
+          &metrics_)
     , host_(host_parts(), own_record(), host_settings(*settings_.hosted))
     , router_(
           host_,
@@ -166,7 +205,7 @@
         auto response = transport::http_response{};
         if (request.target == "/v1/metrics")
         {
-            response.body = metrics_.text();
+            response.body = metrics_page();
         }
         else
         {
@@ -196,6 +235,62 @@
     return true;
 }
 
+// A daemon without metrics still serves callers.
+auto hosted_daemon::listen_for_collectors() -> void
+{
+    if (!settings_.hosted->metrics)
+    {
+        return;
+    }
+    metrics_listener_ = transport::http_server::listen(
+        loop_, *settings_.hosted->metrics, {},
+        [this](auto const& request, auto const& reply)
+        {
+            constexpr int not_found = 404;
+            auto response = transport::http_response{};
+            auto const known = request.target == "/metrics";
+            response.status = known ? response.status : not_found;
+            response.body = known ? metrics_page() : "";
+            response.headers.set("Content-Type", "text/plain; version=0.0.4");
+            reply(std::move(response));
+        });
+    if (!metrics_listener_)
+    {
+        log_.warn(
+            "Metrics are not served.",
+            {{"reason", core::last_reason().message}});
+    }
+}
+
+auto hosted_daemon::metrics_page() -> std::string
+{
+    auto const confirmed = directory_.config_confirmed_at();
+    metrics_.set(
+        "config_version", static_cast<double>(directory_.config_version()));
+    if (confirmed)
+    {
+        metrics_.set(
+            "config_age_seconds",
+            std::chrono::duration<double>(now_() - *confirmed).count());
+    }
+    set_process_metrics(metrics_);
+    auto text = metrics_.text();
+    // Names of queues come from outside, so that they are no lasting metrics.
+    constexpr auto most_queues = 100;
+    auto n = 0;
+    for (auto const& [queue, jobs] : host_.pending_by_queue())
+    {
+        if (++n > most_queues)
+        {
+            break;
+        }
+        text += fmt::format(
+            "godwitcleat_queue_jobs_waiting{{queue=\"{}\"}} {}\n",
+            label_value(queue.value), jobs);
+    }
+    return text;
+}
+
 auto hosted_daemon::start() -> std::optional<bool>
 {
     if (!listen())
@@ -208,6 +303,7 @@
          {"boot_id", boot_id_},
          {"gateway", transport::to_string(settings_.gateway)},
          {"store", transport::to_string(settings_.store.front())}});
+    listen_for_collectors();
     follow_settings();
     directory_.start();
     host_.start();
--- a/programs/godwitcleatd/hosted_daemon_base.hpp
+++ b/programs/godwitcleatd/hosted_daemon_base.hpp
@@ -50,6 +50,8 @@
     auto listen() -> std::optional<bool>;
     auto is_ready() const -> bool;
     auto finish_drain(std::function<void()> on_done) -> void;
+    auto listen_for_collectors() -> void;
+    auto metrics_page() -> std::string;
     auto follow_settings() -> void;
     auto reload(std::string_view cause) -> void;
     auto take_settings(coordination::daemon_settings settings) -> void;
@@ -76,6 +78,7 @@
     std::optional<transport::http_server> gateway_listener_;
     std::optional<transport::http_server> control_listener_;
     std::optional<transport::http_server> readiness_listener_;
+    std::optional<transport::http_server> metrics_listener_;
     std::optional<transport::frame_server> peer_listener_;
     std::vector<transport::timer_handle> timers_;
     core::time_point drain_end_;
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -125,19 +125,40 @@
     return it->started ? plan_phase::active : plan_phase::queued;
 }
 
+namespace
+{
+
+auto is_waiting(job_entry const& job) -> bool
+{
+    return job.record_stored && job.submitted && !job.started &&
+           !is_final(job.phase);
+}
+
+} // namespace
+
 auto dispatcher::pending(queue_id const& queue) const -> std::uint64_t
 {
     auto n = std::uint64_t{0};
     for (auto const& [id, it] : implementation_->jobs)
     {
-        auto const waits = it->record_stored && it->submitted && !it->started &&
-                           !is_final(it->phase) &&
-                           it->record.plan.queue == queue;
-        n += waits ? 1 : 0;
+        n += is_waiting(*it) && it->record.plan.queue == queue ? 1 : 0;
     }
     return n;
 }
 
+auto dispatcher::pending_by_queue() const -> std::map<queue_id, std::uint64_t>
+{
+    auto result = std::map<queue_id, std::uint64_t>{};
+    for (auto const& [id, it] : implementation_->jobs)
+    {
+        if (is_waiting(*it))
+        {
+            ++result[it->record.plan.queue];
+        }
+    }
+    return result;
+}
+
 auto dispatcher::take_holds(core::time_point now) -> std::vector<hold_order>
 {
     return implementation_->take_holds(now);
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +22,14 @@
 namespace godwitcleat::state
 {
 
+/** Times in the life of a job that the dispatcher measures. */
+enum class job_time
+{
+    to_stored,      ///< From the submit to its record in the store.
+    to_first_start, ///< From the submit until a worker has begun a task.
+    to_end          ///< From the submit to the final phase.
+};
+
 /** What the dispatcher tells its owner. Each may be empty. */
 struct dispatch_hooks
 {
@@ -28,6 +37,8 @@
     std::function<void(std::string_view message, core::fields values)> on_event;
     /** Returns Unix time in milliseconds. */
     std::function<std::int64_t()> unix_ms;
+    /** A time in the life of a job. */
+    std::function<void(job_time kind, core::duration value)> on_time = {};
 };
 
 /** Counts since the dispatcher was made, and sizes now. */
@@ -122,6 +133,10 @@
     /** Returns the number of stored jobs of a queue without a start. */
     [[nodiscard]] auto pending(queue_id const& queue) const -> std::uint64_t;
 
+    /** Returns pending() of all queues with such jobs. */
+    [[nodiscard]] auto pending_by_queue() const
+        -> std::map<queue_id, std::uint64_t>;
+
     /** Returns the holds that are due; each must be answered once. */
     auto take_holds(core::time_point now) -> std::vector<hold_order>;
 
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -153,6 +153,7 @@
         if (accepted)
         {
             job->record_stored = true;
+            measure(job_time::to_stored, *job);
             if (!is_final(job->phase))
             {
                 open_steps(job);
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -439,6 +439,25 @@
         dispatch_worker const& worker, run_entry const& run,
         run_order_kind kind) -> run_order;
 
+    /** Tells how long ago a job was handed in. */
+    auto measure(job_time kind, job_entry const& job) const -> void
+    {
+        if (hooks.on_time)
+        {
+            hooks.on_time(
+                kind, std::chrono::milliseconds{
+                          hooks.unix_ms() - job.record.accepted_ms});
+        }
+    }
+
+    auto note_started(job_entry& job) const -> void
+    {
+        if (!std::exchange(job.started, true))
+        {
+            measure(job_time::to_first_start, job);
+        }
+    }
+
     auto event(std::string_view message, core::fields values) const -> void
     {
         if (hooks.on_event)
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -287,6 +287,7 @@
     }
     want_stops(*job);
     totals.jobs_completed += phase == plan_phase::completed ? 1 : 0;
+    measure(job_time::to_end, *job);
     event(
         "Job ended.", {{"job", job->record.plan.id.value},
                        {"phase", to_string(phase)},
@@ -320,6 +321,12 @@
     }
     auto const job = add_job({std::move(plan), term, hooks.unix_ms()});
     job->submitted = true;
+    event(
+        "Job is handed in.", {{"job", job->record.plan.id.value},
+                              {"queue", job->record.plan.queue.value},
+                              {"steps", job->record.plan.steps.size()},
+                              {"tasks", job->tasks.size()},
+                              {"config", queues->version}});
     ++totals.jobs_accepted;
     job->waiting.emplace_back(0, std::move(on_done));
     job->dirty = true;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -52,7 +52,7 @@
 
     if (job)
     {
-        job->started = true;
+        note_started(*job);
     }
     if (auto const i = find_run(worker, row.task, row.run))
     {
@@ -85,7 +85,7 @@
     run.listed = true;
     if (run.job)
     {
-        run.job->started = true;
+        note_started(*run.job);
     }
     if (!row.checkpoint.empty())
     {
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -356,6 +356,19 @@
     auto& job = *it.job;
     auto& step = job.steps[it.step];
     auto const* const queue = find_queue(job);
+    auto const waiting = step.ready.size();
+    auto const note = [&]
+    {
+        if (step.ready.size() < waiting)
+        {
+            event(
+                "Tasks start.", {{"job", job.record.plan.id.value},
+                                 {"step", step.step},
+                                 {"tasks", waiting - step.ready.size()},
+                                 {"still_waiting", step.ready.size()},
+                                 {"waited_ms", to_ms(now - step.ready_since)}});
+        }
+    };
     while (!step.ready.empty())
     {
         auto const index = step.ready.back();
@@ -363,11 +376,13 @@
         auto* const worker = choose_worker(job, step, task, *queue, now);
         if (worker == nullptr)
         {
+            note();
             return false;
         }
         step.ready.pop_back();
         start(it.job, index, *worker, next_run(job, task), now);
     }
+    note();
     return true;
 }
 
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -318,7 +318,7 @@
         run.confirmed_at = now;
         if (run.job)
         {
-            run.job->started = true;
+            note_started(*run.job);
         }
         return;
     case order_result::unknown:
--- a/tests/ctl_test.sh
+++ b/tests/ctl_test.sh
@@ -47,7 +47,20 @@
 expect 0 "Exit codes" --help
 expect 0 "Exit codes" -h
 for command in check publish config drain undrain submit cancel jobs wait \
-    services workers status metrics timeline; do
+    services workers status metrics timeline explain; do
     expect 0 "Examples:" "$command" --help
 done
+# A job is followed over the logs of all instances, in the order of time.
+printf '%s\n' "2026-12-04T13:00:01.000000Z info dispatch: Job ended. job=j1 phase=failed" \
+    "2026-12-04T13:00:01.500000Z info dispatch: A worker is avoided because its runs fail. worker=w1 failures=2" \
+    "2026-12-04T13:00:01.600000Z info dispatch: A worker is avoided because its runs fail. worker=w2 failures=2" \
+    "2026-12-04T13:09:00.000000Z info term: This instance owns the jobs. term=2" >"$folder/a.log"
+printf '%s\n' "2026-12-04T13:00:00.000000Z info dispatch: A run has failed. job=j1 worker=w1" \
+    "2026-12-04T13:00:00.500000Z info dispatch: A run has failed. job=j12 worker=w2" >"$folder/b.log"
+expect 0 "^\* a.log: .*Job ended. job=j1 " explain j1 "$folder/a.log" "$folder/b.log"
+head -1 "$folder/output" | grep -q '^\* b.log: .*A run has failed. job=j1 '
+grep -q '^  a.log: .*worker=w1' "$folder/output"
+! grep -qE 'worker=w2|term=2' "$folder/output"
+expect 1 "no line names job j3" explain j3 "$folder/a.log"
+expect 2 "cannot open" explain j1 "$folder/absent.log"
 echo "passed"
