Count a call to the owner as possibly done while it is open

Change: a call counts as possibly done from when it is sent until it is answered. The test of the silent store waits until no other write is open: a submit behind an open write gets a true 503, which its first form took for a fault.

--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -125,25 +125,27 @@
     -> void
 {
     auto const left = it->deadline - clock_();
+    // Until there is an answer the owner may carry the call out.
+    auto const before = it->maybe_done.exchange(true);
     call_peer_(
         where, protocol::encode(it->call),
         std::min(settings_.call_timeout, left),
-        [this, it](std::optional<std::string> payload)
+        [this, it, before](std::optional<std::string> payload)
         {
             if (!payload)
             {
-                if (core::last_reason().kind != core::error_kind::unavailable)
+                if (core::last_reason().kind == core::error_kind::unavailable)
                 {
-                    it->maybe_done = true;
+                    it->maybe_done = before; // Nothing was sent.
                 }
                 return retry(it);
             }
             auto answer = protocol::decode<protocol::job_answer>(*payload);
             if (!answer)
             {
-                it->maybe_done = true;
                 return retry(it);
             }
+            it->maybe_done = before;
             answered(it, std::move(*answer));
         });
 }
--- a/tests/explain_test.sh
+++ b/tests/explain_test.sh
@@ -11,6 +11,7 @@
 stop() {
     for pid in "${pids[@]}"; do
         kill -9 "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
     done
     rm -r "$folder"
 }
@@ -84,6 +85,7 @@
     local job=$1 text
     shift
     text=$(explain "$job") || fail "explain $job"
+    printf '%s\n\n' "$text"
     local rest=$text
     for pattern in "$@"; do
         grep -q -- "$pattern" <<<"$rest" || { echo "$text"; fail "no \"$pattern\" for $job"; }
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -137,13 +137,14 @@
 
     auto call(
         transport::endpoint const& where, std::string method,
-        std::string target, std::string body = {}) -> transport::http_response
+        std::string target, std::string body = {},
+        std::string const& deadline_ms = "3000") -> transport::http_response
     {
         auto request = transport::http_request{};
         request.method = std::move(method);
         request.target = std::move(target);
         request.headers.set("Host", "desk.example");
-        request.headers.set("Godwitcleat-Deadline-Ms", "3000");
+        request.headers.set("Godwitcleat-Deadline-Ms", deadline_ms);
         request.body = std::move(body);
         auto done = std::make_shared<std::promise<transport::http_result>>();
         client.send(
@@ -528,6 +529,10 @@
     add_daemon("a");
     ASSERT_TRUE(wait_ready("a"));
     ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    // No other write is open then: a submit behind one is truly refused.
+    EXPECT_EQ(submit("a", "00000000000000f2", 1), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000f2") == "completed"; }));
     gateway.silent = true;
     auto const begun = std::chrono::steady_clock::now();
     EXPECT_EQ(submit("a", "00000000000000f3", 2), 504);
@@ -541,6 +546,28 @@
     check_history();
 }
 
+// Guards against a refusal that is untrue: the deadline of a submit passes
+// while another instance's call to the owner is open, and the owner stores it
+// later.
+TEST_F(hosted_fixture, a_submit_that_the_owner_holds_is_not_refused)
+{
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    add_daemon("b");
+    ASSERT_TRUE(wait_ready("b"));
+    EXPECT_EQ(submit("b", "00000000000000f4", 1), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("b", "00000000000000f4") == "completed"; }));
+    gateway.silent = true;
+    // Below the time that one call to the owner may take.
+    auto const answer = call(
+        gateways["b"], "POST", "/jobs/00000000000000f5",
+        R"({"spec":"x","steps":[{"count":1,"cpu":1}]})", "700");
+    EXPECT_EQ(answer.status, 504);
+    gateway.silent = false;
+}
+
 // Guards against an instance that misses a configuration or falls back to an
 // older one, also after the store has dropped its history.
 TEST_F(hosted_fixture, a_configuration_is_in_force_within_2_s)
