Spend a fixed number of looks on steps that fit nowhere

Cause: 50 ms between two tries of a kind of step is needed with 350 workers and 18 classes only.

Change: the pause follows from the kinds that fit nowhere and the workers, at 150,000 looks a second; with 66 workers it is below a pass.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -479,6 +479,7 @@
     /** Workers that may be given starts in this pass. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable;
     std::vector<unfit_need> unfit;
+    std::size_t unfit_kinds = 0; ///< Entries of `unfit` before this pass.
     std::vector<run_order> orders;
     std::deque<job_pointer> dirty;
     std::vector<core::job_id> forgotten;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -14,10 +14,10 @@
 // several ends into one pass.
 constexpr auto schedule_interval = std::chrono::milliseconds{8};
 constexpr auto start_margin = std::chrono::milliseconds{150};
-// A step that uses spare processors and fits nowhere is not tried again for
-// this long: looking at 350 workers for each of 500 such steps in each pass
-// took a third of a core.
-constexpr auto unfit_time = std::chrono::milliseconds{50};
+// Looks at workers that may be spent on steps that use spare processors and fit
+// nowhere. Trying each of 500 such steps on 350 workers in each pass took a
+// third of a core; a look takes 0.15 us, and control may cost 2.7% of a core.
+constexpr auto looks_per_s = std::int64_t{150'000};
 // A start needs a round trip to a worker in another data centre.
 constexpr auto least_start_validity = std::chrono::milliseconds{250};
 constexpr auto stop_retry = std::chrono::milliseconds{400};
@@ -135,6 +135,7 @@
     std::sort(ranked.begin(), ranked.end());
     mostly_free = is_mostly_free();
     find_startable(now);
+    unfit_kinds = unfit.size();
     std::erase_if(unfit, [now](auto const& it) { return now >= it.until; });
     auto reserved = static_cast<std::size_t>(std::count_if(
         workers.begin(), workers.end(),
@@ -239,7 +240,15 @@
     it.uses_spare_cpu = spec.uses_spare_cpu;
     it.need = spec.need;
     // Others wait for committed processors, which may become free at any time.
-    it.until = spec.uses_spare_cpu ? now + unfit_time : now;
+    it.until = now;
+    if (spec.uses_spare_cpu)
+    {
+        auto const kinds = std::max(unfit_kinds, unfit.size() + 1);
+        auto const looks = static_cast<std::int64_t>(
+            kinds * startable_for(*find_queue(job)).size());
+        it.until +=
+            core::duration{std::chrono::seconds{1}} * looks / looks_per_s;
+    }
     unfit.push_back(std::move(it));
 }
 
