--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -157,7 +157,7 @@
             0.0,
             std::log(target / base_tail(run.task_class, run.tail_target_ms)));
     it.limit_now = now_left;
-    worker.served.push_back(std::move(it));
+    worker.served.push_back(it);
 }
 
 auto dispatcher::implementation::assess(
