--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 	cmake --build build/release -j $(JOBS)
 
 test: build
+	scripts/run_known_red.sh build/release
 	ctest --test-dir build/release --output-on-failure -j $(TEST_JOBS)
 
 demo: build
