Log which tasks wait for which workers after a change of owner

Change: a line for each end that leaves its task waiting, a line for each worker without an answer when the recovery ends, and the sizes tasks_unknown and workers_without_contact in the metrics and in the line Sizes. No decision changes.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -531,8 +531,10 @@
     set("dispatch_jobs_open", it.jobs_open);
     set("dispatch_tasks_ready", it.tasks_ready);
     set("dispatch_tasks_bound", it.tasks_bound);
+    set("dispatch_tasks_unknown", it.tasks_unknown);
     set("dispatch_workers_live", it.workers_live);
     set("dispatch_workers_suspended", it.workers_suspended);
+    set("dispatch_workers_without_contact", it.workers_without_contact);
     set("dispatch_starts", it.starts);
     set("dispatch_starts_rejected", it.starts_rejected);
     set("dispatch_starts_unknown", it.starts_unknown);
@@ -549,7 +551,9 @@
         "Sizes.", {{"jobs_open", it.jobs_open},
                    {"tasks_ready", it.tasks_ready},
                    {"tasks_bound", it.tasks_bound},
+                   {"tasks_unknown", it.tasks_unknown},
                    {"workers_live", it.workers_live},
+                   {"without_contact", it.workers_without_contact},
                    {"starts", it.starts},
                    {"rejected", it.starts_rejected},
                    {"unknown", it.starts_unknown},
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -3,6 +3,8 @@
 
 #include "state/dispatch_internal.hpp"
 
+#include <algorithm>
+
 namespace godwitcleat::state
 {
 
@@ -211,6 +213,13 @@
     {
         result.jobs_open += is_final(job->phase) ? 0 : 1;
         result.tasks_bound += job->active_runs;
+        if (implementation_->recovering)
+        {
+            result.tasks_unknown += static_cast<std::size_t>(std::count_if(
+                job->tasks.begin(), job->tasks.end(),
+                [](auto const& it)
+                { return it.state == task_state::unknown; }));
+        }
     }
     for (auto const& it : implementation_->ready_steps)
     {
@@ -220,6 +229,7 @@
     {
         auto const live = worker->contact == contact_state::live;
         result.workers_live += live ? 1 : 0;
+        result.workers_without_contact += live ? 0 : 1;
         result.workers_suspended += now < worker->suspended_until ? 1 : 0;
     }
     return result;
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -60,8 +60,10 @@
     std::size_t jobs_open = 0;
     std::size_t tasks_ready = 0;
     std::size_t tasks_bound = 0;
+    std::size_t tasks_unknown = 0; ///< May run on a worker without contact.
     std::size_t workers_live = 0;
     std::size_t workers_suspended = 0;
+    std::size_t workers_without_contact = 0;
 };
 
 /**
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -319,6 +319,14 @@
     {
         // A later run may have ended on a worker that has not answered yet.
         task.state = task_state::unknown;
+        event(
+            "A task waits for workers without contact.",
+            {{"job", job->record.plan.id.value},
+             {"step", step.step},
+             {"task", index - step.first_task},
+             {"worker", worker.info.worker.value},
+             {"run", run.value},
+             {"outcome", to_string(outcome)}});
         return;
     }
     make_ready(job, index);
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -420,6 +420,17 @@
         return;
     }
     recovering = false;
+    for (auto const& [id, worker] : workers)
+    {
+        if (worker->contact != contact_state::live)
+        {
+            event(
+                "A worker has not answered this owner.",
+                {{"worker", id.value},
+                 {"listed", worker->in_worker_list},
+                 {"drains", worker->drain_seen_at.has_value()}});
+        }
+    }
     auto released = std::size_t{0};
     for (auto const& [id, job] : jobs)
     {
