Add failing tests of tasks that wait for an unrelated worker after a take-over

A new owner finds a long-running task, the run ends (stopped because its worker drains, or lost with a restart of the worker), and another worker is silent. Bound: 3 s, as for the other tests of long-running tasks.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -511,6 +511,57 @@
 namespace
 {
 
+// Returns three workers, one long-running task on one of them, and a new owner
+// that has found the task and cannot reach another worker.
+auto take_over_with_a_silent_worker() -> std::unique_ptr<tests::dispatch_world>
+{
+    auto world = two_workers();
+    world->add_worker("w3", worker_capacity);
+    world->run_for(200);
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    auto plan = tests::make_plan("l1", 1, 1000);
+    plan.steps.front().long_running = true;
+    EXPECT_TRUE(world->submit(plan));
+    world->run_for(100);
+    EXPECT_EQ(world->starts.size(), 1U);
+    auto const first = worker_of(world->starts.front());
+    world->worker(first == "w3" ? "w1" : "w3").reachable = false;
+    world->begin_term();
+    world->run_for(300);
+    EXPECT_EQ(world->starts.size(), 1U);
+    return world;
+}
+
+} // namespace
+
+// Guards against a long-running task that stays down until the lease of an
+// unrelated, silent worker has lapsed. One may be down for at most 3 s.
+TEST(dispatch, a_stopped_run_is_replaced_while_another_worker_is_silent)
+{
+    auto const world = take_over_with_a_silent_worker();
+    auto const first = worker_of(world->starts.front());
+    world->worker(first).info.draining = true;
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// The same for a run that is lost because its worker restarts.
+TEST(dispatch, a_lost_run_is_replaced_while_another_worker_is_silent)
+{
+    auto const world = take_over_with_a_silent_worker();
+    world->restart_worker(worker_of(world->starts.front()));
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+namespace
+{
+
 constexpr auto tail_target_ms = std::int64_t{20};
 
 auto make_serving(std::string id) -> state::job_plan
