Start a task again as soon as its known run has ended during a take-over

Cause: while a new owner has not heard all workers, the end of any run of a restored job put the task into 'unknown', also if this owner had itself found the run on a worker and had stopped it. One silent worker held such tasks until its lease had surely lapsed: 3 s + 10.3 s + 0.3 s. Why this works: a task is bound only to its highest known run. A later run exists only if a former owner took this one as over, which it does only after the worker's lease has lapsed, the worker has restarted or left, or its list no longer has the run; so a run that is listed under this owner's token is the last one. Ends of runs that this owner has not seen running still wait.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -367,10 +367,14 @@
     auto end_run(
         dispatch_worker& worker, std::size_t index, run_outcome outcome,
         std::string checkpoint, core::time_point now) -> void;
+    /**
+     * Applies the end of a run to its task. @p was_current states that the task
+     * was bound to this run, so that no other run of it exists.
+     */
     auto apply_end(
         job_pointer const& job, std::uint32_t task, dispatch_worker& worker,
         run_number run, run_outcome outcome, std::string checkpoint,
-        core::time_point now) -> void;
+        bool was_current, core::time_point now) -> void;
     auto record_worker_result(
         dispatch_worker& worker, job_entry& job, run_outcome outcome,
         core::time_point now) -> void;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -65,7 +65,8 @@
             auto& task = job->tasks[*index];
             task.last_run = std::max(task.last_run, row.run);
             apply_end(
-                job, *index, worker, row.run, row.outcome, row.checkpoint, now);
+                job, *index, worker, row.run, row.outcome, row.checkpoint,
+                false, now);
         }
     }
     // The end may have been ignored because of a change that is not stored yet,
@@ -234,7 +235,7 @@
     {
         apply_end(
             run.job, run.task, worker, run.run, outcome, std::move(checkpoint),
-            now);
+            is_current, now);
     }
 }
 
@@ -256,7 +257,7 @@
 auto dispatcher::implementation::apply_end(
     job_pointer const& job, std::uint32_t index, dispatch_worker& worker,
     run_number run, run_outcome outcome, std::string checkpoint,
-    core::time_point now) -> void
+    bool was_current, core::time_point now) -> void
 {
     auto& task = job->tasks[index];
     auto& step = job->step_of(index);
@@ -315,9 +316,9 @@
     {
         return;
     }
-    if (recovering && job->restored)
+    if (recovering && job->restored && !was_current)
     {
-        // A later run may have ended on a worker that has not answered yet.
+        // A later run may exist on a worker that has not answered yet.
         task.state = task_state::unknown;
         event(
             "A task waits for workers without contact.",
