--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -812,6 +812,7 @@
                 return phase && state::is_final(*phase);
             });
     };
+    world.run_for(1000); // Jobs that the store has refused so far are stored.
     for (auto i = 0; i < 60 && !all_ended(); ++i)
     {
         world.run_for(1000);
