Wait only for the first answer of each worker after a change of owner

Cause: the recovery of a new owner ended when all workers were in contact at the same moment. A worker that had answered and left afterwards held it, and so did a new worker that no former owner knew. Change: the owner waits for those workers of the stored list that it has not heard once. A worker's first lists under the new token contain all runs of former owners, and the token fences their orders from then on.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -192,6 +192,8 @@
     listed_worker info;
     bool in_worker_list = false; ///< In the latest set_workers().
     bool in_stored_list = false; ///< A new owner finds it in the store.
+    /** May have runs of a previous owner that this owner does not know. */
+    bool may_have_unknown_runs = false;
     contact_state contact = contact_state::none;
     std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
     std::uint64_t restarts = 0; ///< Of the worker under this owner.
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -80,6 +80,7 @@
         auto worker = std::make_unique<dispatch_worker>();
         worker->info = info;
         worker->in_stored_list = true;
+        worker->may_have_unknown_runs = true;
         worker->lease_until = recovery_until;
         worker->next_hold_at = now;
         workers.emplace(info.worker, std::move(worker));
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -257,6 +257,7 @@
     }
     resolve_missing_runs(worker, order.sent_at, now);
     worker.restarted = false;
+    worker.may_have_unknown_runs = false;
     if (worker.contact != contact_state::live)
     {
         worker.contact = contact_state::live;
@@ -411,10 +412,9 @@
     {
         return;
     }
-    auto const all_heard = std::all_of(
+    auto const all_heard = std::none_of(
         workers.begin(), workers.end(),
-        [](auto const& it)
-        { return it.second->contact == contact_state::live; });
+        [](auto const& it) { return it.second->may_have_unknown_runs; });
     if (!all_heard && now < recovery_until)
     {
         return;
@@ -422,7 +422,7 @@
     recovering = false;
     for (auto const& [id, worker] : workers)
     {
-        if (worker->contact != contact_state::live)
+        if (worker->may_have_unknown_runs)
         {
             event(
                 "A worker has not answered this owner.",
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -549,7 +549,7 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
-// The same for a run that is lost because its worker restarts.
+// Guards against the same wait after a restart of the worker.
 TEST(dispatch, a_lost_run_is_replaced_while_another_worker_is_silent)
 {
     auto const world = take_over_with_a_silent_worker();
@@ -559,6 +559,27 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against tasks that wait for a worker that has answered the new owner
+// and was lost afterwards.
+TEST(dispatch, a_take_over_waits_only_for_the_first_answer_of_each_worker)
+{
+    auto const world = two_workers();
+    world->add_worker("w3", worker_capacity);
+    world->run_for(200);
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 2, 1000)));
+    world->worker("w2").reachable = false;
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(300);
+    EXPECT_TRUE(world->starts.empty());
+    world->worker("w3").reachable = false;
+    world->worker("w2").reachable = true;
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 namespace
 {
 
