Do not wait for a worker whose process has ended

Cause: a worker that had left during a release stayed in the stored list of workers until its lease had lapsed, and a new owner waited for its lease once more. The former owner's knowledge that it drained and left was not stored. Change: a worker that is not listed any more and whose host refuses connections has ended; so has one whose address answers for another worker. Its runs are lost at once, except starts without an answer, it leaves the stored list, and a take-over does not wait for it. A worker that is cut off does not refuse connections and is waited for as before.

--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -83,8 +83,11 @@
         workers_in_flight.clear();
         for (auto const& [id, worker] : workers)
         {
-            batch.workers->push_back(worker->info);
-            workers_in_flight.push_back(id);
+            if (!worker->exited)
+            {
+                batch.workers->push_back(worker->info);
+                workers_in_flight.push_back(id);
+            }
         }
         worker_list_changed = false;
         worker_list_in_flight = true;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -194,6 +194,7 @@
     bool in_stored_list = false; ///< A new owner finds it in the store.
     /** May have runs of a previous owner that this owner does not know. */
     bool may_have_unknown_runs = false;
+    bool exited = false; ///< Its process has ended; it has no runs or lease.
     contact_state contact = contact_state::none;
     std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
     std::uint64_t restarts = 0; ///< Of the worker under this owner.
@@ -336,6 +337,9 @@
         hold_order const& order, order_result result,
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
     auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
+    auto handle_exit(
+        dispatch_worker& worker, std::string_view cause, core::time_point now)
+        -> void;
     auto process_lists(
         dispatch_worker& worker, hold_order const& order,
         worker_lists const& lists, core::time_point now) -> void;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -109,7 +109,7 @@
     {
         auto const needs_hold = worker->in_worker_list ||
                                 !worker->runs.empty() ||
-                                now <= worker->lease_until;
+                                (!worker->exited && now <= worker->lease_until);
         if (needs_hold && !worker->hold_in_flight &&
             now >= worker->next_hold_at)
         {
@@ -195,13 +195,13 @@
         if (result == order_result::other_worker &&
             order.address == worker->info.address)
         {
-            lose_runs(*worker, "another worker has its address", now);
+            handle_exit(*worker, "another worker has its address", now);
         }
         else if (
-            result == order_result::connection_refused &&
-            worker->drain_seen_at && !worker->in_worker_list)
+            result == order_result::connection_refused && worker_list_known &&
+            !worker->in_worker_list)
         {
-            lose_runs(*worker, "it has left after its drain", now);
+            handle_exit(*worker, "it is not listed and does not listen", now);
         }
         return true;
     }
@@ -213,6 +213,34 @@
     return true;
 }
 
+auto dispatcher::implementation::handle_exit(
+    dispatch_worker& worker, std::string_view cause, core::time_point now)
+    -> void
+{
+    if (!std::exchange(worker.exited, true))
+    {
+        event(
+            "The process of a worker has ended.",
+            {{"worker", worker.info.worker.value},
+             {"runs", worker.runs.size()},
+             {"cause", cause}});
+        worker.may_have_unknown_runs = false;
+        worker_list_changed = true;
+        commit_at(now + settings.commit_delay);
+    }
+    for (auto i = worker.runs.size(); i-- > 0;)
+    {
+        auto const& run = worker.runs[i];
+        // A start without an answer may reach the process that replaces it.
+        if (run.seen_running || run.start_confirmed_at ||
+            now > run.startable_until)
+        {
+            ++totals.runs_lost;
+            retry_run(worker, i, now);
+        }
+    }
+}
+
 auto dispatcher::implementation::handle_restart(
     dispatch_worker& worker, worker_lists const& lists, core::time_point now)
     -> void
@@ -258,6 +286,12 @@
     resolve_missing_runs(worker, order.sent_at, now);
     worker.restarted = false;
     worker.may_have_unknown_runs = false;
+    if (std::exchange(worker.exited, false))
+    {
+        worker.in_stored_list = false;
+        worker_list_changed = true;
+        commit_at(now);
+    }
     if (worker.contact != contact_state::live)
     {
         worker.contact = contact_state::live;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -585,6 +585,64 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against tasks that wait for the lease of a worker whose process has
+// exited.
+TEST(dispatch, a_take_over_does_not_wait_for_a_worker_that_has_left)
+{
+    auto const world = two_workers();
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 2, 1000)));
+    world->exit_worker("w2");
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a worker that is never used again after its process ended.
+TEST(dispatch, a_worker_that_returns_after_its_exit_gets_tasks)
+{
+    auto world = tests::dispatch_world{};
+    world.add_worker("w1", worker_capacity);
+    world.begin_term();
+    world.run_for(200);
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 4, 1000)));
+    world.run_for(100);
+    world.exit_worker("w1");
+    world.run_for(1000);
+    EXPECT_TRUE(world.stored.workers.empty());
+    world.return_worker("w1");
+    world.run_for(3000);
+    EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+    EXPECT_EQ(world.stored.workers.size(), 1U);
+    EXPECT_TRUE(world.violations.empty());
+}
+
+// Guards against a second run of a task on a worker that is cut off: it is no
+// longer listed, but its process may run on until its lease lapses.
+TEST(dispatch, a_take_over_waits_for_an_unlisted_worker_that_is_cut_off)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 1U);
+    auto& worker = world->worker(worker_of(world->starts.front()));
+    worker.listed = false;
+    worker.reachable = false;
+    worker.unreachable_result = state::order_result::not_sent;
+    world->begin_term();
+    world->run_for(4000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    world->run_for(8000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against tasks that wait for a worker that has answered the new owner
 // and was lost afterwards.
 TEST(dispatch, a_take_over_waits_only_for_the_first_answer_of_each_worker)
@@ -816,7 +874,7 @@
     };
     auto jobs = 0;
     auto const events = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 11), rc::gen::inRange(0, 4)));
+        rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(0, 4)));
     for (auto const& [kind, which] : events)
     {
         auto const id = fmt::format("w{}", which);
@@ -830,6 +888,19 @@
         case 4: world.restart_worker(id); break;
         case 5: world.store_down = !world.store_down; break;
         case 6: world.begin_term(); break;
+        case 7: worker.info.draining = !worker.info.draining; break;
+        case 8: worker.listed = !worker.listed; break;
+        case 9:
+            if (worker.unreachable_result ==
+                state::order_result::connection_refused)
+            {
+                world.return_worker(id);
+            }
+            else
+            {
+                world.exit_worker(id);
+            }
+            break;
         default:
         {
             auto plan = tests::make_plan(fmt::format("j{}", jobs++), 5, 1000);
@@ -844,8 +915,16 @@
     world.store_down = false;
     for (auto i = 0; i < 4; ++i)
     {
-        auto& worker = world.worker(fmt::format("w{}", i));
+        auto const id = fmt::format("w{}", i);
+        auto& worker = world.worker(id);
+        if (worker.unreachable_result ==
+            state::order_result::connection_refused)
+        {
+            world.return_worker(id);
+        }
         worker.reachable = true;
+        worker.listed = true;
+        worker.info.draining = false;
         worker.loses_answers = false;
         worker.delays_starts = false;
     }
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -446,6 +446,24 @@
     worker.delayed.clear(); // Their connections ended with the process.
 }
 
+auto dispatch_world::exit_worker(std::string const& id) -> void
+{
+    restart_worker(id);
+    auto& worker = workers_.at(id);
+    worker.listed = false;
+    worker.reachable = false;
+    worker.unreachable_result = state::order_result::connection_refused;
+}
+
+auto dispatch_world::return_worker(std::string const& id) -> void
+{
+    restart_worker(id);
+    auto& worker = workers_.at(id);
+    worker.listed = true;
+    worker.reachable = true;
+    worker.unreachable_result = state::order_result::unknown;
+}
+
 auto dispatch_world::carry_out_delayed(std::string const& id) -> void
 {
     auto& worker = workers_.at(id);
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -37,8 +37,8 @@
 struct fake_dispatch_worker
 {
     state::listed_worker info;
-    bool listed = true;          ///< In the list of workers.
-    bool reachable = true;       ///< Orders and holds reach it.
+    bool listed = true;    ///< In the list of workers.
+    bool reachable = true; ///< Orders and holds reach it.
     /** Result of orders and holds that do not reach it. */
     state::order_result unreachable_result = state::order_result::unknown;
     bool loses_answers = false;  ///< Carries out orders, but answers are lost.
@@ -87,6 +87,12 @@
     /** Restarts a worker process; its runs and lists are lost. */
     auto restart_worker(std::string const& id) -> void;
 
+    /** Ends a worker process, which leaves the list of workers. */
+    auto exit_worker(std::string const& id) -> void;
+
+    /** Starts a worker process again after exit_worker(). */
+    auto return_worker(std::string const& id) -> void;
+
     /** Carries out the delayed starts of a worker. */
     auto carry_out_delayed(std::string const& id) -> void;
 
