Remove lost workers from the stored list when their lease has lapsed

Cause: lost workers were only looked for when the list of workers changed. Change: the search runs with each tick. The tests' world passes the list of workers on only when it has changed, as the daemon does.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -328,6 +328,7 @@
     auto
     set_workers(std::span<listed_worker const> workers, core::time_point now)
         -> void;
+    auto forget_lost_workers(core::time_point now) -> void;
     auto token_of(dispatch_worker const& worker) const -> fencing_token;
     auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -65,21 +65,31 @@
             worker->drain_seen_at = now;
         }
     }
+    forget_lost_workers(now);
+    if (worker_list_changed)
+    {
+        commit_at(now);
+    }
+}
+
+auto dispatcher::implementation::forget_lost_workers(core::time_point now)
+    -> void
+{
     std::erase_if(
         workers,
         [&](auto const& it)
         {
             auto const& worker = *it.second;
-            auto const gone = !worker.in_worker_list && worker.runs.empty() &&
+            auto const lost = !worker.in_worker_list && worker.runs.empty() &&
                               !worker.hold_in_flight &&
                               now > worker.lease_until;
-            worker_list_changed = worker_list_changed || gone;
-            return gone;
+            if (lost && !worker.exited)
+            {
+                worker_list_changed = true;
+                commit_at(now + settings.commit_delay);
+            }
+            return lost;
         });
-    if (worker_list_changed)
-    {
-        commit_at(now);
-    }
 }
 
 auto dispatcher::implementation::find_worker(core::worker_id const& id)
@@ -410,6 +420,7 @@
     {
         move_from_draining(*worker, now);
     }
+    forget_lost_workers(now);
     finish_recovery(now);
     expire_old_jobs(now);
     coefficient_cache.clear();
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -619,6 +619,21 @@
     EXPECT_TRUE(world.violations.empty());
 }
 
+// Guards against a stored list that names workers for as long as no other
+// worker comes or leaves.
+TEST(dispatch, a_lost_worker_leaves_the_stored_list_when_its_lease_has_lapsed)
+{
+    auto const world = two_workers();
+    world->run_for(1000);
+    ASSERT_EQ(world->stored.workers.size(), 2U);
+    world->worker("w2").listed = false;
+    world->worker("w2").reachable = false;
+    world->run_for(3000);
+    EXPECT_EQ(world->stored.workers.size(), 2U);
+    world->run_for(9000);
+    EXPECT_EQ(world->stored.workers.size(), 1U);
+}
+
 // Guards against a second run of a task on a worker that is cut off: it is no
 // longer listed, but its process may run on until its lease lapses.
 TEST(dispatch, a_take_over_waits_for_an_unlisted_worker_that_is_cut_off)
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -105,6 +105,7 @@
     owner = std::make_unique<state::dispatcher>(
         term, stored, settings, hooks, now());
     set_queues();
+    last_listed_.reset();
 }
 
 auto dispatch_world::run_for(std::int64_t ms) -> void
@@ -134,7 +135,11 @@
             listed.push_back(worker.info);
         }
     }
-    owner->set_workers(listed, now());
+    if (last_listed_ != listed)
+    {
+        owner->set_workers(listed, now());
+        last_listed_ = std::move(listed);
+    }
     owner->set_drained(drained);
     owner->tick(now());
     answer_holds();
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -149,6 +149,8 @@
 
     std::int64_t now_ms_ = 1'000'000;
     std::map<std::string, fake_dispatch_worker> workers_;
+    /** The list that `owner` has; it is passed on only when it changes. */
+    std::optional<std::vector<state::listed_worker>> last_listed_;
     state::queue_table queues_;
     std::map<std::string, state::job_plan> plans_;
     std::set<std::string> done_; ///< Tasks with an acknowledged completion.
