Take drained workers without runs out of the stored list

Cause: the stored list names the workers that may have runs, but kept those that drain, have no runs any more and get none. When they leave, their machines do not answer, so that a new owner could not tell them from one that is cut off. Change: such a worker leaves the stored list while it still drains, once all ends that it has listed are stored; it is stored again before its next start if the drain is taken back. Run: a_take_over_does_not_wait_for_an_empty_drained_worker failed before (0 of 2 starts within 3 s) and passes.

--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -83,7 +83,7 @@
         workers_in_flight.clear();
         for (auto const& [id, worker] : workers)
         {
-            if (!worker->exited)
+            if (worker->may_have_runs())
             {
                 batch.workers->push_back(worker->info);
                 workers_in_flight.push_back(id);
@@ -143,7 +143,7 @@
         {
             if (auto* const worker = find_worker(id))
             {
-                worker->in_stored_list = true;
+                worker->in_stored_list = worker->may_have_runs();
             }
         }
         schedule_due = true;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -163,6 +163,11 @@
     std::uint64_t number = 0;
     job_pointer job;           ///< Null if nothing has to be stored.
     std::uint64_t version = 0; ///< Progress to store before acknowledging.
+
+    [[nodiscard]] auto is_stored() const -> bool
+    {
+        return !job || job->stored_version >= version;
+    }
 };
 
 /** State of the contact with a worker. */
@@ -194,7 +199,8 @@
     bool in_stored_list = false; ///< A new owner finds it in the store.
     /** May have runs of a previous owner that this owner does not know. */
     bool may_have_unknown_runs = false;
-    bool exited = false; ///< Its process has ended; it has no runs or lease.
+    bool exited = false;  ///< Its process has ended; it has no runs or lease.
+    bool retired = false; ///< Draining without runs, so it gets no runs.
     contact_state contact = contact_state::none;
     std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
     std::uint64_t restarts = 0; ///< Of the worker under this owner.
@@ -238,6 +244,12 @@
     {
         return info.capacity - used;
     }
+
+    /** Returns true if a new owner has to hear it before it knows all runs. */
+    [[nodiscard]] auto may_have_runs() const -> bool
+    {
+        return !exited && !retired;
+    }
 };
 
 /** A step with tasks that wait for free capacity. */
@@ -329,6 +341,7 @@
     set_workers(std::span<listed_worker const> workers, core::time_point now)
         -> void;
     auto forget_lost_workers(core::time_point now) -> void;
+    auto update_retired(dispatch_worker& worker, core::time_point now) -> void;
     auto token_of(dispatch_worker const& worker) const -> fencing_token;
     auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -64,6 +64,7 @@
         {
             worker->drain_seen_at = now;
         }
+        update_retired(*worker, now);
     }
     forget_lost_workers(now);
     if (worker_list_changed)
@@ -72,6 +73,25 @@
     }
 }
 
+auto dispatcher::implementation::update_retired(
+    dispatch_worker& worker, core::time_point now) -> void
+{
+    auto const all_ends_stored = std::all_of(
+        worker.unacknowledged_ends.begin(), worker.unacknowledged_ends.end(),
+        [](pending_end const& it) { return it.is_stored(); });
+    auto const retires =
+        worker.info.draining && worker.runs.empty() &&
+        (worker.retired ||
+         (worker.contact == contact_state::live && all_ends_stored));
+    if (worker.retired != retires)
+    {
+        worker.retired = retires;
+        worker.in_stored_list = false;
+        worker_list_changed = true;
+        commit_at(retires ? now + settings.commit_delay : now);
+    }
+}
+
 auto dispatcher::implementation::forget_lost_workers(core::time_point now)
     -> void
 {
@@ -83,7 +103,7 @@
             auto const lost = !worker.in_worker_list && worker.runs.empty() &&
                               !worker.hold_in_flight &&
                               now > worker.lease_until;
-            if (lost && !worker.exited)
+            if (lost && worker.may_have_runs())
             {
                 worker_list_changed = true;
                 commit_at(now + settings.commit_delay);
@@ -152,7 +172,7 @@
         while (!worker.unacknowledged_ends.empty())
         {
             auto const& it = worker.unacknowledged_ends.front();
-            if (it.job && it.job->stored_version < it.version)
+            if (!it.is_stored())
             {
                 break;
             }
@@ -419,6 +439,7 @@
     for (auto& [id, worker] : workers)
     {
         move_from_draining(*worker, now);
+        update_retired(*worker, now);
     }
     forget_lost_workers(now);
     finish_recovery(now);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -619,6 +619,86 @@
     EXPECT_TRUE(world.violations.empty());
 }
 
+// Guards against the same wait when the machine of the worker does not answer
+// any more: the former owner knew that nothing ran there.
+TEST(dispatch, a_take_over_does_not_wait_for_an_empty_drained_worker)
+{
+    auto const world = two_workers();
+    world->worker("w2").info.draining = true;
+    world->run_for(1000);
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 2, 1000)));
+    auto& worker = world->worker("w2");
+    worker.listed = false;
+    worker.reachable = false;
+    worker.unreachable_result = state::order_result::not_sent;
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a second run of a completed task: its worker left the stored
+// list before the end of the task was stored.
+TEST(
+    dispatch,
+    a_drained_worker_stays_in_the_stored_list_until_its_ends_are_stored)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{1000, false};
+    };
+    for (auto i = 0; i < 4; ++i)
+    {
+        auto plan = tests::make_plan(fmt::format("j{}", i), 1, 1000);
+        plan.steps.push_back(plan.steps.front());
+        plan.steps.back().after = {0};
+        plan.steps.back().need.cpu_milli = 100;
+        ASSERT_TRUE(world->submit(plan));
+    }
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 4U);
+    auto const id = worker_of(world->starts.front());
+    ASSERT_EQ(worker_of(world->starts.back()), id);
+    world->settings.max_batch_writes = 3;
+    world->owner->set_settings(world->settings);
+    world->worker(id).info.draining = true;
+    for (auto i = 0; i < 200 && world->stored.workers.size() > 1; ++i)
+    {
+        world->run_for(10);
+    }
+    ASSERT_EQ(world->stored.workers.size(), 1U);
+    world->worker(id).reachable = false;
+    world->begin_term();
+    world->run_for(300);
+    world->worker(id).reachable = true;
+    world->run_for(3000);
+    for (auto i = 0; i < 4; ++i)
+    {
+        EXPECT_EQ(count_starts(*world, fmt::format("j{}.0.0.0", i)), 1) << i;
+    }
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a worker that gets no tasks after its drain was taken back.
+TEST(dispatch, a_worker_gets_tasks_after_its_drain_is_taken_back)
+{
+    auto world = tests::dispatch_world{};
+    world.add_worker("w1", worker_capacity);
+    world.begin_term();
+    world.worker("w1").info.draining = true;
+    world.run_for(1000);
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 2, 1000)));
+    EXPECT_TRUE(world.stored.workers.empty());
+    world.worker("w1").info.draining = false;
+    world.run_for(1000);
+    EXPECT_EQ(world.stored.workers.size(), 1U);
+    EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+    EXPECT_TRUE(world.violations.empty());
+}
+
 // Guards against a stored list that names workers for as long as no other
 // worker comes or leaves.
 TEST(dispatch, a_lost_worker_leaves_the_stored_list_when_its_lease_has_lapsed)
