Do not take an answer that may lack changes as the current list of workers

Cause: an answer of the store to a watch holds about 500 events; the rest has to be asked for. The owner took each answer as all changes up to its request, and dated its list of workers with that time. With 490 workers that write every 1.5 s an owner that falls 1.5 s behind gets such answers, and the bound on the age of the list lost its meaning.

--- a/coordination/store_type.hpp
+++ b/coordination/store_type.hpp
@@ -80,6 +80,8 @@
     std::vector<store_entry> written;
     std::vector<std::string> removed;
     std::int64_t revision = 0; ///< Watch on from here.
+    /** The store may have left out changes after `revision`. */
+    bool may_be_incomplete = false;
 };
 
 /**
--- a/coordination/watched_range_base.cpp
+++ b/coordination/watched_range_base.cpp
@@ -152,6 +152,10 @@
     {
         on_change(entries);
     }
+    if (answer->may_be_incomplete)
+    {
+        return watch();
+    }
     confirm(sent);
     if (settings.gap > core::duration{} && !answer->written.empty())
     {
