Wait for running handlers before a stand-in is destroyed

Cause: a fault of the stand-in. Cancelling a timer and closing a server do not wait for a call that has begun, but the handlers of hosted_runner held a plain `this`. hosted_gateway had the same fault, and no destructor. Change: handlers of both pass through a handler_gate. Destroying the object closes the gate: it waits for handlers that run, and later calls do nothing. A weak pointer with `closed`, as in guarded_internal.hpp, would keep only the object itself alive: a late handler could still use the store or the history, and begin a run that is never ended. Neither object may now be destroyed by one of its own handlers; none is. Not run: release, tsan, the whole suite.

--- a/standins/support/hosted_gateway_base.cpp
+++ b/standins/support/hosted_gateway_base.cpp
@@ -91,18 +91,27 @@
 {
 }
 
+hosted_gateway::~hosted_gateway()
+{
+    if (server_)
+    {
+        server_->close(); // A request during the wait is not answered.
+    }
+    gate_.close();
+}
+
 auto hosted_gateway::listen(transport::endpoint const& where)
     -> std::optional<transport::endpoint>
 {
     server_ = transport::http_server::listen(
         loop_, where, {},
-        [this](auto const& request, auto reply)
-        { handle(request, std::move(reply)); });
+        gate_.guarded([this](auto const& request, auto reply)
+                      { handle(request, std::move(reply)); }));
     if (!server_)
     {
         return std::nullopt;
     }
-    timer_ = loop_.every(poll_interval, [this] { poll(); });
+    timer_ = loop_.every(poll_interval, gate_.guarded([this] { poll(); }));
     return server_->local();
 }
 
--- a/standins/support/hosted_gateway_base.hpp
+++ b/standins/support/hosted_gateway_base.hpp
@@ -3,6 +3,7 @@
 #ifndef GODWITCLEAT_STANDINS_SUPPORT_HOSTED_GATEWAY_BASE_HPP
 #define GODWITCLEAT_STANDINS_SUPPORT_HOSTED_GATEWAY_BASE_HPP
 
+#include "standins/support/handler_gate_base.hpp"
 #include "standins/support/memory_store_base.hpp"
 #include "transport/transport.hpp"
 
@@ -26,6 +27,14 @@
 public:
     hosted_gateway(memory_store& target, transport::reactor& loop);
 
+    /**
+     * Closes all connections. Waits for handlers that run; must not be called
+     * by one of them. The store is not used afterwards.
+     */
+    ~hosted_gateway();
+    hosted_gateway(hosted_gateway const&) = delete;
+    auto operator=(hosted_gateway const&) -> hosted_gateway& = delete;
+
     /** Listens, by default on a free port; std::nullopt with unavailable. */
     auto listen(transport::endpoint const& where = {"127.0.0.1", 0})
         -> std::optional<transport::endpoint>;
@@ -69,6 +78,7 @@
     memory_store& store_;
     transport::reactor& loop_;
     core::clock clock_ = core::system_clock();
+    handler_gate gate_; ///< Of all handlers of the server and the timer.
     std::optional<transport::http_server> server_;
     transport::timer_handle timer_;
     std::mutex mutex_;
--- a/standins/support/hosted_runner_base.cpp
+++ b/standins/support/hosted_runner_base.cpp
@@ -89,9 +89,11 @@
 
 hosted_runner::~hosted_runner()
 {
-    timers_.clear();
-    server_.reset();
-    auto const lock = std::scoped_lock{mutex_};
+    if (server_)
+    {
+        server_->close(); // A request during the wait is not answered.
+    }
+    gate_.close();
     for (auto const& it : running_)
     {
         history_.end(it.history, clock_(), false);
@@ -102,15 +104,17 @@
 {
     server_ = transport::http_server::listen(
         loop_, {"127.0.0.1", 0}, {},
-        [this](auto const& request, auto reply)
-        { handle(request, std::move(reply)); });
+        gate_.guarded([this](auto const& request, auto reply)
+                      { handle(request, std::move(reply)); }));
     if (!server_)
     {
         return std::nullopt;
     }
     beat();
-    timers_.push_back(loop_.every(tick_interval, [this] { tick(); }));
-    timers_.push_back(loop_.every(beat_interval, [this] { beat(); }));
+    timers_.push_back(
+        loop_.every(tick_interval, gate_.guarded([this] { tick(); })));
+    timers_.push_back(
+        loop_.every(beat_interval, gate_.guarded([this] { beat(); })));
     return true;
 }
 
--- a/standins/support/hosted_runner_base.hpp
+++ b/standins/support/hosted_runner_base.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_STANDINS_SUPPORT_HOSTED_RUNNER_BASE_HPP
 #define GODWITCLEAT_STANDINS_SUPPORT_HOSTED_RUNNER_BASE_HPP
 
+#include "standins/support/handler_gate_base.hpp"
 #include "standins/support/memory_store_base.hpp"
 #include "transport/transport.hpp"
 
@@ -69,6 +70,11 @@
     hosted_runner(
         coordination::store& store, transport::reactor& loop,
         runner_history& history, hosted_runner_settings settings);
+
+    /**
+     * Closes all connections. Waits for handlers that run; must not be called
+     * by one of them. @p store and @p history are not used afterwards.
+     */
     ~hosted_runner();
     hosted_runner(hosted_runner const&) = delete;
     auto operator=(hosted_runner const&) -> hosted_runner& = delete;
@@ -125,6 +131,7 @@
     core::clock clock_ = core::system_clock();
     core::time_point born_;
     std::int64_t born_ms_ = 0;
+    handler_gate gate_; ///< Of all handlers of the server and the timers.
     std::optional<transport::http_server> server_;
     std::vector<transport::timer_handle> timers_;
     std::mutex mutex_;
