--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -242,7 +242,7 @@
                 if (!answer->entries.empty())
                 {
                     auto known =
-                        protocol::decode<std::vector<state::stored_worker>>(
+                        protocol::decode<std::vector<state::listed_worker>>(
                             answer->entries.front().value);
                     if (!known)
                     {
@@ -250,7 +250,7 @@
                     }
                     auto const lock = std::scoped_lock{self.mutex};
                     self.loading.workers =
-                        known.value_or(std::vector<state::stored_worker>{});
+                        known.value_or(std::vector<state::listed_worker>{});
                 }
                 self.activate(number);
             }));
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -316,7 +316,7 @@
     {
         return;
     }
-    if (!was_current && may_run_unseen(*job, index))
+    if (recovering && job->restored && !was_current)
     {
         // A later run may exist on a worker that has not answered yet.
         task.state = task_state::unknown;
