--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -249,6 +249,7 @@
                         self.log.error("Stored workers cannot be read.");
                     }
                     auto const lock = std::scoped_lock{self.mutex};
+                    self.loading.workers_readable = known.has_value();
                     self.loading.workers =
                         known.value_or(std::vector<state::listed_worker>{});
                 }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -248,7 +248,7 @@
     /** Returns true if a new owner has to hear it before it knows all runs. */
     [[nodiscard]] auto may_have_runs() const -> bool
     {
-        return !exited && !retired;
+        return !retired && (!exited || !runs.empty());
     }
 };
 
@@ -528,6 +528,8 @@
     std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
         jobs;
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
+    /** Restarts of forgotten workers, which obey no lower token. */
+    std::map<core::worker_id, std::uint64_t> former_restarts;
     std::vector<ready_step> ready_steps;
     /** Workers that accept starts in this pass, by service. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
@@ -546,6 +548,7 @@
     bool worker_list_known = false;
     bool recovering = false;
     core::time_point recovery_until;
+    bool stored_list_readable = true; ///< False: unknown workers have runs.
     core::time_point next_cleanup;
     bool mostly_free = false; ///< Less than mostly_free_percent is reserved.
     bool schedule_due = true;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -50,6 +50,7 @@
     dispatch_snapshot const& stored, core::time_point now) -> void
 {
     recovering = true;
+    stored_list_readable = stored.workers_readable;
     recovery_until = now + settings.previous_owner_validity +
                      with_drift(settings.lease_limit) + lease_margin;
     auto progress = std::unordered_map<std::string, plan_progress const*>{};
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -185,6 +185,7 @@
     std::vector<plan_record> jobs;
     std::vector<std::pair<core::job_id, plan_progress>> progress;
     std::vector<listed_worker> workers;
+    bool workers_readable = true; ///< False if `workers` may lack some.
 };
 
 } // namespace godwitcleat::state
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -46,12 +46,15 @@
         {
             worker = std::make_unique<dispatch_worker>();
             worker->next_hold_at = now;
+            auto const it = former_restarts.find(info.worker);
+            worker->restarts = it == former_restarts.end() ? 0 : it->second;
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
             worker->info.address != info.address)
         {
             lose_contact(*worker, now);
+            worker->in_stored_list = false;
             worker_list_changed = true;
         }
         worker->info = info;
@@ -103,10 +106,14 @@
             auto const lost = !worker.in_worker_list && worker.runs.empty() &&
                               !worker.hold_in_flight &&
                               now > worker.lease_until;
-            if (lost && worker.may_have_runs())
+            if (lost)
             {
                 worker_list_changed = true;
                 commit_at(now + settings.commit_delay);
+                if (worker.restarts > 0)
+                {
+                    former_restarts[it.first] = worker.restarts;
+                }
             }
             return lost;
         });
@@ -222,8 +229,11 @@
                  {"runs", worker->runs.size()}});
         }
         lose_contact(*worker, now);
-        if (result == order_result::other_worker &&
-            order.address == worker->info.address)
+        if (order.address != worker->info.address)
+        {
+            return true;
+        }
+        if (result == order_result::other_worker)
         {
             handle_exit(*worker, "another worker has its address", now);
         }
@@ -247,6 +257,7 @@
     dispatch_worker& worker, std::string_view cause, core::time_point now)
     -> void
 {
+    auto const may_have_had_runs = worker.may_have_runs();
     if (!std::exchange(worker.exited, true))
     {
         event(
@@ -255,8 +266,6 @@
              {"runs", worker.runs.size()},
              {"cause", cause}});
         worker.may_have_unknown_runs = false;
-        worker_list_changed = true;
-        commit_at(now + settings.commit_delay);
     }
     for (auto i = worker.runs.size(); i-- > 0;)
     {
@@ -269,6 +278,11 @@
             retry_run(worker, i, now);
         }
     }
+    if (worker.may_have_runs() != may_have_had_runs)
+    {
+        worker_list_changed = true;
+        commit_at(now + settings.commit_delay);
+    }
 }
 
 auto dispatcher::implementation::handle_restart(
@@ -441,8 +455,8 @@
         move_from_draining(*worker, now);
         update_retired(*worker, now);
     }
-    forget_lost_workers(now);
     finish_recovery(now);
+    forget_lost_workers(now);
     expire_old_jobs(now);
     coefficient_cache.clear();
     schedule_due = true;
@@ -478,9 +492,11 @@
     {
         return;
     }
-    auto const all_heard = std::none_of(
-        workers.begin(), workers.end(),
-        [](auto const& it) { return it.second->may_have_unknown_runs; });
+    auto const all_heard =
+        stored_list_readable &&
+        std::none_of(
+            workers.begin(), workers.end(),
+            [](auto const& it) { return it.second->may_have_unknown_runs; });
     if (!all_heard && now < recovery_until)
     {
         return;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -682,6 +682,133 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a second run of a task: it was started at a new address of its
+// worker, and a new owner found only the former address in the store.
+TEST(dispatch, no_start_before_the_new_address_of_a_worker_is_stored)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    world->worker("w2").info.data_centre = core::data_centre_id{"dc-2"};
+    world->drained = {
+        core::data_centre_id{"dc-1"}, core::data_centre_id{"dc-2"}};
+    world->run_for(200);
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->store_down = true;
+    world->restart_worker("w1");
+    world->worker("w1").info.address = "127.0.0.1:2";
+    world->drained = {core::data_centre_id{"dc-2"}};
+    world->run_for(500);
+    EXPECT_TRUE(world->starts.empty());
+    auto& w1 = world->worker("w1");
+    w1.listed = false;
+    w1.reachable = false;
+    w1.unreachable_result = state::order_result::connection_refused;
+    world->store_down = false;
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against an owner that steps down because a returning worker has seen a
+// higher token of this same owner.
+TEST(dispatch, a_forgotten_worker_that_returns_gets_tasks)
+{
+    auto world = tests::dispatch_world{};
+    world.add_worker("w1", worker_capacity);
+    world.begin_term();
+    world.run_for(200);
+    world.restart_worker("w1");
+    world.run_for(500);
+    auto& w1 = world.worker("w1");
+    w1.listed = false;
+    w1.reachable = false;
+    world.run_for(12'000);
+    w1.listed = true;
+    w1.reachable = true;
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 1, 1000)));
+    world.run_for(3000);
+    EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+}
+
+// Guards against a second run of a task if the stored list cannot be read.
+TEST(dispatch, a_take_over_without_a_readable_list_of_workers_waits)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 1U);
+    world->worker(worker_of(world->starts.front())).reachable = false;
+    world->stored.workers.clear();
+    world->stored.workers_readable = false;
+    world->begin_term();
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    world->run_for(10'000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a second run of a task: its unanswered start reaches the
+// process that replaces the one that has ended.
+TEST(dispatch, an_ended_worker_with_an_unanswered_start_stays_stored)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    world->worker("w1").delays_starts = true;
+    world->worker("w2").delays_starts = true;
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->run_for(20);
+    auto const id =
+        std::string{world->worker("w1").delayed.empty() ? "w2" : "w1"};
+    auto const late = world->worker(id).delayed;
+    ASSERT_EQ(late.size(), 1U);
+    world->exit_worker(id);
+    world->run_for(600);
+    EXPECT_EQ(world->stored.workers.size(), 2U);
+    world->run_for(3000);
+    EXPECT_EQ(world->stored.workers.size(), 1U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against tasks that wait for a lost worker on which they cannot run.
+TEST(dispatch, a_take_over_holds_only_the_tasks_of_a_lost_worker)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("lost", 1, 1000)));
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 1U);
+    auto& worker = world->worker(worker_of(world->starts.front()));
+    worker.reachable = false;
+    worker.unreachable_result = state::order_result::not_sent;
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("waits", 2, 1000)));
+    world->run_for(1500);
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_EQ(count_starts(*world, "waits.0.0.0"), 1);
+    EXPECT_EQ(count_starts(*world, "waits.0.0.1"), 1);
+    EXPECT_EQ(count_starts(*world, "lost.0.0.0"), 1);
+    world->run_for(10'000);
+    EXPECT_EQ(count_starts(*world, "lost.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a worker that gets no tasks after its drain was taken back.
 TEST(dispatch, a_worker_gets_tasks_after_its_drain_is_taken_back)
 {
@@ -974,9 +1101,12 @@
     {
         auto const id = fmt::format("w{}", which);
         auto& worker = world.worker(id);
+        // A process that has ended is neither reachable nor listed again.
+        auto const has_exited = worker.unreachable_result ==
+                                state::order_result::connection_refused;
         switch (kind)
         {
-        case 0: worker.reachable = !worker.reachable; break;
+        case 0: worker.reachable = !has_exited && !worker.reachable; break;
         case 1: worker.loses_answers = !worker.loses_answers; break;
         case 2: worker.delays_starts = !worker.delays_starts; break;
         case 3: world.carry_out_delayed(id); break;
@@ -984,10 +1114,9 @@
         case 5: world.store_down = !world.store_down; break;
         case 6: world.begin_term(); break;
         case 7: worker.info.draining = !worker.info.draining; break;
-        case 8: worker.listed = !worker.listed; break;
+        case 8: worker.listed = !has_exited && !worker.listed; break;
         case 9:
-            if (worker.unreachable_result ==
-                state::order_result::connection_refused)
+            if (has_exited)
             {
                 world.return_worker(id);
             }
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -210,8 +210,13 @@
         }
         if (order.token < worker.token)
         {
-            owner->hold_answered(
-                order, state::order_result::fenced, std::nullopt, now());
+            if (!owner->hold_answered(
+                    order, state::order_result::fenced, std::nullopt, now()))
+            {
+                violations.push_back(fmt::format(
+                    "the only owner has to step down because of {}",
+                    worker.info.worker.value));
+            }
             continue;
         }
         worker.token = order.token;
