--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -21,6 +21,11 @@
     return core::wall_clock_us() / us_per_ms;
 }
 
+auto milliseconds_of(core::duration value) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 auto name_of(state::job_latency kind) -> std::string_view
 {
     switch (kind)
@@ -83,6 +88,7 @@
     auto activate(core::epoch number) -> void;
     auto lost(std::string_view cause) -> void;
     auto pump() -> void;
+    auto pump_by_timer() -> void;
     auto request_pump() -> void;
     auto send_hold(state::hold_order order) -> void;
     auto send_order(state::run_order order) -> void;
@@ -121,6 +127,11 @@
     bool pump_requested = false;
     core::time_point next_tick;
     core::time_point next_counts;
+    std::optional<core::time_point> last_timer_at;
+    /** Longest delay of the timer since the last report. */
+    core::duration max_loop_delay{};
+    /** Shortest time left for starts since the last report. */
+    std::optional<core::duration> min_start_time;
     bool leaving = false;
     std::function<void()> on_left;
     transport::timer_handle load_timer;
@@ -326,6 +337,21 @@
     parts.loop.post(guarded([](auto& self) { self.pump(); }));
 }
 
+auto dispatch_host::implementation::pump_by_timer() -> void
+{
+    {
+        auto const lock = std::scoped_lock{mutex};
+        auto const now = parts.clock();
+        if (last_timer_at)
+        {
+            max_loop_delay = std::max(
+                max_loop_delay, now - *last_timer_at - settings.pump_interval);
+        }
+        last_timer_at = now;
+    }
+    pump();
+}
+
 auto dispatch_host::implementation::pump() -> void
 {
     auto holds = std::vector<state::hold_order>{};
@@ -348,7 +374,11 @@
         if (!leaving && term.is_valid())
         {
             holds = dispatcher->take_holds(now);
-            dispatcher->limit_starts(parts.starts_allowed_until());
+            auto const allowed_until = parts.starts_allowed_until();
+            min_start_time = std::min(
+                min_start_time.value_or(core::duration::max()),
+                allowed_until - now);
+            dispatcher->limit_starts(allowed_until);
             orders = dispatcher->take_orders(now);
         }
         if (!writing && now >= write_after)
@@ -548,6 +578,12 @@
     set("dispatch_jobs_refused", it.jobs_refused);
     set("dispatch_jobs_completed", it.jobs_completed);
     set("dispatch_worker_looks", it.workers_considered);
+    auto const loop_delay_ms =
+        milliseconds_of(std::exchange(max_loop_delay, core::duration{}));
+    auto const start_time_ms = milliseconds_of(
+        std::exchange(min_start_time, std::nullopt).value_or(core::duration{}));
+    set("dispatch_loop_delay_ms", loop_delay_ms);
+    set("dispatch_start_time_ms", start_time_ms);
     log.info(
         "Sizes.", {{"jobs_open", it.jobs_open},
                    {"tasks_ready", it.tasks_ready},
@@ -562,7 +598,9 @@
                    {"failed", it.ends_failed},
                    {"other", it.ends_other},
                    {"lost", it.runs_lost},
-                   {"evicted", it.evictions}});
+                   {"evicted", it.evictions},
+                   {"loop_delay_ms", loop_delay_ms},
+                   {"start_time_ms", start_time_ms}});
 }
 
 auto dispatch_host::implementation::submit(
@@ -618,7 +656,8 @@
 {
     auto& it = *implementation_;
     it.pump_timer = it.parts.loop.every(
-        it.settings.pump_interval, it.guarded([](auto& self) { self.pump(); }));
+        it.settings.pump_interval,
+        it.guarded([](auto& self) { self.pump_by_timer(); }));
     it.term.start();
 }
 
