Read HTTP bodies in pieces of up to 64 KiB, not of 512 bytes

Cause: Beast reads into the free capacity of the buffer, at least 512 bytes. The buffers began empty, so each body was read 512 bytes at a time, and each piece takes a turn of the event loop. An answer to the watch on 490 workers holds 100 to 200 KB; with turns of 50 ms it took seconds, in which 250 more changes came, so that the next answer counted as incomplete as well. The copy of the workers was confirmed only by the read of the whole range each 5 s, and for 2 to 3 s of each 5 s no start was allowed.

Tests, before: a_large_response_takes_few_turns_of_a_busy_loop 519 turns, allowed 40; a_large_request_takes_few_turns_of_a_busy_loop 517, allowed 40. After: both pass, as do all of http_client_test (13) and http_server_test (15).

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -255,3 +255,23 @@
     EXPECT_EQ(written->progress, transport::send_progress::maybe_written);
     EXPECT_EQ(waiting->progress, transport::send_progress::nothing_written);
 }
+
+// Guards against an answer of the store that a busy event loop reads in so many
+// turns that it is out of date.
+TEST_F(http, a_large_response_takes_few_turns_of_a_busy_loop)
+{
+    auto const server = serve(
+        [](transport::http_request, transport::http_reply reply)
+        {
+            reply(transport::http_response{
+                200, {}, std::string(large_body_bytes, 'x')});
+        });
+    auto own_loop = transport::reactor{1};
+    auto own_client = transport::http_client{own_loop, {}};
+    auto const busy = busy_loop{own_loop};
+    auto const result =
+        fetch(own_client, server.local(), request_of("GET", "/"));
+    ASSERT_TRUE(result.response) << result.reason.message;
+    EXPECT_EQ(result.response->body.size(), large_body_bytes);
+    EXPECT_LE(busy.turns(), max_turns);
+}
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -329,3 +329,25 @@
     auto received = std::string{};
     RC_ASSERT(peer.read_to_end(received));
 }
+
+// Guards against the same for a request to a busy server.
+TEST_F(http, a_large_request_takes_few_turns_of_a_busy_loop)
+{
+    auto own_loop = transport::reactor{1};
+    auto bounds = transport::http_server_limits{};
+    auto const server = transport::http_server::listen(
+        own_loop, any_port(), bounds,
+        [](transport::http_request request, transport::http_reply reply)
+        {
+            reply(transport::http_response{
+                200, {}, std::to_string(request.body.size())});
+        });
+    ASSERT_TRUE(server.has_value());
+    auto const busy = busy_loop{own_loop};
+    auto const result = fetch(
+        client, server->local(),
+        request_of("POST", "/", std::string(large_body_bytes, 'x')));
+    ASSERT_TRUE(result.response) << result.reason.message;
+    EXPECT_EQ(result.response->body, std::to_string(large_body_bytes));
+    EXPECT_LE(busy.turns(), max_turns);
+}
--- a/tests/support/transport_fixture_base.hpp
+++ b/tests/support/transport_fixture_base.hpp
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <future>
@@ -311,6 +312,61 @@
     transport::http_client client{loop, {}};
 };
 
+/** Occupies an event loop: each of its turns takes some milliseconds. */
+class busy_loop
+{
+public:
+    explicit busy_loop(transport::reactor& loop)
+        : loop_(loop)
+    {
+        next();
+    }
+
+    ~busy_loop()
+    {
+        ending_ = true;
+        while (!ended_)
+        {
+            std::this_thread::yield();
+        }
+    }
+
+    busy_loop(busy_loop const&) = delete;
+    auto operator=(busy_loop const&) -> busy_loop& = delete;
+
+    [[nodiscard]] auto turns() const -> int
+    {
+        return turns_;
+    }
+
+private:
+    auto next() -> void
+    {
+        loop_.post(
+            [this]
+            {
+                if (ending_)
+                {
+                    ended_ = true;
+                    return;
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds{5});
+                ++turns_;
+                next();
+            });
+    }
+
+    transport::reactor& loop_;
+    std::atomic<int> turns_ = 0;
+    std::atomic<bool> ending_ = false;
+    std::atomic<bool> ended_ = false;
+};
+
+/** Turns that a body of 256 KiB may take: a loop with turns of 50 ms has to
+ *  know of a drained worker within 2 s. */
+constexpr auto max_turns = 40;
+constexpr auto large_body_bytes = std::size_t{256} * 1024;
+
 /** A handler that keeps its replies until the test sends them. */
 struct held_replies
 {
--- a/transport/http_client_connection.cpp
+++ b/transport/http_client_connection.cpp
@@ -35,6 +35,7 @@
     , idle_timer_(stream_.get_executor())
     , buffer_(response_header_bytes + read_ahead_bytes)
 {
+    buffer_.reserve(idle_buffer_bytes);
 }
 
 auto client_connection::where() const -> endpoint const&
@@ -220,6 +221,7 @@
             "Content-Length or chunks");
         return;
     }
+    reserve_for_body(buffer_, *parser_);
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code failed, std::size_t)
@@ -298,6 +300,7 @@
 {
     auto const request = std::exchange(request_, nullptr);
     parser_.reset();
+    release_body_buffer(buffer_);
     if (!reusable)
     {
         stream_.close();
--- a/transport/http_internal.hpp
+++ b/transport/http_internal.hpp
@@ -9,6 +9,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
@@ -20,6 +23,32 @@
 using beast_response =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+/** Beast reads into the free capacity of a buffer, but only 512 bytes at a time
+ *  if there is none, each in a turn of the event loop of its own. */
+constexpr auto idle_buffer_bytes = std::size_t{4} * 1024;
+constexpr auto max_read_bytes = std::size_t{64} * 1024;
+
+/** Makes room for the rest of a body; @p parser has read the header. */
+template <class Parser>
+auto reserve_for_body(boost::beast::flat_buffer& buffer, Parser const& parser)
+    -> void
+{
+    auto const left = parser.content_length_remaining();
+    auto const wanted = left ? *left : std::uint64_t{max_read_bytes};
+    buffer.reserve(std::min<std::uint64_t>(
+        std::max<std::uint64_t>(wanted, idle_buffer_bytes), max_read_bytes));
+}
+
+/** Frees what reserve_for_body() has added; keeps unread bytes. */
+inline auto release_body_buffer(boost::beast::flat_buffer& buffer) -> void
+{
+    if (buffer.capacity() > idle_buffer_bytes)
+    {
+        buffer.shrink_to_fit();
+        buffer.reserve(idle_buffer_bytes);
+    }
+}
+
 /** Takes the parts of a received message, without hop-by-hop headers. */
 auto from_beast(beast_request&& message) -> http_request;
 auto from_beast(beast_response&& message) -> http_response;
--- a/transport/http_server_base.cpp
+++ b/transport/http_server_base.cpp
@@ -94,6 +94,7 @@
         , buffer_(server->limits.header_bytes + read_ahead_bytes)
         , server_(std::move(server))
     {
+        buffer_.reserve(idle_buffer_bytes);
     }
 
     ~http_connection()
@@ -263,6 +264,7 @@
 
     auto read_body() -> void
     {
+        reserve_for_body(buffer_, *parser_);
         http::async_read(
             stream_, buffer_, *parser_,
             [self = shared_from_this()](error_code ec, std::size_t)
@@ -291,6 +293,7 @@
             close();
             return;
         }
+        release_body_buffer(buffer_);
         auto message = parser_->release();
         keep_alive_ = message.keep_alive();
         to_head_ = message.method() == http::verb::head;
