Limit the starts without an answer to 64

Cause: each pass sent a start for every task that fitted. With room for 4,000 tasks the event loop wrote and read only starts for seconds; answers of the store, ends of runs and calls waited behind them, and starts were refused as late.

Change: a pass sends starts only while fewer than 64 are unanswered; the next pass follows as soon as some are answered, in the order of rank. A worker that does not answer within 200 ms does not count, so that it cannot stop starts elsewhere.

Test at_most_64_starts_wait_for_an_answer, without the limit: 500 starts at once, with it: passes. starts_continue_beside_workers_that_do_not_answer passes with and without and guards the limit itself.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -142,6 +142,7 @@
     /** No worker carries out the start after this. */
     core::time_point startable_until;
     std::optional<core::time_point> start_confirmed_at;
+    bool start_pending = false; ///< The start was sent and not answered.
     bool stop_requested = false;
     std::optional<core::time_point> stop_sent_at;
     std::optional<core::time_point> stop_confirmed_at;
@@ -421,6 +422,8 @@
     [[nodiscard]] auto start_validity(core::time_point now) const
         -> core::duration;
     auto schedule(core::time_point now) -> void;
+    [[nodiscard]] auto count_pending_starts(core::time_point now) const
+        -> std::size_t;
     auto place_step(ready_step const& it, core::time_point now) -> bool;
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
     auto choose_worker(
@@ -535,6 +538,7 @@
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
     std::vector<unplaceable_need> unplaceable;
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
+    std::size_t starts_left = 0; ///< That this pass may send.
     std::vector<run_order> orders;
     std::deque<job_pointer> dirty_jobs;
     std::vector<core::job_id> expired_jobs;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -18,6 +18,9 @@
 // nowhere. Trying 500 such steps on 350 workers in each pass took a third of a
 // core. Each worker takes 0.15 us, and scheduling may use 2.7% of a core.
 constexpr auto workers_considered_per_s = std::int64_t{150'000};
+// A worker that has not answered a start for this long does not hold up starts
+// on other workers.
+constexpr auto max_answer_time = std::chrono::milliseconds{200};
 // Minimum for the round trip of a start to another data centre.
 constexpr auto min_start_validity = std::chrono::milliseconds{250};
 constexpr auto stop_retry = std::chrono::milliseconds{400};
@@ -108,8 +111,32 @@
     return std::min(settings.start_validity, start_limit - now);
 }
 
+auto dispatcher::implementation::count_pending_starts(
+    core::time_point now) const -> std::size_t
+{
+    auto result = std::size_t{0};
+    for (auto const& [id, worker] : workers)
+    {
+        result += std::count_if(
+            worker->runs.begin(), worker->runs.end(),
+            [now](run_entry const& it) {
+                return it.start_pending &&
+                       now - it.ordered_at < max_answer_time;
+            });
+    }
+    return result;
+}
+
 auto dispatcher::implementation::schedule(core::time_point now) -> void
 {
+    auto const pending = count_pending_starts(now);
+    starts_left = settings.max_pending_starts -
+                  std::min(settings.max_pending_starts, pending);
+    if (starts_left == 0)
+    {
+        schedule_due = true;
+        return;
+    }
     std::erase_if(
         ready_steps,
         [](ready_step const& it)
@@ -147,6 +174,10 @@
         [now](auto const& it) { return now < it.second->reserved_until; }));
     for (auto const& [rank, i] : ranked)
     {
+        if (starts_left == 0)
+        {
+            break;
+        }
         auto const it = ready_steps[i];
         auto const& step = it.job->steps[it.step];
         auto const& spec = it.job->spec(step);
@@ -172,6 +203,7 @@
             reserved -= std::min(reserved, waiting);
         }
     }
+    schedule_due = schedule_due || starts_left == 0;
 }
 
 auto dispatcher::implementation::update_startable_workers(core::time_point now)
@@ -390,7 +422,7 @@
                                  {"waited_ms", to_ms(now - step.ready_since)}});
         }
     };
-    while (!step.ready_tasks.empty())
+    while (!step.ready_tasks.empty() && starts_left > 0)
     {
         auto const index = step.ready_tasks.back();
         auto& task = job.tasks[index];
@@ -471,7 +503,9 @@
     job->start_ordered = true;
     ++job->active_runs;
     ++totals.starts;
+    starts_left -= std::min<std::size_t>(starts_left, 1);
     auto run = make_run(job, index, number, now);
+    run.start_pending = true;
     worker.used += run.need;
     worker.serving_runs += run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs += run.uses_spare_cpu ? 1 : 0;
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -147,6 +147,9 @@
     core::duration previous_owner_validity = std::chrono::seconds{3};
     /** Maximum time until a start is carried out. */
     core::duration start_validity = std::chrono::milliseconds{1500};
+    /** Maximum number of starts without an answer. More would delay the other
+     *  events of an owner with little processor time. */
+    std::size_t max_pending_starts = 64;
     /** Maximum time for which a worker may delay the answer to a hold. */
     core::duration hold_wait = std::chrono::milliseconds{1000};
     /** Maximum delay until the end of a task is stored. */
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -398,6 +398,7 @@
     core::time_point now) -> void
 {
     auto& run = worker.runs[index];
+    run.start_pending = false;
     switch (result)
     {
     case order_result::accepted:
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -63,3 +63,39 @@
     EXPECT_LE(after.workers_considered - before.workers_considered, 180'000U);
     EXPECT_TRUE(world->violations.empty());
 }
+
+// Guards against a backlog whose starts are sent at once: the owner processes
+// nothing else until they are answered, and its copy of the store expires.
+TEST(dispatch_load, at_most_64_starts_wait_for_an_answer)
+{
+    auto const world = make_fleet();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    world->answer_delay_ms = 100;
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 500, 1000)));
+    for (auto i = 0; i < 200 && world->starts.size() < 500; ++i)
+    {
+        auto const before = world->starts.size();
+        world->run_for(world->answer_delay_ms);
+        EXPECT_LE(world->starts.size() - before, 64U);
+    }
+    EXPECT_EQ(world->starts.size(), 500U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against workers without an answer that hold up starts on others.
+TEST(dispatch_load, starts_continue_beside_workers_that_do_not_answer)
+{
+    auto const world = make_fleet();
+    for (auto i = 0; i < 70; ++i)
+    {
+        world->worker(fmt::format("w{:03}", i)).loses_answers = true;
+    }
+    world->answer_delay_ms = 1000;
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 500, 1000)));
+    world->run_for(5000);
+    EXPECT_EQ(world->phase("j1"), state::plan_phase::completed);
+    EXPECT_TRUE(world->violations.empty());
+}
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -142,6 +142,7 @@
     }
     owner->set_drained(drained);
     owner->tick(now());
+    pass_on_answers();
     answer_holds();
     if (start_limit)
     {
@@ -201,6 +202,7 @@
 {
     for (auto const& order : owner->take_holds(now()))
     {
+        ++holds;
         auto& worker = workers_.at(order.worker.value);
         if (!worker.reachable)
         {
@@ -283,7 +285,21 @@
             result = state::order_result::unknown;
         }
     }
-    owner->order_answered(order, result, std::nullopt, now());
+    late_answers_.push_back({now_ms_ + answer_delay_ms, term, order, result});
+    pass_on_answers();
+}
+
+auto dispatch_world::pass_on_answers() -> void
+{
+    while (!late_answers_.empty() && late_answers_.front().due_ms <= now_ms_)
+    {
+        auto const it = std::move(late_answers_.front());
+        late_answers_.pop_front();
+        if (it.term == term)
+        {
+            owner->order_answered(it.order, it.result, std::nullopt, now());
+        }
+    }
 }
 
 auto dispatch_world::apply_order(
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -113,8 +113,11 @@
         measurement_of;
     std::vector<std::string> violations;
     std::vector<std::string> starts; ///< TASK@WORKER of each started run.
+    std::size_t holds = 0;           ///< Holds that the dispatcher has made.
     bool store_down = false;
     bool loses_pace_orders = false; ///< Pace orders are lost.
+    /** Order answers reach the dispatcher this much later. */
+    std::int64_t answer_delay_ms = 0;
     core::epoch term;
     std::unique_ptr<state::dispatcher> owner;
     state::dispatch_snapshot stored;
@@ -132,6 +135,7 @@
     auto advance_worker(fake_dispatch_worker& worker) -> void;
     auto answer_holds() -> void;
     auto carry_out(state::run_order const& order) -> void;
+    auto pass_on_answers() -> void;
     auto
     apply_order(fake_dispatch_worker& worker, state::run_order const& order)
         -> state::order_result;
@@ -147,7 +151,17 @@
     auto need_of(state::task_name const& name) const -> core::resources;
     auto set_queues() -> void;
 
+    /** The answer to an order, on its way to the dispatcher. */
+    struct late_answer
+    {
+        std::int64_t due_ms = 0;
+        core::epoch term;
+        state::run_order order;
+        state::order_result result = state::order_result::unknown;
+    };
+
     std::int64_t now_ms_ = 1'000'000;
+    std::deque<late_answer> late_answers_;
     std::map<std::string, fake_dispatch_worker> workers_;
     /** The list that `owner` has; it is passed on only when it changes. */
     std::optional<std::vector<state::listed_worker>> last_listed_;
