Poll workers less often while answers are processed late

Cause: the owner polls each worker again 40 ms after an end, and each 0.4 s where serving and best-effort tasks share it, whatever the load.

Change: if even the fastest start of an interval of 100 ms took more than 50 ms, the owner is behind, and the pause between polls of a worker grows by 40 ms, up to 600 ms; else it shrinks by 20 ms. Several ends then come with one answer. On an owner in time nothing changes.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -351,6 +351,7 @@
     auto hold_answered(
         hold_order const& order, order_result result,
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
+    auto adapt_poll_pause(core::time_point now) -> void;
     auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
     auto handle_exit(
         dispatch_worker& worker, std::string_view cause, core::time_point now)
@@ -528,6 +529,11 @@
     queue_table_pointer queues = std::make_shared<queue_table const>();
     std::set<core::data_centre_id> drained;
     core::time_point start_limit = core::time_point::max();
+    /** Added to the pauses between holds while answers are processed late. */
+    core::duration extra_poll_pause{};
+    /** Shortest time from a start to its answer in this interval. */
+    std::optional<core::duration> min_answer_time;
+    core::time_point next_poll_adaptation;
     std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
         jobs;
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -18,6 +18,14 @@
 // Far below the minimum time in which a lease may lapse, so that it is renewed
 // in time.
 constexpr auto lost_contact_pause = std::chrono::milliseconds{150};
+// If even the fastest answer of an interval took longer, the owner is behind
+// with processing them. The pauses between holds then grow by a step, else they
+// shrink by half of it.
+constexpr auto acceptable_answer_time = std::chrono::milliseconds{50};
+constexpr auto poll_adaptation_interval = std::chrono::milliseconds{100};
+constexpr auto poll_pause_step = core::duration{std::chrono::milliseconds{40}};
+constexpr auto max_extra_poll_pause =
+    core::duration{std::chrono::milliseconds{600}};
 constexpr auto unanswered_pause = std::chrono::milliseconds{300};
 constexpr auto rejected_pause = std::chrono::milliseconds{300};
 // Runs are stopped this long before their worker leaves; stopping one and
@@ -195,6 +203,21 @@
     return order;
 }
 
+auto dispatcher::implementation::adapt_poll_pause(core::time_point now) -> void
+{
+    if (now < next_poll_adaptation)
+    {
+        return;
+    }
+    next_poll_adaptation = now + poll_adaptation_interval;
+    auto const answer_time = std::exchange(min_answer_time, std::nullopt);
+    extra_poll_pause =
+        answer_time > acceptable_answer_time
+            ? std::min(max_extra_poll_pause, extra_poll_pause + poll_pause_step)
+            : std::max(
+                  core::duration{}, extra_poll_pause - poll_pause_step / 2);
+}
+
 auto dispatcher::implementation::lose_contact(
     dispatch_worker& worker, core::time_point now) -> void
 {
@@ -344,7 +367,9 @@
         return;
     }
     auto const has_new_ends = worker.last_processed_end != ends_before;
-    worker.next_hold_at = has_new_ends ? now + settings.poll_pause : now;
+    worker.next_hold_at =
+        now + extra_poll_pause +
+        (has_new_ends ? settings.poll_pause : core::duration{});
     move_stalled_runs(worker, now);
     learn_interference(worker, now);
     add_pace_orders(worker, now);
@@ -403,6 +428,9 @@
     {
     case order_result::accepted:
         run.start_confirmed_at = now;
+        min_answer_time = std::min(
+            min_answer_time.value_or(core::duration::max()),
+            now - run.ordered_at);
         if (run.job)
         {
             mark_started(*run.job);
@@ -458,6 +486,7 @@
     }
     finish_recovery(now);
     forget_lost_workers(now);
+    adapt_poll_pause(now);
     expire_old_jobs(now);
     coefficient_cache.clear();
     schedule_due = true;
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -99,3 +99,35 @@
     EXPECT_EQ(world->phase("j1"), state::plan_phase::completed);
     EXPECT_TRUE(world->violations.empty());
 }
+
+// Guards against an owner that falls behind and spends its processor on polls.
+TEST(dispatch_load, workers_are_polled_less_often_while_answers_are_late)
+{
+    auto world = tests::dispatch_world{};
+    for (auto i = 0; i < 20; ++i)
+    {
+        world.add_worker(fmt::format("w{:02}", i), worker_capacity);
+    }
+    world.begin_term();
+    world.run_for(300);
+    for (auto i = 0; i < 3; ++i)
+    {
+        ASSERT_TRUE(
+            world.submit(tests::make_plan(fmt::format("j{}", i), 8000, 1000)));
+    }
+    auto const holds_in_a_second = [&world]
+    {
+        auto const before = world.holds;
+        world.run_for(1000);
+        return world.holds - before;
+    };
+    auto const in_time = holds_in_a_second();
+    world.answer_delay_ms = 100;
+    world.run_for(4000);
+    auto const late = holds_in_a_second();
+    world.answer_delay_ms = 0;
+    world.run_for(5000);
+    EXPECT_LT(late * 2, in_time);
+    EXPECT_GT(holds_in_a_second() * 10, in_time * 9);
+    EXPECT_TRUE(world.violations.empty());
+}
