--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -142,6 +142,7 @@
     /** No worker carries out the start after this. */
     core::time_point startable_until;
     std::optional<core::time_point> start_confirmed_at;
+    bool start_pending = false; ///< The start was sent and not answered.
     bool stop_requested = false;
     std::optional<core::time_point> stop_sent_at;
     std::optional<core::time_point> stop_confirmed_at;
@@ -350,6 +351,7 @@
     auto hold_answered(
         hold_order const& order, order_result result,
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
+    auto adapt_poll_pause(core::time_point now) -> void;
     auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
     auto handle_exit(
         dispatch_worker& worker, std::string_view cause, core::time_point now)
@@ -421,6 +423,8 @@
     [[nodiscard]] auto start_validity(core::time_point now) const
         -> core::duration;
     auto schedule(core::time_point now) -> void;
+    [[nodiscard]] auto count_pending_starts(core::time_point now) const
+        -> std::size_t;
     auto place_step(ready_step const& it, core::time_point now) -> bool;
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
     auto choose_worker(
@@ -525,6 +529,11 @@
     queue_table_pointer queues = std::make_shared<queue_table const>();
     std::set<core::data_centre_id> drained;
     core::time_point start_limit = core::time_point::max();
+    /** Added to the pauses between holds while answers are processed late. */
+    core::duration extra_poll_pause{};
+    /** Shortest time from a start to its answer in this interval. */
+    std::optional<core::duration> min_answer_time;
+    core::time_point next_poll_adaptation;
     std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
         jobs;
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
@@ -535,6 +544,7 @@
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
     std::vector<unplaceable_need> unplaceable;
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
+    std::size_t starts_left = 0; ///< That this pass may send.
     std::vector<run_order> orders;
     std::deque<job_pointer> dirty_jobs;
     std::vector<core::job_id> expired_jobs;
