Hold only the tasks of lost workers after a change of owner

Cause: a new owner holds every task of every stored job until each stored worker has answered, or 13.6 s. One worker that is cut off, or that an overloaded owner had lost, holds all of them, although the former owner knew which tasks may run there.

Change: an owner that has lost contact with a worker for 500 ms stores the names of the tasks that may run on it with the stored list of workers, and starts nothing there before the list without names is stored again. A new owner that finds names for every worker that it has not heard holds only these tasks. A list that cannot be read, a worker without names, and ends that are not stored keep the old, longer wait.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -253,7 +253,7 @@
                 if (!answer->entries.empty())
                 {
                     auto known =
-                        protocol::decode<std::vector<state::listed_worker>>(
+                        protocol::decode<std::vector<state::stored_worker>>(
                             answer->entries.front().value);
                     if (!known)
                     {
@@ -262,7 +262,7 @@
                     auto const lock = std::scoped_lock{self.mutex};
                     self.loading.workers_readable = known.has_value();
                     self.loading.workers =
-                        known.value_or(std::vector<state::listed_worker>{});
+                        known.value_or(std::vector<state::stored_worker>{});
                 }
                 self.activate(number);
             }));
--- a/protocol/msgpack_func.cpp
+++ b/protocol/msgpack_func.cpp
@@ -127,7 +127,7 @@
     return encode_value(value);
 }
 
-auto encode(std::vector<state::listed_worker> const& value) -> std::string
+auto encode(std::vector<state::stored_worker> const& value) -> std::string
 {
     return encode_value(value);
 }
@@ -181,7 +181,7 @@
 template auto decode(std::string_view) -> std::optional<state::plan_record>;
 template auto decode(std::string_view) -> std::optional<state::plan_progress>;
 template auto decode(std::string_view)
-    -> std::optional<std::vector<state::listed_worker>>;
+    -> std::optional<std::vector<state::stored_worker>>;
 template auto decode(std::string_view) -> std::optional<job_call>;
 template auto decode(std::string_view) -> std::optional<job_answer>;
 template auto decode(std::string_view) -> std::optional<owner_record>;
--- a/protocol/msgpack_func.hpp
+++ b/protocol/msgpack_func.hpp
@@ -30,7 +30,7 @@
 auto encode(state::heartbeat_reply const& value) -> std::string;
 auto encode(state::plan_record const& value) -> std::string;
 auto encode(state::plan_progress const& value) -> std::string;
-auto encode(std::vector<state::listed_worker> const& value) -> std::string;
+auto encode(std::vector<state::stored_worker> const& value) -> std::string;
 auto encode(job_call const& value) -> std::string;
 auto encode(job_answer const& value) -> std::string;
 auto encode(owner_record const& value) -> std::string;
@@ -61,7 +61,7 @@
 extern template auto decode(std::string_view)
     -> std::optional<state::plan_progress>;
 extern template auto decode(std::string_view)
-    -> std::optional<std::vector<state::listed_worker>>;
+    -> std::optional<std::vector<state::stored_worker>>;
 extern template auto decode(std::string_view) -> std::optional<job_call>;
 extern template auto decode(std::string_view) -> std::optional<job_answer>;
 extern template auto decode(std::string_view) -> std::optional<owner_record>;
--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -82,6 +82,20 @@
     visit("born_ms", value.started_ms);
 }
 
+auto visit_members(is<state::task_name> auto& value, auto&& visit) -> void
+{
+    visit("job", value.job);
+    visit("occurrence", value.occurrence);
+    visit("step", value.step);
+    visit("index", value.index);
+}
+
+auto visit_members(is<state::stored_worker> auto& value, auto&& visit) -> void
+{
+    visit_members(value.info, visit);
+    visit("possible_tasks", value.possible_tasks);
+}
+
 auto visit_members(is<job_call> auto& value, auto&& visit) -> void
 {
     visit("kind", value.kind);
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -83,11 +83,17 @@
         workers_in_flight.clear();
         for (auto const& [id, worker] : workers)
         {
-            if (worker->may_have_runs())
+            if (!worker->may_have_runs())
+            {
+                continue;
+            }
+            auto tasks = possible_tasks(*worker, now);
+            worker->stored_with_tasks = tasks.has_value();
+            if (!tasks)
             {
-                batch.workers->push_back(worker->info);
                 workers_in_flight.push_back(id);
             }
+            batch.workers->push_back({worker->info, std::move(tasks)});
         }
         worker_list_changed = false;
         worker_list_in_flight = true;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -202,6 +202,12 @@
     bool may_have_unknown_runs = false;
     bool exited = false;  ///< Its process has ended; it has no runs or lease.
     bool retired = false; ///< Draining without runs, so it gets no runs.
+    /** Possible tasks of previous owners; unset if they are not known. */
+    std::optional<std::vector<task_name>> former_tasks;
+    /** The store may hold a list of its possible tasks, so it gets no others.
+     */
+    bool stored_with_tasks = false;
+    std::optional<core::time_point> lost_at; ///< Unset while in contact.
     contact_state contact = contact_state::none;
     std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
     std::uint64_t restarts = 0; ///< Of the worker under this owner.
@@ -241,6 +247,13 @@
     std::vector<serving_class> serving_classes;
     std::int64_t spare_cpu_milli = 0; ///< Estimated unused processors.
 
+    [[nodiscard]] auto all_ends_stored() const -> bool
+    {
+        return std::all_of(
+            unacknowledged_ends.begin(), unacknowledged_ends.end(),
+            [](pending_end const& it) { return it.is_stored(); });
+    }
+
     [[nodiscard]] auto free() const -> core::resources
     {
         return info.capacity - used;
@@ -343,6 +356,13 @@
         -> void;
     auto forget_lost_workers(core::time_point now) -> void;
     auto update_retired(dispatch_worker& worker, core::time_point now) -> void;
+    auto
+    possible_tasks(dispatch_worker const& worker, core::time_point now) const
+        -> std::optional<std::vector<task_name>>;
+    auto update_stored_tasks(dispatch_worker& worker, core::time_point now)
+        -> void;
+    [[nodiscard]] auto may_run_unseen(job_entry& job, std::uint32_t task) const
+        -> bool;
     auto token_of(dispatch_worker const& worker) const -> fencing_token;
     auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
@@ -413,6 +433,7 @@
     auto find_worker(core::worker_id const& id) -> dispatch_worker*;
     auto tick(core::time_point now) -> void;
     auto finish_recovery(core::time_point now) -> void;
+    auto release_unknown_tasks(std::size_t unheard) -> void;
     auto move_stalled_runs(dispatch_worker& worker, core::time_point now)
         -> void;
 
@@ -544,7 +565,7 @@
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
     std::vector<unplaceable_need> unplaceable;
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
-    std::size_t starts_left = 0; ///< That this pass may send.
+    std::size_t starts_left = 0;                ///< That this pass may send.
     std::vector<run_order> orders;
     std::deque<job_pointer> dirty_jobs;
     std::vector<core::job_id> expired_jobs;
@@ -557,6 +578,9 @@
     bool worker_list_in_flight = false;
     bool worker_list_known = false;
     bool recovering = false;
+    /** While recovering: only `held_tasks` may run unseen, not all tasks. */
+    bool held_tasks_known = false;
+    std::set<task_name> held_tasks; ///< Of workers that have not answered.
     core::time_point recovery_until;
     bool stored_list_readable = true; ///< False: unknown workers have runs.
     core::time_point next_cleanup;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -76,10 +76,12 @@
             release_runnable_steps(job);
         }
     }
-    for (auto const& info : stored.workers)
+    for (auto const& [info, tasks] : stored.workers)
     {
         auto worker = std::make_unique<dispatch_worker>();
         worker->info = info;
+        worker->former_tasks = tasks;
+        worker->stored_with_tasks = tasks.has_value();
         worker->in_stored_list = true;
         worker->may_have_unknown_runs = true;
         worker->lease_until = recovery_until;
@@ -195,7 +197,7 @@
         {
             continue;
         }
-        if (recovering && job->restored)
+        if (may_run_unseen(*job, i))
         {
             task.state = task_state::unknown;
         }
@@ -206,6 +208,13 @@
     }
 }
 
+auto dispatcher::implementation::may_run_unseen(
+    job_entry& job, std::uint32_t task) const -> bool
+{
+    return recovering && job.restored &&
+           (!held_tasks_known || held_tasks.contains(job.name_of(task)));
+}
+
 auto dispatcher::implementation::make_ready(
     job_pointer const& job, std::uint32_t index) -> void
 {
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -316,7 +316,7 @@
     {
         return;
     }
-    if (recovering && job->restored && !was_current)
+    if (!was_current && may_run_unseen(*job, index))
     {
         // A later run may exist on a worker that has not answered yet.
         task.state = task_state::unknown;
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -33,6 +33,15 @@
     auto operator==(listed_worker const&) const -> bool = default;
 };
 
+/** A worker in the store, where a new owner looks for runs. */
+struct stored_worker
+{
+    listed_worker info;
+    /** Tasks that may run there, if the owner has lost contact with it; unset
+     *  while the owner may start others. */
+    std::optional<std::vector<task_name>> possible_tasks;
+};
+
 /** Fencing token of the orders to one worker; it never decreases. */
 using fencing_token = core::number_id<struct fencing_token_tag>;
 
@@ -173,7 +182,7 @@
     std::vector<std::pair<core::job_id, plan_progress>> progress;
     std::vector<core::job_id> expired; ///< Deleted after the retention.
     /** The new list of workers; unset if it has not changed. */
-    std::optional<std::vector<listed_worker>> workers;
+    std::optional<std::vector<stored_worker>> workers;
 
     [[nodiscard]] auto empty() const -> bool
     {
@@ -187,7 +196,7 @@
 {
     std::vector<plan_record> jobs;
     std::vector<std::pair<core::job_id, plan_progress>> progress;
-    std::vector<listed_worker> workers;
+    std::vector<stored_worker> workers;
     bool workers_readable = true; ///< False if `workers` may lack some.
 };
 
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -26,6 +26,9 @@
 constexpr auto poll_pause_step = core::duration{std::chrono::milliseconds{40}};
 constexpr auto max_extra_poll_pause =
     core::duration{std::chrono::milliseconds{600}};
+// Contact is often regained sooner; naming the tasks of a worker in the store
+// costs a write, and another one before its next start.
+constexpr auto min_lost_time = std::chrono::milliseconds{500};
 constexpr auto unanswered_pause = std::chrono::milliseconds{300};
 constexpr auto rejected_pause = std::chrono::milliseconds{300};
 // Runs are stopped this long before their worker leaves; stopping one and
@@ -56,6 +59,7 @@
             worker->next_hold_at = now;
             auto const it = former_restarts.find(info.worker);
             worker->restarts = it == former_restarts.end() ? 0 : it->second;
+            worker->lost_at = now;
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
@@ -87,13 +91,10 @@
 auto dispatcher::implementation::update_retired(
     dispatch_worker& worker, core::time_point now) -> void
 {
-    auto const all_ends_stored = std::all_of(
-        worker.unacknowledged_ends.begin(), worker.unacknowledged_ends.end(),
-        [](pending_end const& it) { return it.is_stored(); });
     auto const retires =
         worker.info.draining && worker.runs.empty() &&
         (worker.retired ||
-         (worker.contact == contact_state::live && all_ends_stored));
+         (worker.contact == contact_state::live && worker.all_ends_stored()));
     if (worker.retired != retires)
     {
         worker.retired = retires;
@@ -103,6 +104,42 @@
     }
 }
 
+// Returns the tasks that may run on a worker without contact: nothing is
+// started there. Unset if others may run there.
+auto dispatcher::implementation::possible_tasks(
+    dispatch_worker const& worker, core::time_point now) const
+    -> std::optional<std::vector<task_name>>
+{
+    if (worker.may_have_unknown_runs)
+    {
+        return worker.former_tasks;
+    }
+    auto const lost = worker.lost_at &&
+                      now - *worker.lost_at >= min_lost_time &&
+                      worker.all_ends_stored();
+    if (!lost)
+    {
+        return std::nullopt;
+    }
+    auto result = std::vector<task_name>{};
+    for (auto const& run : worker.runs)
+    {
+        result.push_back(run.name);
+    }
+    return result;
+}
+
+auto dispatcher::implementation::update_stored_tasks(
+    dispatch_worker& worker, core::time_point now) -> void
+{
+    if (worker.may_have_runs() && !worker.stored_with_tasks &&
+        possible_tasks(worker, now))
+    {
+        worker_list_changed = true;
+        commit_at(now + settings.commit_delay);
+    }
+}
+
 auto dispatcher::implementation::forget_lost_workers(core::time_point now)
     -> void
 {
@@ -221,6 +258,10 @@
 auto dispatcher::implementation::lose_contact(
     dispatch_worker& worker, core::time_point now) -> void
 {
+    if (worker.contact != contact_state::none)
+    {
+        worker.lost_at = now;
+    }
     worker.contact = contact_state::none;
     ++worker.session;
     worker.next_hold_at = now + lost_contact_pause;
@@ -353,7 +394,9 @@
     resolve_missing_runs(worker, order.sent_at, now);
     worker.restarted = false;
     worker.may_have_unknown_runs = false;
-    if (std::exchange(worker.exited, false))
+    worker.lost_at.reset();
+    auto const restricted = std::exchange(worker.stored_with_tasks, false);
+    if (std::exchange(worker.exited, false) || restricted)
     {
         worker.in_stored_list = false;
         worker_list_changed = true;
@@ -483,6 +526,7 @@
     {
         move_from_draining(*worker, now);
         update_retired(*worker, now);
+        update_stored_tasks(*worker, now);
     }
     finish_recovery(now);
     forget_lost_workers(now);
@@ -522,33 +566,57 @@
     {
         return;
     }
-    auto const all_heard =
-        stored_list_readable &&
-        std::none_of(
-            workers.begin(), workers.end(),
-            [](auto const& it) { return it.second->may_have_unknown_runs; });
-    if (!all_heard && now < recovery_until)
+    auto const expired = now >= recovery_until;
+    if (!expired && !stored_list_readable)
     {
         return;
     }
-    recovering = false;
+    auto unheard = std::size_t{0};
+    auto held = std::set<task_name>{};
     for (auto const& [id, worker] : workers)
     {
-        if (worker->may_have_unknown_runs)
+        if (!worker->may_have_unknown_runs)
+        {
+            continue;
+        }
+        ++unheard;
+        if (expired)
         {
+            worker->may_have_unknown_runs = false;
+            worker->lost_at = worker->lost_at.value_or(now);
             event(
                 "A worker has not answered this owner.",
                 {{"worker", id.value},
                  {"listed", worker->in_worker_list},
                  {"drains", worker->drain_seen_at.has_value()}});
+            continue;
+        }
+        if (!worker->former_tasks)
+        {
+            return;
         }
+        held.insert(worker->former_tasks->begin(), worker->former_tasks->end());
+    }
+    if (held_tasks_known && held == held_tasks)
+    {
+        return;
     }
+    held_tasks_known = true;
+    held_tasks = std::move(held);
+    recovering = !held_tasks.empty();
+    release_unknown_tasks(unheard);
+}
+
+auto dispatcher::implementation::release_unknown_tasks(std::size_t unheard)
+    -> void
+{
     auto released = std::size_t{0};
     for (auto const& [id, job] : jobs)
     {
         for (auto i = std::uint32_t{0}; i < job->tasks.size(); ++i)
         {
-            if (job->tasks[i].state == task_state::unknown)
+            if (job->tasks[i].state == task_state::unknown &&
+                !may_run_unseen(*job, i))
             {
                 make_ready(job, i);
                 ++released;
@@ -557,7 +625,9 @@
     }
     event(
         "The runs of the previous owner are known.",
-        {{"all_workers_heard", all_heard}, {"tasks_released", released}});
+        {{"workers_not_heard", unheard},
+         {"tasks_held", held_tasks.size()},
+         {"tasks_released", released}});
 }
 
 } // namespace godwitcleat::state
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -109,7 +109,7 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    auto operator==(task_name const&) const -> bool = default;
+    auto operator<=>(task_name const&) const = default; // NOLINT
 };
 
 /** Limits of a plan. */
