Tasks: one under which three workers have crashed is given up

Cause: nothing counted crashes.

Change: - Each task has crashed_runs, stored with its progress; older stored progress without the member is still readable. - A run counts when its worker's process is found restarted or ended, also if the start had no answer. Not counted: a lapsed lease, a run that was being stopped, a run on a draining worker (also if the process that replaces it is listed first), and a run that was at work for over 10 s. - At three crashes the job ends as failed, whether its tasks are long-running or not. - A task with a crash (suspect) is not placed beside another suspect run until that run was at work for 10 s, and costs make suspects and other tasks keep apart. Gangs follow the costs only, as they need all workers at once. A waiting suspect blocks neither its own step nor others, and reserves no worker.

That a waiting suspect reserves no worker has no test.

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -59,6 +59,7 @@
     visit("task", value.task);
     visit("failed_runs", value.failed_runs);
     visit("checkpoint", value.checkpoint);
+    visit("crashed_runs", value.crashed_runs);
 }
 
 auto visit_members(is<state::plan_progress> auto& value, auto&& visit) -> void
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -30,9 +30,12 @@
         {
             mark_done(result, i);
         }
-        else if (!task.failed_runs.empty() || !task.checkpoint.empty())
+        else if (
+            !task.failed_runs.empty() || !task.checkpoint.empty() ||
+            task.is_suspect())
         {
-            result.tasks.push_back({i, task.failed_runs, task.checkpoint});
+            result.tasks.push_back(
+                {i, task.failed_runs, task.checkpoint, task.crashed_runs});
         }
     }
     return result;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -58,6 +58,20 @@
     /** Worker of the last run that failed, stalled or was paused too long. */
     core::worker_id avoided_worker;
     std::string checkpoint;
+    std::vector<std::uint64_t> crashed_runs; ///< Each crashed its worker.
+
+    /** Returns true if a worker has crashed under the task. */
+    [[nodiscard]] auto is_suspect() const -> bool
+    {
+        return !crashed_runs.empty();
+    }
+
+    /** Returns true if it is not started beside another suspect. After one
+     *  crash, the other tasks of that worker are suspects as well. */
+    [[nodiscard]] auto needs_isolation() const -> bool
+    {
+        return crashed_runs.size() > 1;
+    }
 };
 
 /** A step of one occurrence of a job. */
@@ -137,7 +151,11 @@
     std::int64_t cpu_demand = 0; ///< Milli-cores at full pace.
     bool uses_spare_cpu = false;
     std::int64_t tail_target_ms = 0;
-    bool seen_running = false; ///< The worker has reported it as running.
+    bool seen_running = false;     ///< The worker has reported it as running.
+    core::time_point last_seen_at; ///< When it was last reported as running.
+    bool drain_seen = false;       ///< Its worker was listed as draining.
+    /** A worker has crashed under its task, and may crash under this run. */
+    bool suspect = false;
     core::time_point ordered_at;
     /** No worker carries out the start after this. */
     core::time_point startable_until;
@@ -237,6 +255,7 @@
     core::time_point suspended_until;
     std::uint32_t serving_runs = 0;     ///< Runs with a tail latency target.
     std::uint32_t best_effort_runs = 0; ///< Runs that use spare processors.
+    std::uint32_t suspect_runs = 0;     ///< Runs with run_entry::suspect.
     /** Since when no serving run has been near its target. */
     core::time_point below_target_since;
     /** When a best-effort run last ended. */
@@ -279,10 +298,18 @@
     core::service_id service;
     task_class_id task_class; ///< Relevant if `uses_spare_cpu` is set.
     bool uses_spare_cpu = false;
+    bool suspects_only = false; ///< It fits, but beside suspect runs only.
     core::resources need;
     core::time_point until; ///< When placement is tried again.
 };
 
+/** Result of the choice of a worker for a task. */
+struct worker_choice
+{
+    dispatch_worker* worker = nullptr; ///< Null if there is none.
+    bool beside_suspect = false; ///< It fits, but beside suspect runs only.
+};
+
 struct string_hash
 {
     using is_transparent = void;
@@ -420,6 +447,11 @@
     auto record_worker_result(
         dispatch_worker& worker, job_entry& job, run_outcome outcome,
         core::time_point now) -> void;
+    /** Counts a run whose worker process has ended, if it may be the cause. */
+    auto count_crash(
+        dispatch_worker& worker, run_entry const& run, core::time_point now)
+        -> void;
+    auto update_suspicion(dispatch_worker& worker, run_entry& run) -> void;
     auto
     retry_run(dispatch_worker& worker, std::size_t index, core::time_point now)
         -> void;
@@ -450,17 +482,17 @@
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
     auto choose_worker(
         job_entry& job, step_entry& step, dispatch_task const& task,
-        queue_config const& queue, core::time_point now) -> dispatch_worker*;
+        queue_config const& queue, core::time_point now) -> worker_choice;
     auto update_startable_workers(core::time_point now) -> void;
     [[nodiscard]] auto has_waited_long(
         job_entry const& job, step_entry const& step,
         core::time_point now) const -> bool;
     [[nodiscard]] auto is_unplaceable(
-        job_entry const& job, step_entry const& step,
+        job_entry const& job, step_entry const& step, bool suspect,
         core::time_point now) const -> bool;
     auto remember_unplaceable(
-        job_entry const& job, step_entry const& step, core::time_point now)
-        -> void;
+        job_entry const& job, step_entry const& step, bool suspects_only,
+        core::time_point now) -> void;
     auto learn_run_time(run_entry const& run, core::time_point now) -> void;
     [[nodiscard]] auto is_mostly_free() const -> bool;
     auto
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -155,6 +155,7 @@
         {
             job.tasks[it.task].failed_runs = it.failed_runs;
             job.tasks[it.task].checkpoint = it.checkpoint;
+            job.tasks[it.task].crashed_runs = it.crashed_runs;
             job.started = true;
         }
     }
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -85,6 +85,8 @@
     auto& run = i ? worker.runs[*i] : adopt_run(worker, row, now);
     run.last_seen_in_list = worker.list_count;
     run.seen_running = true;
+    run.last_seen_at = now;
+    update_suspicion(worker, run);
     if (run.job)
     {
         mark_started(*run.job);
@@ -136,6 +138,7 @@
     worker.used += run.need;
     worker.serving_runs += run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs += run.uses_spare_cpu ? 1 : 0;
+    worker.suspect_runs += run.suspect ? 1 : 0;
     event(
         "A run was found on a worker.", {{"worker", worker.info.worker.value},
                                          {"job", row.task.job.value},
@@ -161,6 +164,10 @@
             run.start_confirmed_at && *run.start_confirmed_at < sent_at;
         auto const stopped =
             run.stop_confirmed_at && *run.stop_confirmed_at < sent_at;
+        if (worker.restarted)
+        {
+            count_crash(worker, run, now);
+        }
         if (worker.restarted || confirmed || stopped ||
             sent_at > run.startable_until)
         {
@@ -208,6 +215,7 @@
     worker.used -= run.need;
     worker.serving_runs -= run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs -= run.uses_spare_cpu ? 1 : 0;
+    worker.suspect_runs -= run.suspect ? 1 : 0;
     schedule_due = true;
     if (!run.job)
     {
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -44,6 +44,9 @@
 // Exceeds the maximum share of spare processors, so that this cost dominates.
 constexpr auto beside_serving_cost = 1.0;
 constexpr auto failure_cost = 10.0;
+// Of a task beside a run under whose task a worker has crashed, and of such a
+// task beside other runs; either exceeds the costs of packing and spreading.
+constexpr auto beside_suspect_cost = 5.0;
 
 /** Order in which steps are placed; lower first. */
 struct step_rank
@@ -181,7 +184,7 @@
         auto const it = ready_steps[i];
         auto const& step = it.job->steps[it.step];
         auto const& spec = it.job->spec(step);
-        if (is_unplaceable(*it.job, step, now))
+        if (is_unplaceable(*it.job, step, false, now))
         {
             continue;
         }
@@ -191,7 +194,7 @@
         {
             continue;
         }
-        remember_unplaceable(*it.job, step, now);
+        remember_unplaceable(*it.job, step, false, now);
         if (spec.long_running)
         {
             auto const waiting = step.ready_tasks.size();
@@ -241,8 +244,8 @@
 }
 
 auto dispatcher::implementation::is_unplaceable(
-    job_entry const& job, step_entry const& step, core::time_point now) const
-    -> bool
+    job_entry const& job, step_entry const& step, bool suspect,
+    core::time_point now) const -> bool
 {
     auto const& spec = job.spec(step);
     // A step that has waited long is placed regardless of interference.
@@ -256,14 +259,16 @@
         unplaceable.begin(), unplaceable.end(),
         [&](unplaceable_need const& it)
         {
-            return it.uses_spare_cpu == spec.uses_spare_cpu &&
+            return (suspect || !it.suspects_only) &&
+                   it.uses_spare_cpu == spec.uses_spare_cpu &&
                    (!spec.uses_spare_cpu || it.task_class == step.task_class) &&
                    it.need.fits_in(spec.need) && it.service == service;
         });
 }
 
 auto dispatcher::implementation::remember_unplaceable(
-    job_entry const& job, step_entry const& step, core::time_point now) -> void
+    job_entry const& job, step_entry const& step, bool suspects_only,
+    core::time_point now) -> void
 {
     auto const& spec = job.spec(step);
     auto const is_plain = spec.label.empty() && !spec.gang &&
@@ -278,6 +283,7 @@
     it.service = find_queue(job)->service;
     it.task_class = step.task_class;
     it.uses_spare_cpu = spec.uses_spare_cpu;
+    it.suspects_only = suspects_only;
     it.need = spec.need;
     // Other steps need reserved processors, which may become free at any time.
     it.until = now;
@@ -318,7 +324,7 @@
 
 auto dispatcher::implementation::choose_worker(
     job_entry& job, step_entry& step, dispatch_task const& task,
-    queue_config const& queue, core::time_point now) -> dispatch_worker*
+    queue_config const& queue, core::time_point now) -> worker_choice
 {
     auto const& spec = job.spec(step);
     auto need = spec.need;
@@ -328,7 +334,7 @@
     }
     auto const waited_long =
         spec.uses_spare_cpu && has_waited_long(job, step, now);
-    auto* best = static_cast<dispatch_worker*>(nullptr);
+    auto result = worker_choice{};
     auto best_cost = std::numeric_limits<double>::max();
     auto const candidates = startable_workers_for(queue);
     totals.workers_considered += candidates.size();
@@ -370,6 +376,12 @@
                 continue;
             }
         }
+        // All members of a gang need a worker at the same time.
+        if (task.needs_isolation() && worker->suspect_runs > 0 && !spec.gang)
+        {
+            result.beside_suspect = true;
+            continue;
+        }
         auto const capacity =
             std::max<double>(1.0, static_cast<double>(info.capacity.cpu_milli));
         auto const left =
@@ -390,17 +402,22 @@
         }
         cost += info.worker == task.avoided_worker ? avoided_cost : 0.0;
         cost += failure_cost * worker->consecutive_failures;
+        auto const beside_suspect =
+            worker->suspect_runs > 0 ||
+            (task.is_suspect() && !worker->runs.empty());
+        cost += beside_suspect ? beside_suspect_cost : 0.0;
         if (!spec.near_rack.empty() && info.rack != spec.near_rack)
         {
             cost += other_rack_cost;
         }
         if (cost < best_cost)
         {
-            best = worker;
+            result.worker = worker;
             best_cost = cost;
         }
     }
-    return best;
+    result.beside_suspect = result.beside_suspect && result.worker == nullptr;
+    return result;
 }
 
 auto dispatcher::implementation::place_step(
@@ -422,18 +439,37 @@
                                  {"waited_ms", to_ms(now - step.ready_since)}});
         }
     };
-    while (!step.ready_tasks.empty() && starts_left > 0)
+    auto suspects_wait = std::optional<bool>{};
+    for (auto i = step.ready_tasks.size(); starts_left > 0 && i-- > 0;)
     {
-        auto const index = step.ready_tasks.back();
+        auto const index = step.ready_tasks[i];
         auto& task = job.tasks[index];
-        auto* const worker = choose_worker(job, step, task, *queue, now);
-        if (worker == nullptr)
+        if (task.needs_isolation())
+        {
+            if (!suspects_wait)
+            {
+                suspects_wait = is_unplaceable(job, step, true, now);
+            }
+            if (*suspects_wait)
+            {
+                continue;
+            }
+        }
+        auto const choice = choose_worker(job, step, task, *queue, now);
+        if (choice.beside_suspect)
+        {
+            suspects_wait = true;
+            remember_unplaceable(job, step, true, now);
+            continue;
+        }
+        if (choice.worker == nullptr)
         {
             log_starts();
             return false;
         }
-        step.ready_tasks.pop_back();
-        start(it.job, index, *worker, next_run(job, task), now);
+        step.ready_tasks.erase(
+            step.ready_tasks.begin() + static_cast<std::ptrdiff_t>(i));
+        start(it.job, index, *choice.worker, next_run(job, task), now);
     }
     log_starts();
     return true;
@@ -455,7 +491,7 @@
     for (auto const index : step.ready_tasks)
     {
         auto* const worker =
-            choose_worker(job, step, job.tasks[index], *queue, now);
+            choose_worker(job, step, job.tasks[index], *queue, now).worker;
         if (worker == nullptr)
         {
             break;
@@ -509,6 +545,7 @@
     worker.used += run.need;
     worker.serving_runs += run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs += run.uses_spare_cpu ? 1 : 0;
+    worker.suspect_runs += run.suspect ? 1 : 0;
     worker.lease_until = std::max(worker.lease_until, run.startable_until);
     if (job->spec(job->step_of(index)).long_running)
     {
@@ -543,6 +580,7 @@
     {
         run.need.cpu_milli = 0;
     }
+    run.suspect = job->tasks[index].is_suspect();
     run.ordered_at = now;
     run.percent_changed_at = now;
     run.pace_sent_at = now;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -79,6 +79,11 @@
         {
             worker->drain_seen_at = now;
         }
+        // The process that replaces it may be listed before its runs end.
+        for (auto& run : worker->runs)
+        {
+            run.drain_seen = run.drain_seen || info.draining;
+        }
         update_retired(*worker, now);
     }
     forget_lost_workers(now);
@@ -339,6 +344,7 @@
             now > run.startable_until)
         {
             ++totals.runs_lost;
+            count_crash(worker, run, now);
             retry_run(worker, i, now);
         }
     }
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -57,7 +57,7 @@
     queued,    ///< No task has started.
     active,    ///< A task has started.
     completed, ///< Final: all tasks have completed.
-    failed,    ///< Final: a task failed max_failures times.
+    failed,    ///< Final: a task failed max_failures times or crashed workers.
     cancelled  ///< Final: cancelled by the caller.
 };
 
@@ -75,12 +75,13 @@
     auto operator==(plan_record const&) const -> bool = default;
 };
 
-/** Progress of a task that has failed or has a checkpoint. */
+/** Progress of a task that has failed, crashed workers or has a checkpoint. */
 struct task_progress
 {
     std::uint32_t task = 0; ///< Index over all tasks of the job.
     std::vector<std::uint64_t> failed_runs; ///< Each counts as a failure.
     std::string checkpoint;
+    std::vector<std::uint64_t> crashed_runs; ///< Each crashed its worker.
 
     auto operator==(task_progress const&) const -> bool = default;
 };
--- /dev/null
+++ b/tests/dispatch_crash_test.cpp
@@ -0,0 +1,493 @@
+/** @file dispatch_crash_test.cpp Tests of tasks under which workers crash. */
+#include "protocol/protocol.hpp"
+#include "tests/support/dispatch_world_base.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace core = godwitcleat::core;
+namespace protocol = godwitcleat::protocol;
+namespace state = godwitcleat::state;
+namespace tests = godwitcleat::tests;
+using state::plan_phase;
+
+namespace
+{
+
+constexpr auto worker_capacity = core::resources{4000, 8000, 0};
+constexpr auto crash_age_ms = std::int64_t{500};
+constexpr auto down_ms = std::int64_t{3000};
+
+auto count_starts(tests::dispatch_world const& world, std::string const& task)
+    -> std::ptrdiff_t
+{
+    return std::count_if(
+        world.starts.begin(), world.starts.end(),
+        [&](auto const& it) { return it.starts_with(task + "@"); });
+}
+
+auto worker_of(std::string const& start) -> std::string
+{
+    return start.substr(start.find('@') + 1);
+}
+
+/** A world in which tasks of jobs bad* crash their workers, which return. */
+class crash_world
+{
+public:
+    explicit crash_world(int workers)
+    {
+        for (auto i = 0; i < workers; ++i)
+        {
+            ids_.push_back(fmt::format("w{}", i));
+            world.add_worker(ids_.back(), worker_capacity);
+        }
+        world.behaviour_of = [](state::task_name const& task, auto)
+        {
+            auto const& id = task.job.value;
+            auto const lasts = id.starts_with("long");
+            auto const crashes = id.starts_with("bad");
+            return tests::task_behaviour{
+                lasts ? -1 : (crashes ? 60'000 : 1000), false};
+        };
+        world.begin_term();
+        world.run_for(200);
+    }
+
+    auto crash(std::string const& id) -> void
+    {
+        world.restart_worker(id);
+        world.worker(id).reachable = false;
+        world.worker(id).unreachable_result =
+            state::order_result::connection_refused;
+        down_until_[id] = world.now() + std::chrono::milliseconds{down_ms};
+        ++crashes;
+    }
+
+    auto run_for(std::int64_t ms) -> void
+    {
+        for (auto i = std::int64_t{0}; i < ms; i += 10)
+        {
+            world.run_for(10);
+            return_workers();
+            for (auto const& id : ids_)
+            {
+                auto const& runs = world.worker(id).runs;
+                if (std::any_of(runs.begin(), runs.end(), is_crashing))
+                {
+                    crash(id);
+                }
+            }
+        }
+    }
+
+    tests::dispatch_world world;
+    int crashes = 0;
+
+private:
+    static auto is_crashing(tests::fake_run const& run) -> bool
+    {
+        return run.task.job.value.starts_with("bad") &&
+               run.total_ms - run.left_ms >= crash_age_ms;
+    }
+
+    auto return_workers() -> void
+    {
+        std::erase_if(
+            down_until_,
+            [&](auto const& it)
+            {
+                if (world.now() < it.second)
+                {
+                    return false;
+                }
+                world.return_worker(it.first);
+                return true;
+            });
+    }
+
+    std::vector<std::string> ids_;
+    std::map<std::string, core::time_point> down_until_;
+};
+
+auto make_long(std::string id, std::uint32_t tasks) -> state::job_plan
+{
+    auto plan = tests::make_plan(std::move(id), tasks, 1000);
+    plan.steps.front().long_running = true;
+    return plan;
+}
+
+} // namespace
+
+// Guards against one task that crashes worker after worker.
+TEST(dispatch_crash, a_task_that_crashes_its_workers_starts_three_times)
+{
+    auto it = crash_world{4};
+    ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
+    it.run_for(60'000);
+    EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 3);
+    EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
+    EXPECT_TRUE(it.world.violations.empty());
+}
+
+// Guards against a long-running task that has no limit of crashes.
+TEST(dispatch_crash, a_long_running_task_that_crashes_workers_is_given_up)
+{
+    auto it = crash_world{4};
+    ASSERT_TRUE(it.world.submit(make_long("bad", 1)));
+    it.run_for(60'000);
+    EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 3);
+    EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
+}
+
+// Guards against crashes that are not counted if the worker leaves the list.
+TEST(dispatch_crash, a_task_whose_workers_exit_starts_three_times)
+{
+    auto world = tests::dispatch_world{};
+    for (auto i = 0; i < 8; ++i)
+    {
+        world.add_worker(fmt::format("w{}", i), worker_capacity);
+    }
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    world.begin_term();
+    world.run_for(200);
+    ASSERT_TRUE(world.submit(tests::make_plan("bad", 1, 1000)));
+    for (auto i = 0; i < 5; ++i)
+    {
+        world.run_for(3000);
+        if (world.running() > 0)
+        {
+            world.exit_worker(worker_of(world.starts.back()));
+        }
+    }
+    EXPECT_LE(world.starts.size(), 3U);
+    EXPECT_EQ(world.phase("bad"), plan_phase::failed);
+}
+
+// Guards against a crash that is not counted because the start had no answer.
+TEST(dispatch_crash, an_unanswered_start_counts)
+{
+    auto it = crash_world{2};
+    auto& world = it.world;
+    world.worker("w0").delays_starts = true;
+    world.worker("w1").delays_starts = true;
+    ASSERT_TRUE(world.submit(tests::make_plan("bad", 1, 1000)));
+    for (auto i = 0; i < 1500; ++i)
+    {
+        for (auto const* const id : {"w0", "w1"})
+        {
+            if (!world.worker(id).delayed.empty())
+            {
+                world.carry_out_delayed(id);
+                it.crash(id);
+            }
+        }
+        it.run_for(10);
+    }
+    EXPECT_LE(count_starts(world, "bad.0.0.0"), 3);
+    EXPECT_EQ(world.phase("bad"), plan_phase::failed);
+}
+
+// Guards against a count that begins anew with each owner.
+TEST(dispatch_crash, crashes_count_across_a_change_of_owner)
+{
+    auto it = crash_world{4};
+    ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
+    while (it.crashes < 2)
+    {
+        it.run_for(10);
+    }
+    it.run_for(down_ms + 1000);
+    it.world.begin_term();
+    it.run_for(60'000);
+    EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 4);
+    EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
+}
+
+// Guards against innocent tasks that are given up with the one beside them.
+TEST(dispatch_crash, tasks_beside_a_crashing_one_complete)
+{
+    auto it = crash_world{4};
+    for (auto i = 0; i < 6; ++i)
+    {
+        ASSERT_TRUE(it.world.submit(
+            tests::make_plan(fmt::format("good{}", i), 8, 1000)));
+        ASSERT_TRUE(
+            it.world.submit(tests::make_plan(fmt::format("bad{}", i), 1, 500)));
+    }
+    it.run_for(180'000);
+    for (auto i = 0; i < 6; ++i)
+    {
+        EXPECT_EQ(
+            it.world.phase(fmt::format("good{}", i)), plan_phase::completed);
+        EXPECT_EQ(it.world.phase(fmt::format("bad{}", i)), plan_phase::failed);
+    }
+    EXPECT_TRUE(it.world.violations.empty());
+}
+
+// Guards against a sound long-running task that is given up.
+TEST(dispatch_crash, a_long_running_task_beside_crashing_ones_stays)
+{
+    auto it = crash_world{3};
+    ASSERT_TRUE(it.world.submit(make_long("long", 6)));
+    it.run_for(2000);
+    for (auto i = 0; i < 4; ++i)
+    {
+        ASSERT_TRUE(
+            it.world.submit(tests::make_plan(fmt::format("bad{}", i), 1, 500)));
+    }
+    it.run_for(180'000);
+    for (auto i = 0; i < 4; ++i)
+    {
+        EXPECT_EQ(it.world.phase(fmt::format("bad{}", i)), plan_phase::failed);
+    }
+    EXPECT_EQ(it.world.phase("long"), plan_phase::active);
+    EXPECT_EQ(it.world.running(), 6U);
+}
+
+// Guards against a task that is given up because its workers were replaced.
+TEST(dispatch_crash, a_restart_of_a_draining_worker_does_not_count)
+{
+    auto it = crash_world{2};
+    auto& world = it.world;
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{5000, false};
+    };
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 1, 1000)));
+    for (auto i = 0; i < 4; ++i)
+    {
+        world.run_for(500);
+        ASSERT_EQ(world.running(), 1U);
+        auto const id = worker_of(world.starts.back());
+        world.worker(id).info.draining = true;
+        world.worker(id).info.drain_left_ms = 60'000;
+        world.run_for(100);
+        world.worker(id).info.draining = false;
+        world.restart_worker(id);
+    }
+    world.run_for(10'000);
+    EXPECT_EQ(world.starts.size(), 5U);
+    EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+}
+
+// Guards against a task that is given up because its workers were cut off.
+TEST(dispatch_crash, a_lapsed_lease_does_not_count)
+{
+    auto it = crash_world{2};
+    auto& world = it.world;
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{30'000, false};
+    };
+    ASSERT_TRUE(world.submit(make_long("j1", 1)));
+    for (auto i = 0; i < 4; ++i)
+    {
+        world.run_for(500);
+        auto const id = worker_of(world.starts.back());
+        world.worker(id).reachable = false;
+        world.run_for(8000);
+        world.worker(id).reachable = true;
+    }
+    world.run_for(3000);
+    EXPECT_EQ(world.starts.size(), 5U);
+    EXPECT_EQ(world.phase("j1"), plan_phase::active);
+    EXPECT_EQ(world.running(), 1U);
+}
+
+// Guards against a long-lived task that is given up after unrelated crashes.
+TEST(dispatch_crash, a_crash_after_10_s_of_work_does_not_count)
+{
+    auto it = crash_world{2};
+    ASSERT_TRUE(it.world.submit(make_long("long", 1)));
+    for (auto i = 0; i < 5; ++i)
+    {
+        it.run_for(15'000);
+        ASSERT_EQ(it.world.running(), 1U);
+        it.crash(worker_of(it.world.starts.back()));
+    }
+    it.run_for(15'000);
+    EXPECT_EQ(it.world.phase("long"), plan_phase::active);
+    EXPECT_EQ(it.world.running(), 1U);
+}
+
+// Guards against a task that is given up although it was being stopped.
+TEST(dispatch_crash, a_crash_under_a_run_that_is_stopped_does_not_count)
+{
+    auto it = crash_world{2};
+    auto& world = it.world;
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{3000, false};
+    };
+    world.worker("w0").stalled = true;
+    world.worker("w1").stalled = true;
+    world.loses_stop_orders = true;
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 1, 1000)));
+    for (auto i = 0; i < 4; ++i)
+    {
+        it.run_for(3000);
+        ASSERT_EQ(world.starts.size(), i + 1U);
+        ASSERT_EQ(world.running(), 1U);
+        it.crash(worker_of(world.starts.back()));
+        it.run_for(down_ms + 200);
+    }
+    world.worker("w0").stalled = false;
+    world.worker("w1").stalled = false;
+    it.run_for(15'000);
+    EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+}
+
+// Guards against innocent tasks that share a worker with a suspect needlessly.
+TEST(dispatch_crash, a_suspect_and_other_tasks_keep_apart)
+{
+    auto it = crash_world{2};
+    auto& world = it.world;
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{8000, false};
+    };
+    ASSERT_TRUE(world.submit(tests::make_plan("suspect", 1, 1000)));
+    it.run_for(200);
+    auto const first = worker_of(world.starts.back());
+    it.crash(first);
+    ASSERT_TRUE(world.submit(tests::make_plan("other", 1, 500)));
+    it.run_for(down_ms + 500);
+    auto const second = first == "w0" ? "w1" : "w0";
+    EXPECT_EQ(world.worker(first).runs.size(), 1U);
+    EXPECT_EQ(world.worker(second).runs.size(), 1U);
+    ASSERT_TRUE(world.submit(tests::make_plan("third", 1, 500)));
+    it.run_for(200);
+    EXPECT_EQ(worker_of(world.starts.back()), second);
+}
+
+// Guards against suspects that share a worker again after two crashes, or that
+// wait for ever.
+TEST(dispatch_crash, suspects_run_one_after_the_other_on_the_only_worker)
+{
+    auto it = crash_world{1};
+    ASSERT_TRUE(it.world.submit(tests::make_plan("good", 3, 1000)));
+    it.run_for(300);
+    ASSERT_EQ(it.world.running(), 3U);
+    it.crash("w0");
+    it.run_for(down_ms + 500);
+    ASSERT_EQ(it.world.running(), 3U);
+    it.crash("w0");
+    auto most = std::size_t{0};
+    for (auto i = 0; i < 2000; ++i)
+    {
+        it.run_for(10);
+        most = std::max(most, it.world.running());
+    }
+    EXPECT_EQ(most, 1U);
+    EXPECT_EQ(it.world.phase("good"), plan_phase::completed);
+}
+
+// Guards against long-running suspects that keep others from a worker for ever.
+TEST(dispatch_crash, all_long_running_suspects_start_on_the_only_worker)
+{
+    auto it = crash_world{1};
+    ASSERT_TRUE(it.world.submit(make_long("long", 3)));
+    it.run_for(300);
+    ASSERT_EQ(it.world.running(), 3U);
+    it.crash("w0");
+    it.run_for(60'000);
+    EXPECT_EQ(it.world.running(), 3U);
+}
+
+// Guards against suspects that keep other tasks of their kind from starting.
+TEST(dispatch_crash, a_waiting_suspect_does_not_block_other_tasks)
+{
+    auto it = crash_world{1};
+    it.world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{6000, false};
+    };
+    // In time, so that it is placed before the other job.
+    auto first = tests::make_plan("first", 2, 1000);
+    first.steps.front().expected_run_ms = 6000;
+    ASSERT_TRUE(it.world.submit(first));
+    it.run_for(300);
+    it.crash("w0");
+    it.run_for(down_ms + 500);
+    ASSERT_EQ(it.world.running(), 2U);
+    it.crash("w0");
+    it.run_for(down_ms + 500);
+    ASSERT_EQ(it.world.running(), 1U);
+    ASSERT_TRUE(it.world.submit(tests::make_plan("other", 1, 1000)));
+    it.run_for(1000);
+    EXPECT_EQ(count_starts(it.world, "other.0.0.0"), 1);
+}
+
+// Guards against suspects that keep the rest of their own step from starting.
+TEST(dispatch_crash, a_waiting_suspect_does_not_block_its_own_step)
+{
+    auto it = crash_world{1};
+    it.world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{6000, false};
+    };
+    ASSERT_TRUE(it.world.submit(tests::make_plan("j1", 8, 1000)));
+    it.run_for(300);
+    ASSERT_EQ(it.world.running(), 4U);
+    it.crash("w0");
+    it.run_for(down_ms + 1000);
+    EXPECT_EQ(it.world.running(), 4U);
+    it.run_for(60'000);
+    EXPECT_EQ(it.world.phase("j1"), plan_phase::completed);
+}
+
+// Guards against a gang that waits for a worker without other suspects.
+TEST(dispatch_crash, a_gang_starts_beside_another_suspect)
+{
+    auto it = crash_world{1};
+    ASSERT_TRUE(it.world.submit(make_long("long", 1)));
+    auto plan = tests::make_plan("gang", 2, 1000);
+    plan.steps.front().gang = true;
+    ASSERT_TRUE(it.world.submit(plan));
+    it.run_for(300);
+    ASSERT_EQ(it.world.running(), 3U);
+    it.crash("w0");
+    it.run_for(down_ms + 500);
+    EXPECT_EQ(it.world.running(), 3U);
+    it.run_for(2000);
+    EXPECT_EQ(it.world.phase("gang"), plan_phase::completed);
+    EXPECT_TRUE(it.world.violations.empty());
+}
+
+// Guards against stored progress that an update makes unreadable.
+TEST(dispatch_crash, progress_without_crashes_is_readable)
+{
+    auto const bytes = std::string{
+        "\x93\x00\xa0\x91\x93\x05\x91\x07\xa2"
+        "cp",
+        11};
+    auto const progress = protocol::decode<state::plan_progress>(bytes);
+    ASSERT_TRUE(progress);
+    ASSERT_EQ(progress->tasks.size(), 1U);
+    EXPECT_EQ(progress->tasks.front().task, 5U);
+    EXPECT_EQ(progress->tasks.front().checkpoint, "cp");
+    EXPECT_EQ(
+        protocol::decode<state::plan_progress>(protocol::encode(*progress)),
+        progress);
+}
+
+// Guards against long-running tasks that stay down after one crash on a small
+// fleet. One may be down for at most 6 s.
+TEST(dispatch_crash, long_running_tasks_start_together_after_one_crash)
+{
+    auto it = crash_world{2};
+    ASSERT_TRUE(it.world.submit(make_long("long", 4)));
+    it.run_for(300);
+    ASSERT_EQ(it.world.running(), 4U);
+    it.crash(worker_of(it.world.starts.front()));
+    it.run_for(6000);
+    EXPECT_EQ(it.world.running(), 4U);
+}
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -273,7 +273,9 @@
         worker.delayed.push_back(order);
         result = state::order_result::unknown;
     }
-    else if (loses_pace_orders && order.kind == state::run_order_kind::pace)
+    else if (
+        (loses_pace_orders && order.kind == state::run_order_kind::pace) ||
+        (loses_stop_orders && order.kind == state::run_order_kind::stop))
     {
         result = state::order_result::unknown;
     }
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -116,6 +116,7 @@
     std::size_t holds = 0;           ///< Holds that the dispatcher has made.
     bool store_down = false;
     bool loses_pace_orders = false; ///< Pace orders are lost.
+    bool loses_stop_orders = false; ///< Stop orders are lost.
     /** Order answers reach the dispatcher this much later. */
     std::int64_t answer_delay_ms = 0;
     core::epoch term;
