Dispatcher: a changed capacity makes the estimates of a worker stale

Cause: set_workers replaced the listed capacity but kept the estimate of spare processors, which is computed from it. Until the next list of the worker, one best-effort task could start on processors that the worker no longer had.

Change: estimates_valid is reset when the listed capacity changes.

Measured: before the change a_worker_that_shrinks_gets_no_best_effort_start_beyond_it fails: Value of: world.owner->take_orders(now).empty() Actual: false Expected: true take_orders(now + 10 ms).size(): 0 instead of 1 It passes after the change.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -69,6 +69,10 @@
             worker->in_stored_list = false;
             worker_list_changed = true;
         }
+        if (worker->info.capacity != info.capacity)
+        {
+            worker->estimates_valid = false;
+        }
         worker->info = info;
         worker->in_worker_list = true;
         if (!info.draining)
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -958,6 +958,57 @@
     EXPECT_EQ(world->phase("f1"), plan_phase::completed);
 }
 
+// Guards against starts on processors that a worker no longer has.
+TEST(dispatch, a_worker_that_shrinks_gets_no_reserved_start_beyond_its_capacity)
+{
+    auto world = tests::dispatch_world{};
+    world.add_worker("w1", worker_capacity);
+    world.begin_term();
+    world.run_for(200);
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{5000, false};
+    };
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 2, 1000)));
+    world.run_for(200);
+    ASSERT_EQ(world.running(), 2U);
+    world.worker("w1").info.capacity.cpu_milli = 2500;
+    ASSERT_TRUE(world.submit(tests::make_plan("j2", 2, 1000)));
+    world.run_for(3000);
+    EXPECT_EQ(world.running(), 2U);
+    world.run_for(10'000);
+    EXPECT_EQ(world.phase("j2"), plan_phase::completed);
+    EXPECT_TRUE(world.violations.empty());
+}
+
+// Guards against a best-effort start by an estimate from before the change.
+TEST(dispatch, a_worker_that_shrinks_gets_no_best_effort_start_beyond_it)
+{
+    auto world = tests::dispatch_world{};
+    world.add_worker("w1", worker_capacity);
+    world.begin_term();
+    world.run_for(200);
+    // A task that fits nowhere keeps the estimate up to date.
+    auto large = make_best_effort("large", 1);
+    large.steps.front().need.cpu_milli = 5000;
+    ASSERT_TRUE(world.submit(large));
+    world.run_for(100);
+    auto small = world.worker("w1").info;
+    small.capacity.cpu_milli = 1000;
+    auto plan = make_best_effort("f1", 1);
+    plan.steps.front().need.cpu_milli = 2000;
+    auto const now = world.now() + std::chrono::milliseconds{10};
+    world.owner->submit(plan, now, [](bool) {});
+    ASSERT_TRUE(world.owner->take_batch(now));
+    world.owner->set_workers({&small, 1}, now);
+    world.owner->batch_committed(now);
+    EXPECT_TRUE(world.owner->take_orders(now).empty());
+    world.owner->set_workers({&world.worker("w1").info, 1}, now);
+    EXPECT_EQ(
+        world.owner->take_orders(now + std::chrono::milliseconds{10}).size(),
+        1U);
+}
+
 // Guards against best-effort tasks that keep a serving task above its target.
 // At most 4 s are allowed; half of it is left for delayed measurements.
 TEST(dispatch, best_effort_tasks_yield_to_a_serving_task_within_2_s)
