--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1225,3 +1225,252 @@
     }
     RC_ASSERT(all_ended());
 }
+
+// The same with slow writes, answers of starts that come late, and gangs.
+RC_GTEST_PROP(dispatch, keeps_the_rules_with_slow_writes, ())
+{
+    auto world = tests::dispatch_world{};
+    for (auto i = 0; i < 4; ++i)
+    {
+        world.add_worker(fmt::format("w{}", i), worker_capacity);
+    }
+    world.begin_term();
+    world.run_for(200);
+    auto const seed = *rc::gen::inRange(0, 1000);
+    world.behaviour_of =
+        [seed](state::task_name const& task, state::run_number run)
+    {
+        auto const hash = core::stable_hash(
+            fmt::format("{}/{}/{}", seed, tests::text_of(task), run.value));
+        return tests::task_behaviour{
+            static_cast<std::int64_t>(100 + hash % 1500), hash % 41 == 0};
+    };
+    auto jobs = 0;
+    auto const events = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 20), rc::gen::inRange(0, 4)));
+    for (auto const& [kind, which] : events)
+    {
+        auto const id = fmt::format("w{}", which);
+        auto& worker = world.worker(id);
+        // A process that has ended is neither reachable nor listed again.
+        auto const has_exited = worker.unreachable_result ==
+                                state::order_result::connection_refused;
+        switch (kind)
+        {
+        case 0: worker.reachable = !has_exited && !worker.reachable; break;
+        case 1: worker.loses_answers = !worker.loses_answers; break;
+        case 2: worker.delays_starts = !worker.delays_starts; break;
+        case 3: world.carry_out_delayed(id); break;
+        case 4: world.restart_worker(id); break;
+        case 5: world.store_down = !world.store_down; break;
+        case 6: world.begin_term(); break;
+        case 7: worker.info.draining = !worker.info.draining; break;
+        case 8: worker.listed = !has_exited && !worker.listed; break;
+        case 9:
+            if (has_exited)
+            {
+                world.return_worker(id);
+            }
+            else
+            {
+                world.exit_worker(id);
+            }
+            break;
+        case 10: world.store_delay_ms = which * 300; break;
+        case 11: world.answer_delay_ms = which * 60; break;
+        case 12:
+        case 13: world.begin_term(); break;
+        case 14: worker.reachable = !has_exited && !worker.reachable; break;
+        default:
+        {
+            auto plan = tests::make_plan(fmt::format("j{}", jobs++), 5, 1000);
+            plan.steps.push_back(plan.steps.front());
+            plan.steps.back().after = {0};
+            if (which == 3)
+            {
+                plan.steps.back().gang = true;
+                plan.steps.back().tasks = 3;
+            }
+            world.submit(plan);
+            break;
+        }
+        }
+        world.run_for(std::int64_t{200} * (1 + which));
+    }
+    world.store_delay_ms = 0;
+    world.answer_delay_ms = 0;
+    world.store_down = false;
+    for (auto i = 0; i < 4; ++i)
+    {
+        auto const id = fmt::format("w{}", i);
+        auto& worker = world.worker(id);
+        if (worker.unreachable_result ==
+            state::order_result::connection_refused)
+        {
+            world.return_worker(id);
+        }
+        worker.reachable = true;
+        worker.listed = true;
+        worker.info.draining = false;
+        worker.loses_answers = false;
+        worker.delays_starts = false;
+    }
+    auto const all_ended = [&]
+    {
+        return std::all_of(
+            world.stored.jobs.begin(), world.stored.jobs.end(),
+            [&](auto const& it)
+            {
+                auto const phase = world.phase(it.plan.id.value);
+                return phase && state::is_final(*phase);
+            });
+    };
+    world.run_for(1000); // Jobs that the store has refused so far are stored.
+    for (auto i = 0; i < 60 && !all_ended(); ++i)
+    {
+        world.run_for(1000);
+    }
+    world.run_for(5000); // Late orders would cause second runs.
+    if (!world.violations.empty())
+    {
+        RC_FAIL(world.violations.front());
+    }
+    RC_ASSERT(all_ended());
+}
+
+namespace
+{
+
+// An owner that is late: a stream of short tasks, answers come 100 ms late.
+auto late_owner(std::int64_t lease_ms) -> std::unique_ptr<tests::dispatch_world>
+{
+    auto world = std::make_unique<tests::dispatch_world>();
+    world->settings.lease_limit = std::chrono::milliseconds{lease_ms};
+    world->settings.start_validity = std::chrono::milliseconds{900};
+    for (auto i = 0; i < 6; ++i)
+    {
+        world->add_worker(fmt::format("w{}", i), worker_capacity);
+    }
+    world->worker("w0").info.labels.insert("lasting");
+    world->holds_wait = true;
+    world->begin_term();
+    world->run_for(300);
+    return world;
+}
+
+} // namespace
+
+// Guards against a lease of 2 s that lapses because polls are paused.
+TEST(dispatch, leases_are_renewed_in_time_while_answers_are_late)
+{
+    for (auto const delay : {100, 200, 250, 300, 400})
+    {
+        auto const world = late_owner(2000);
+        auto plan = tests::make_plan("lasts", 1, worker_capacity.cpu_milli);
+        plan.steps.front().long_running = true;
+        plan.steps.front().label = "lasting";
+        world->behaviour_of = [](auto const& name, auto)
+        {
+            return tests::task_behaviour{
+                name.job.value == "lasts" ? -1 : 200, false};
+        };
+        ASSERT_TRUE(world->submit(plan));
+        world->run_for(300);
+        ASSERT_EQ(count_starts(*world, "lasts.0.0.0"), 1);
+        world->answer_delay_ms = delay;
+        for (auto i = 0; i < 3; ++i)
+        {
+            ASSERT_TRUE(world->submit(
+                tests::make_plan(fmt::format("j{}", i), 8000, 1000)));
+        }
+        world->run_for(12'000);
+        EXPECT_EQ(count_starts(*world, "lasts.0.0.0"), 1) << delay;
+    }
+}
+
+// Guards against best-effort tasks that disturb a serving task for over 4 s
+// while the owner is late.
+TEST(dispatch, best_effort_tasks_yield_within_4_s_while_answers_are_late)
+{
+    for (auto const delay : {0, 60, 100, 150})
+    {
+        auto const world = late_owner(6000);
+        world->behaviour_of = [](auto const& name, auto)
+        {
+            return tests::task_behaviour{
+                name.job.value[0] == 'j' ? 200 : -1, false};
+        };
+        world->measurement_of =
+            [](auto const& worker, tests::fake_run const& run)
+        {
+            if (!run.task.job.value.starts_with("s"))
+            {
+                return std::int64_t{5} * run.pace;
+            }
+            auto const disturbed = std::any_of(
+                worker.runs.begin(), worker.runs.end(),
+                [](auto const& it)
+                { return it.task.job.value[0] == 'f' && it.pace > 0; });
+            return disturbed ? tail_target_ms * 3 / 2 : tail_target_ms / 3;
+        };
+        auto serving = make_serving("s1");
+        serving.steps.front().label = "lasting";
+        ASSERT_TRUE(world->submit(serving));
+        world->run_for(300);
+        world->answer_delay_ms = delay;
+        for (auto i = 0; i < 3; ++i)
+        {
+            auto plan = tests::make_plan(fmt::format("j{}", i), 8000, 1000);
+            plan.steps.front().near_rack = "r1";
+            ASSERT_TRUE(world->submit(plan));
+        }
+        world->run_for(5000);
+        auto filling = make_best_effort("f1", 1);
+        filling.steps.front().label = "lasting";
+        ASSERT_TRUE(world->submit(filling));
+        auto const disturbed = [&]
+        {
+            auto const& runs = world->worker("w0").runs;
+            return std::any_of(
+                runs.begin(), runs.end(),
+                [](auto const& it)
+                { return it.task.job.value == "f1" && it.pace > 0; });
+        };
+        for (auto i = 0; i < 400 && !disturbed(); ++i)
+        {
+            world->run_for(10);
+        }
+        auto took = 0;
+        while (disturbed() && took < 20'000)
+        {
+            world->run_for(10);
+            took += 10;
+        }
+        EXPECT_GT(took, 0);
+        EXPECT_LT(took, 4000);
+    }
+}
+
+// Guards against a start on a worker that the store still names with its
+// possible tasks: a new owner would not wait for it.
+TEST(dispatch, a_worker_that_answers_again_gets_no_start_before_it_is_stored)
+{
+    auto const world = two_workers();
+    world->worker("w1").info.labels.insert("only");
+    world->drained = {core::data_centre_id{"dc-1"}};
+    auto plan = tests::make_plan("j1", 1, 1000);
+    plan.steps.front().label = "only";
+    ASSERT_TRUE(world->submit(plan));
+    world->worker("w1").reachable = false;
+    world->run_for(1500);
+    ASSERT_TRUE(world->stored.workers.front().possible_tasks);
+    world->store_delay_ms = 1000;
+    world->worker("w1").reachable = true;
+    world->drained.clear();
+    world->run_for(900);
+    EXPECT_TRUE(world->starts.empty());
+    EXPECT_TRUE(world->stored.workers.front().possible_tasks);
+    world->run_for(2000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    EXPECT_FALSE(world->stored.workers.front().possible_tasks);
+}
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -97,6 +97,7 @@
 auto dispatch_world::begin_term() -> void
 {
     term = term.next();
+    batch_.reset();
     auto hooks = state::dispatch_hooks{};
     hooks.unix_ms = [this]
     {
@@ -239,30 +240,74 @@
                 }
                 return acknowledged;
             });
-        auto lists = state::worker_lists{};
-        lists.started_ms = worker.info.started_ms;
-        lists.clock_ms = worker.clock_ms;
-        for (auto const& run : worker.runs)
+        if (holds_wait)
         {
-            auto const percent = run.total_ms > 0
-                                     ? 100 - run.left_ms * 100 / run.total_ms
-                                     : std::int64_t{100};
-            lists.running.push_back(
-                {run.task, run.run, run.checkpoint, percent,
-                 measurement_of ? measurement_of(worker, run) : 0});
+            waiting_holds_.push_back(
+                {now_ms_ +
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         order.wait)
+                         .count(),
+                 term, order, std::nullopt});
+            continue;
         }
-        lists.ended = worker.ended;
-        if (worker.loses_answers)
+        answer_hold(order);
+    }
+    for (auto i = waiting_holds_.size(); i-- > 0;)
+    {
+        auto& it = waiting_holds_[i];
+        if (it.term != term || !workers_.contains(it.order.worker.value))
         {
-            owner->hold_answered(
-                order, state::order_result::unknown, std::nullopt, now());
+            waiting_holds_.erase(
+                waiting_holds_.begin() + static_cast<std::ptrdiff_t>(i));
             continue;
         }
-        owner->hold_answered(
-            order, state::order_result::accepted, lists, now());
+        auto const& worker = workers_.at(it.order.worker.value);
+        if (!it.lists && (now_ms_ >= it.due_ms || !worker.ended.empty()))
+        {
+            it.lists = lists_of(worker);
+            it.due_ms = now_ms_ + answer_delay_ms;
+        }
+        if (it.lists && now_ms_ >= it.due_ms)
+        {
+            auto const done = std::move(it);
+            waiting_holds_.erase(
+                waiting_holds_.begin() + static_cast<std::ptrdiff_t>(i));
+            owner->hold_answered(
+                done.order, state::order_result::accepted, done.lists, now());
+        }
     }
 }
 
+auto dispatch_world::answer_hold(state::hold_order const& order) -> void
+{
+    auto& worker = workers_.at(order.worker.value);
+    auto const lists = lists_of(worker);
+    owner->hold_answered(
+        order,
+        worker.loses_answers ? state::order_result::unknown
+                             : state::order_result::accepted,
+        worker.loses_answers ? std::nullopt : std::optional{lists}, now());
+}
+
+auto dispatch_world::lists_of(fake_dispatch_worker const& worker)
+    -> state::worker_lists
+{
+    auto lists = state::worker_lists{};
+    lists.started_ms = worker.info.started_ms;
+    lists.clock_ms = worker.clock_ms;
+    for (auto const& run : worker.runs)
+    {
+        auto const percent = run.total_ms > 0
+                                 ? 100 - run.left_ms * 100 / run.total_ms
+                                 : std::int64_t{100};
+        lists.running.push_back(
+            {run.task, run.run, run.checkpoint, percent,
+             measurement_of ? measurement_of(worker, run) : 0});
+    }
+    lists.ended = worker.ended;
+    return lists;
+}
+
 auto dispatch_world::carry_out(state::run_order const& order) -> void
 {
     auto& worker = workers_.at(order.worker.value);
@@ -425,16 +470,38 @@
 
 auto dispatch_world::commit() -> void
 {
-    auto const batch = owner->take_batch(now());
-    if (!batch)
+    if (!batch_)
     {
-        return;
+        batch_ = owner->take_batch(now());
+        if (!batch_)
+        {
+            return;
+        }
+        if (store_down)
+        {
+            batch_.reset();
+            owner->batch_rejected();
+            return;
+        }
+        batch_applied_ = false;
+        batch_applied_at_ = now_ms_ + store_delay_ms;
+        batch_answered_at_ = now_ms_ + 2 * store_delay_ms;
     }
-    if (store_down)
+    if (!batch_applied_ && now_ms_ >= batch_applied_at_)
     {
-        owner->batch_rejected();
-        return;
+        batch_applied_ = true;
+        apply(*batch_);
+    }
+    if (batch_applied_ && now_ms_ >= batch_answered_at_)
+    {
+        batch_.reset();
+        owner->batch_committed(now());
     }
+}
+
+auto dispatch_world::apply(state::dispatch_batch const& given) -> void
+{
+    auto const* const batch = &given;
     for (auto const& it : batch->accepted)
     {
         stored.jobs.push_back(it);
@@ -457,7 +524,6 @@
     {
         stored.workers = *batch->workers;
     }
-    owner->batch_committed(now());
 }
 
 auto dispatch_world::restart_worker(std::string const& id) -> void
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -115,6 +115,10 @@
     std::vector<std::string> starts; ///< TASK@WORKER of each started run.
     std::size_t holds = 0;           ///< Holds that the dispatcher has made.
     bool store_down = false;
+    /** Time until the store carries out a batch, and until its answer. */
+    std::int64_t store_delay_ms = 0;
+    /** Holds wait for an end, and their answers take answer_delay_ms. */
+    bool holds_wait = false;
     bool loses_pace_orders = false; ///< Pace orders are lost.
     bool loses_stop_orders = false; ///< Stop orders are lost.
     /** Order answers reach the dispatcher this much later. */
@@ -146,6 +150,22 @@
         fake_dispatch_worker& worker, std::size_t index,
         state::run_outcome outcome) -> void;
     auto commit() -> void;
+    auto apply(state::dispatch_batch const& batch) -> void;
+
+    auto lists_of(fake_dispatch_worker const& worker) -> state::worker_lists;
+    auto answer_hold(state::hold_order const& order) -> void;
+    struct waiting_hold
+    {
+        std::int64_t due_ms = 0;
+        core::epoch term;
+        state::hold_order order;
+        std::optional<state::worker_lists> lists;
+    };
+    std::vector<waiting_hold> waiting_holds_;
+    std::optional<state::dispatch_batch> batch_;
+    std::int64_t batch_applied_at_ = 0;
+    std::int64_t batch_answered_at_ = 0;
+    bool batch_applied_ = false;
     auto check_start(
         fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
