Name no tasks of workers that an owner without a readable list has not heard

A task could run twice after two changes of owner: the first new owner could not read the stored list of workers, took each listed worker as known, and stored an empty list of tasks for one that was cut off while it still ran a task. The next owner started the task elsewhere.

Such workers now count as not heard until they answer or the recovery ends.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -60,6 +60,7 @@
             auto const it = former_restarts.find(info.worker);
             worker->restarts = it == former_restarts.end() ? 0 : it->second;
             worker->lost_at = now;
+            worker->may_have_unknown_runs = recovering && !stored_list_readable;
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -809,6 +809,33 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a second run of a task after two changes of owner: the first
+// new owner cannot read the stored list, and stores one that names no tasks for
+// a worker that it has never heard.
+TEST(dispatch, an_owner_without_a_readable_list_names_no_tasks_of_silent_workers)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 1U);
+    world->worker(worker_of(world->starts.front())).reachable = false;
+    world->stored.workers.clear();
+    world->stored.workers_readable = false;
+    world->begin_term();
+    world->run_for(1500);
+    EXPECT_EQ(world->starts.size(), 1U);
+    world->stored.workers_readable = true; // The list of this owner.
+    world->begin_term();
+    world->run_for(2000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    EXPECT_TRUE(world->violations.empty())
+        << (world->violations.empty() ? "" : world->violations.front());
+}
+
 // Guards against a worker that gets no tasks after its drain was taken back.
 TEST(dispatch, a_worker_gets_tasks_after_its_drain_is_taken_back)
 {
