Store a worker without tasks when its lease has lapsed

A new owner held a task for up to 13.6 s if the worker that the store named for it had been out of reach for longer than its lease, and the task had moved since.

--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -193,6 +193,11 @@
     {
         retry_run(worker, worker.runs.size() - 1, now);
     }
+    if (worker.stored_with_tasks)
+    {
+        worker_list_changed = true;
+        commit_at(now + settings.commit_delay);
+    }
 }
 
 auto dispatcher::implementation::retry_run(
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1415,6 +1415,39 @@
     }
 }
 
+// Guards against a task that waits for a worker whose lease has lapsed, because
+// the store still names it there.
+TEST(dispatch, a_worker_whose_lease_has_lapsed_is_stored_without_tasks)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    auto plan = tests::make_plan("lasts", 1, 1000);
+    plan.steps.front().long_running = true;
+    ASSERT_TRUE(world->submit(plan));
+    world->run_for(100);
+    auto const first = worker_of(world->starts.front());
+    world->worker(first).reachable = false; // But listed.
+    world->run_for(12'000);
+    ASSERT_EQ(world->starts.size(), 2U);
+    for (auto const& it : world->stored.workers)
+    {
+        if (it.info.worker.value == first)
+        {
+            ASSERT_TRUE(it.possible_tasks);
+            EXPECT_TRUE(it.possible_tasks->empty());
+        }
+    }
+    // The other worker is restarted during the change of owner.
+    world->restart_worker(worker_of(world->starts.back()));
+    world->begin_term();
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 3U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against best-effort tasks that disturb a serving task for over 4 s
 // while the owner is late.
 TEST(dispatch, best_effort_tasks_yield_within_4_s_while_answers_are_late)
