--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -291,6 +291,16 @@
         400);
     EXPECT_EQ(post(id, R"({"spec":"x","steps":[{"count":-1}]})"), 400);
     EXPECT_EQ(post(id, R"({"spec":"x","steps":[{"count":1,"cpu":-5}]})"), 400);
+    EXPECT_EQ(
+        post(
+            id,
+            R"({"spec":"x","steps":[{"count":1,"cpu":18446744073709551615}]})"),
+        400);
+    EXPECT_EQ(
+        post(
+            id, R"({"spec":"x","steps":[{"count":1}],"repeat-count":9,)"
+                R"("interval-ms":9223372036854775807})"),
+        400);
     EXPECT_EQ(
         post(
             id, R"({"spec":")" + std::string(5000, 'x') +
--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -1,8 +1,11 @@
 /** @file json_test.cpp Tests of the JSON codec. */
+#include "platform/document_func.hpp"
 #include "protocol/protocol.hpp"
 #include "tests/support/random_value_func.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 #include <cstdlib>
@@ -13,6 +16,7 @@
 
 namespace core = godwitcleat::core;
 namespace state = godwitcleat::state;
+namespace platform = godwitcleat::platform;
 namespace protocol = godwitcleat::protocol;
 using namespace godwitcleat::tests;
 
@@ -113,6 +117,67 @@
     EXPECT_NE(reason.message.find(part), std::string::npos) << reason.message;
 }
 
+/** Returns the document with the value at a JSON pointer replaced. */
+auto with(std::string_view document, char const* path, std::string_view value)
+    -> std::string
+{
+    auto root = nlohmann::json::parse(document);
+    root[nlohmann::json::json_pointer{path}] = nlohmann::json::parse(value);
+    return root.dump();
+}
+
+constexpr auto worker_entry = std::string_view{
+    R"({"address":"127.0.0.1:7000","service":"svc","zone":"dc-1",)"
+    R"("state":"draining","remaining-ms":1000,"born":1700000000000,)"
+    R"("capacity":{"cpu":4000,"mem-mb":64000,"gpu":1},"labels":["a","r1"]})"};
+
+constexpr auto plan_body = std::string_view{
+    R"({"spec":"x","steps":[{"count":1,"cpu":500,"mem-mb":100,"gpu":0,)"
+    R"("estimate-ms":150,"target-ms":0}],"repeat-count":2,)"
+    R"("first-run-ms":1700000000000,"interval-ms":1000})"};
+
+constexpr auto queue_document = std::string_view{
+    R"({"version":2,"routes":[{"name":"r1","host":"h","prefix":"/jobs/",)"
+    R"("timeout-ms":3000,"target-duration-ms":500,"stretch":2.0}],)"
+    R"("limits":{"body-bytes":65536}})"};
+
+auto parse_worker(std::string_view text)
+{
+    return platform::parse_worker("w", text);
+}
+
+auto parse_plan(std::string_view text)
+{
+    return platform::parse_job_plan(
+        text, core::job_id{"j"}, state::queue_id{"r1"});
+}
+
+// Beyond the range of 64 bits in one of four ways, or only just within it.
+constexpr auto odd_numbers = {
+    "-9223372036854775808", "9223372036854775807", "18446744073709551615",
+    "1e30", "123456789012345678901"};
+
+/** Expects that @p read refuses each odd number at @p path with a message that
+ * names the member, and takes @p document as it is. */
+template <class Read>
+auto expect_range(
+    std::string_view document, char const* path, Read read,
+    std::vector<std::string_view> more = {}) -> void
+{
+    EXPECT_TRUE(read(document).has_value()) << core::last_reason().message;
+    auto const member =
+        std::string_view{path}.substr(std::string_view{path}.rfind('/') + 1);
+    more.insert(more.end(), odd_numbers.begin(), odd_numbers.end());
+    for (auto const it : more)
+    {
+        auto const trace = testing::Message() << path << " " << it;
+        SCOPED_TRACE(trace);
+        expect_refused(
+            read(with(document, path, it)),
+            fmt::format("key \"{}\" must be ", member));
+    }
+}
+
 auto random_document() -> state::config_document
 {
     auto value = random_value<state::config_document>(strings::printable);
@@ -297,3 +362,72 @@
             {"service": "desk", "team": "crew", "runners": 4000000000}}})"),
         "\"runners\"");
 }
+
+// Guards against a capacity or a time of another writer that wraps round, or
+// that leaves the range of the type when it is added to another.
+TEST(json, refuses_worker_entries_with_numbers_out_of_range)
+{
+    for (auto const* it :
+         {"/capacity/cpu", "/capacity/mem-mb", "/capacity/gpu", "/born",
+          "/remaining-ms"})
+    {
+        expect_range(worker_entry, it, parse_worker, {"-5", "1.5", "true"});
+    }
+    expect_refused(
+        parse_worker(with(worker_entry, "/capacity/cpu", "-5")),
+        "key \"cpu\" must be an integer from 0 to 1000000000");
+    expect_refused(
+        parse_worker(with(worker_entry, "/remaining-ms", "-5")),
+        "key \"remaining-ms\" must be an integer from 0 to 315360000000");
+}
+
+// Guards against a limit that refuses the largest worker that may be honest.
+TEST(json, accepts_worker_entries_at_the_limits)
+{
+    auto text = with(worker_entry, "/capacity/cpu", "1000000000");
+    text = with(text, "/capacity/mem-mb", "1073741824");
+    text = with(text, "/born", "253402300799999");
+    text = with(text, "/remaining-ms", "315360000000");
+    EXPECT_TRUE(parse_worker(text)) << core::last_reason().message;
+}
+
+// Guards against a job whose needs or times wrap round or overflow in a sum.
+TEST(json, refuses_job_plans_with_numbers_out_of_range)
+{
+    for (auto const* it :
+         {"/steps/0/cpu", "/steps/0/mem-mb", "/steps/0/gpu",
+          "/steps/0/estimate-ms", "/steps/0/target-ms", "/steps/0/count",
+          "/steps/0/may-miss", "/repeat-count", "/first-run-ms",
+          "/interval-ms"})
+    {
+        expect_range(plan_body, it, parse_plan, {"-5", "1.5"});
+    }
+    expect_refused(
+        parse_plan(with(plan_body, "/interval-ms", "315360000001")),
+        "key \"interval-ms\" must be an integer from 0 to 315360000000");
+}
+
+// Guards against a configuration whose times overflow, and against a version
+// that wraps round and so is newer than all later ones.
+TEST(json, refuses_queue_tables_with_numbers_out_of_range)
+{
+    for (auto const* it :
+         {"/routes/0/timeout-ms", "/routes/0/target-duration-ms",
+          "/routes/0/priority", "/routes/0/attempts", "/limits/body-bytes"})
+    {
+        expect_range(queue_document, it, platform::parse_queue_table, {"-5"});
+    }
+    for (auto const* it : {"-1", "18446744073709551615", "1e30"})
+    {
+        expect_refused(
+            platform::parse_queue_table(with(queue_document, "/version", it)),
+            "key \"version\" must be an integer from 0 to ");
+    }
+    for (auto const* it : {"-1", "1e30", "1e300"})
+    {
+        expect_refused(
+            platform::parse_queue_table(
+                with(queue_document, "/routes/0/stretch", it)),
+            "key \"stretch\" must be a number from 0 to 10000");
+    }
+}
