--- a/standins/support/hosted_runner_base.cpp
+++ b/standins/support/hosted_runner_base.cpp
@@ -127,6 +127,10 @@
 
 auto hosted_runner::beat() -> void
 {
+    if (!registers)
+    {
+        return;
+    }
     auto const entry = json{
         {"service", settings_.service},
         {"address", transport::to_string(server_->local())},
--- a/standins/support/hosted_runner_base.hpp
+++ b/standins/support/hosted_runner_base.hpp
@@ -83,6 +83,7 @@
     auto start() -> std::optional<bool>;
 
     std::atomic<bool> draining = false;
+    std::atomic<bool> registers = true; ///< False: writes no more entries.
 
 private:
     struct run
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -42,6 +43,24 @@
     R"(,{"name":"r2","host":"desk.example","prefix":"/more/","service":"svc",)"
     R"("attempts":1,"stretch":1.5,"target-duration-ms":100})";
 
+/** Entries of another writer, each with one member that names no runner. */
+constexpr auto odd_entries = std::array{
+    R"({"address":"127.0.0.1:0","service":"svc","zone":"dc-1",)"
+    R"("state":"ready","capacity":{"cpu":4000,"mem-mb":64000}})",
+    R"({"address":"127.0.0.1:1","service":"svc","zone":"dc-1",)"
+    R"("state":"draining","remaining-ms":9223372036854775807,)"
+    R"("capacity":{"cpu":4000,"mem-mb":64000}})",
+    R"({"address":"127.0.0.1:1","service":"svc","zone":"dc-1",)"
+    R"("state":"ready","capacity":{"cpu":18446744073709551615,)"
+    R"("mem-mb":64000}})",
+    R"({"address":"127.0.0.1:1","service":"svc","zone":"dc-1",)"
+    R"("state":"ready","capacity":{"cpu":9223372036854775807,)"
+    R"("mem-mb":9223372036854775807}})",
+    R"({"address":"127.0.0.1:1","service":"svc","zone":"dc-1",)"
+    R"("state":"ready","born":1e999})",
+    R"({"address":"127.0.0.1:1","service":7,"zone":"dc-1"})",
+    "[[[["};
+
 /** A stand-in for the platform, with its store, workers and daemons. */
 class hosted_fixture : public testing::Test
 {
@@ -203,6 +222,21 @@
         return record ? record->instance.value : "";
     }
 
+    auto write_entry(std::string const& id, std::string const& text) -> void
+    {
+        store.commit({{}, {{"servers/" + id, text, "", {}}}}, [](auto) {});
+    }
+
+    auto starts_of(std::string const& job)
+        -> std::vector<standins::runner_start>
+    {
+        auto result = history.all();
+        std::erase_if(
+            result,
+            [&](auto const& it) { return !it.task.starts_with(job + "."); });
+        return result;
+    }
+
     // Checks that runs of a task did not overlap, and that none started after
     // the task was done.
     auto check_history() -> void
@@ -605,3 +639,70 @@
     std::this_thread::sleep_for(500ms);
     EXPECT_EQ(status("a"), 200);
 }
+
+// Guards against an entry of another writer that ends the daemon or that keeps
+// tasks from the other workers.
+TEST_F(hosted_fixture, odd_entries_beside_valid_ones_change_nothing)
+{
+    for (auto i = std::size_t{0}; i < odd_entries.size(); ++i)
+    {
+        write_entry(fmt::format("h-{:08x}", i), odd_entries[i]);
+    }
+    write_entry("", "7");
+    write_entry("h-bytes", "\xff\xfe");
+    write_entry("h-deep", std::string(200'000, '['));
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    EXPECT_EQ(submit("a", "00000000000000a1", 12), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000a1") == "completed"; }));
+    EXPECT_EQ(history.all().size(), 13U);
+    check_history();
+}
+
+// Guards against a known worker whose runs are given up and started again
+// because another writer has replaced its entry.
+TEST_F(hosted_fixture, an_odd_entry_of_a_known_worker_keeps_its_runs)
+{
+    add_daemon("a");
+    ASSERT_TRUE(wait_ready("a"));
+    ASSERT_TRUE(eventually([&] { return owner() == "a"; }));
+    auto const id = std::string{"00000000000000b1"};
+    // Of such an estimate that the task doesn't count as stalled.
+    auto const body =
+        R"({"spec":"work 9000","steps":[{"count":1,"cpu":500,"mem-mb":100,)"
+        R"("checkpointing":true,"estimate-ms":600000}]})";
+    EXPECT_EQ(call(gateways["a"], "POST", "/jobs/" + id, body).status, 200);
+    ASSERT_TRUE(eventually([&] { return starts_of(id).size() == 1; }));
+    auto const worker = starts_of(id).front().worker;
+    runners.at(worker)->registers = false;
+    std::this_thread::sleep_for(300ms); // For an entry that is being written.
+    auto n = 0;
+    for (auto const* it : odd_entries)
+    {
+        SCOPED_TRACE(it);
+        write_entry(worker, it);
+        std::this_thread::sleep_for(500ms); // For the daemon to see the entry.
+        auto const other = fmt::format("{:016x}", 0xc00 + n++);
+        EXPECT_EQ(submit("a", other, 2), 200);
+        EXPECT_TRUE(
+            eventually([&] { return phase("a", other) == "completed"; }));
+        for (auto const& start : starts_of(other))
+        {
+            EXPECT_NE(start.worker, worker);
+        }
+    }
+    runners.at(worker)->registers = true;
+    EXPECT_TRUE(eventually([&] { return phase("a", id) == "completed"; }));
+    EXPECT_EQ(starts_of(id).size(), 1U);
+    // The worker is used again when its own entry is back.
+    EXPECT_EQ(submit("a", "00000000000000b2", 24), 200);
+    EXPECT_TRUE(eventually(
+        [&] { return phase("a", "00000000000000b2") == "completed"; }));
+    auto const starts = starts_of("00000000000000b2");
+    EXPECT_TRUE(std::any_of(
+        starts.begin(), starts.end(),
+        [&](auto const& it) { return it.worker == worker; }));
+    check_history();
+}
--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -391,6 +391,19 @@
     EXPECT_TRUE(parse_worker(text)) << core::last_reason().message;
 }
 
+// Guards against a worker that is listed but can't be called.
+TEST(json, refuses_worker_entries_with_ports_out_of_range)
+{
+    for (auto const* it : {"0", "-1", "65536", "99999", "", "7000x"})
+    {
+        auto const address = fmt::format("\"127.0.0.1:{}\"", it);
+        SCOPED_TRACE(address);
+        expect_refused(
+            parse_worker(with(worker_entry, "/address", address)),
+            "key \"address\" must be ");
+    }
+}
+
 // Guards against a job whose needs or times wrap round or overflow in a sum.
 TEST(json, refuses_job_plans_with_numbers_out_of_range)
 {
