--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -141,6 +141,21 @@
     R"("timeout-ms":3000,"target-duration-ms":500,"stretch":2.0}],)"
     R"("limits":{"body-bytes":65536}})"};
 
+constexpr auto lists_answer =
+    std::string_view{R"({"clock-ms":5,"born":1700000000000,)"
+                     R"("running":[["j.0.0.0",1,"",50,8]],)"
+                     R"("ended":[[1,"j.0.0.1",1,"done",""]]})"};
+
+constexpr auto range_answer = std::string_view{
+    R"({"store-revision":7,"items":[)"
+    R"({"key":"servers/a","value":"YQ==","created":1,"revision":2},)"
+    R"({"key":"servers/b","value":"Yg==","created":1,"revision":3}]})"};
+
+constexpr auto changes_answer = std::string_view{
+    R"({"store-revision":7,"events":[)"
+    R"({"key":"servers/a","value":"YQ==","created":1,"revision":2},)"
+    R"({"key":"servers/b","value":"Yg==","created":1,"revision":3}]})"};
+
 auto parse_worker(std::string_view text)
 {
     return platform::parse_worker("w", text);
@@ -178,6 +193,22 @@
     }
 }
 
+/** Expects that @p read takes no odd number at @p path of an answer. */
+template <class Read>
+auto expect_invalid_answer(
+    std::string_view document, char const* path, Read read,
+    std::vector<std::string_view> numbers) -> void
+{
+    ASSERT_TRUE(read(document).has_value()) << core::last_reason().message;
+    for (auto const it : numbers)
+    {
+        core::fail(core::error_kind::none, "");
+        EXPECT_FALSE(read(with(document, path, it)).has_value())
+            << path << " " << it;
+        EXPECT_EQ(core::last_reason().kind, core::error_kind::protocol);
+    }
+}
+
 auto random_document() -> state::config_document
 {
     auto value = random_value<state::config_document>(strings::printable);
@@ -444,3 +475,49 @@
             "key \"stretch\" must be a number from 0 to 10000");
     }
 }
+
+// Guards against an answer of a worker with a number that wraps round.
+TEST(json, refuses_worker_lists_with_numbers_out_of_range)
+{
+    for (auto const* it :
+         {"/clock-ms", "/born", "/running/0/1", "/running/0/3", "/running/0/4",
+          "/ended/0/0", "/ended/0/2"})
+    {
+        expect_invalid_answer(
+            lists_answer, it, platform::parse_worker_lists,
+            {"-9223372036854775808", "9223372036854775807",
+             "18446744073709551615", "1e30"});
+    }
+    for (auto const* it : {"/running/0/1", "/ended/0/0", "/ended/0/2"})
+    {
+        expect_invalid_answer(
+            lists_answer, it, platform::parse_worker_lists, {"-1", "1.5"});
+    }
+    expect_invalid_answer(
+        R"({"clock-ms":5})", "/clock-ms", platform::parse_worker_clock,
+        {"-1", "1.5", "18446744073709551615"});
+}
+
+// Guards against a revision or a lease of the store that wraps round.
+TEST(json, refuses_store_answers_with_numbers_out_of_range)
+{
+    auto const odd = std::vector<std::string_view>{
+        "-1", "1.5", "18446744073709551615", "1e30"};
+    for (auto const* it :
+         {"/store-revision", "/items/0/revision", "/items/0/created"})
+    {
+        expect_invalid_answer(
+            range_answer, it, platform::parse_range_page, odd);
+    }
+    for (auto const* it :
+         {"/store-revision", "/events/0/revision", "/events/0/created"})
+    {
+        expect_invalid_answer(
+            changes_answer, it, platform::parse_store_changes, odd);
+    }
+    expect_invalid_answer(
+        R"({"revision":5})", "/revision", platform::parse_revision, odd);
+    expect_invalid_answer(
+        R"({"lease":5})", "/lease", platform::parse_lease,
+        {"-1", "1.5", "1e30", "0"});
+}
