Leave only the unreadable entry out of a range or a watch

Cause: one value that is no base64, or no string, made parse_range_page and parse_store_changes refuse the whole answer, so watched_range read it again and again and followed neither the other workers nor the drains.

The load of jobs still refuses an answer with an unreadable entry, so that no job is left out, and so does the read of a single key.

Measured: before, json.one_unreadable_entry_leaves_the_others_of_a_store_answer failed (without its checks of the new member): "the answer is not a valid range".

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -93,7 +93,8 @@
     auto finish_leaving() -> void;
     /**
      * Hands the values under @p prefix to @p take, by key. Logs @p problem for
-     * one that cannot be read; a failed call loads all again.
+     * one that cannot be decoded; a failed call loads all again, and so does
+     * an unreadable entry.
      */
     template <class Value, class Take>
     auto load(
@@ -178,6 +179,15 @@
                 auto values = std::vector<std::pair<std::string, Value>>{};
                 for (auto const& it : answer->entries)
                 {
+                    // A damaged answer must not lose a job.
+                    if (!it.readable)
+                    {
+                        core::fail(
+                            core::error_kind::protocol,
+                            fmt::format(
+                                "the value of {} is no base64", it.key));
+                        return self.load_again(number);
+                    }
                     auto value = protocol::decode<Value>(it.value);
                     if (!value)
                     {
--- a/coordination/store_type.hpp
+++ b/coordination/store_type.hpp
@@ -24,6 +24,9 @@
     std::string value;
     std::int64_t create_revision = 0; ///< Store revision of its creation.
     std::int64_t modify_revision = 0; ///< Store revision of its last put.
+    /** False: the answer holds no bytes of the value, which is empty. Only in
+     * ranges and changes. */
+    bool readable = true;
 };
 
 /** A condition of a transaction. */
--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -521,3 +521,30 @@
         R"({"lease":5})", "/lease", platform::parse_lease,
         {"-1", "1.5", "1e30", "0"});
 }
+
+// Guards against a list that nobody follows any more because another writer's
+// entry can't be read.
+TEST(json, one_unreadable_entry_leaves_the_others_of_a_store_answer)
+{
+    for (auto const* it : {"\"YQ=\"", "\"%%%%\"", "7", "[]"})
+    {
+        SCOPED_TRACE(it);
+        auto const page = platform::parse_range_page(
+            with(range_answer, "/items/0/value", it));
+        ASSERT_TRUE(page) << core::last_reason().message;
+        ASSERT_EQ(page->range.entries.size(), 2U);
+        EXPECT_FALSE(page->range.entries[0].readable);
+        EXPECT_EQ(page->range.entries[0].modify_revision, 2);
+        EXPECT_EQ(page->range.entries[1].value, "b");
+        EXPECT_TRUE(page->range.entries[1].readable);
+        auto const changes = platform::parse_store_changes(
+            with(changes_answer, "/events/0/value", it));
+        ASSERT_TRUE(changes) << core::last_reason().message;
+        ASSERT_EQ(changes->written.size(), 2U);
+        EXPECT_FALSE(changes->written[0].readable);
+        EXPECT_EQ(changes->written[1].value, "b");
+        // A single entry holds the daemons' own data.
+        EXPECT_FALSE(platform::parse_store_entry(fmt::format(
+            R"({{"key":"a","value":{},"created":1,"revision":2}})", it)));
+    }
+}
