--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -237,6 +237,32 @@
     EXPECT_FALSE(protocol::decode<protocol::peer_reply>("\x92\x06\x91\xff"));
 }
 
+// Guards against a record with a number that wraps round when it is read.
+TEST(msgpack, refuses_numbers_out_of_range)
+{
+    auto record = protocol::owner_record{};
+    record.term = core::epoch{5};
+    record.cpu_milli = 6;
+    auto const bytes = protocol::encode(record);
+    ASSERT_TRUE(bytes.ends_with("\x05\x06"));
+    auto const head = bytes.substr(0, bytes.size() - 2);
+    using namespace std::string_literals;
+    auto const negative = "\xff"s;
+    auto const too_large = "\xcf\xff\xff\xff\xff\xff\xff\xff\xff"s;
+    auto const real = "\xcb\x46\x29\x3e\x59\x39\xa0\x8c\xea"s; // 1e30.
+    auto const decodes = [&](std::string const& end)
+    {
+        return protocol::decode<protocol::owner_record>(head + end).has_value();
+    };
+    EXPECT_TRUE(decodes(too_large + "\x06"));
+    for (auto const& it : {negative, real})
+    {
+        EXPECT_FALSE(decodes(it + "\x06"));
+        EXPECT_FALSE(decodes("\x05" + it));
+    }
+    EXPECT_FALSE(decodes("\x05" + too_large));
+}
+
 // Guards against a few bytes that make the decoder allocate gigabytes.
 TEST(msgpack, bounds_memory_by_the_input_size)
 {
