--- a/coordination/etcd_func.cpp
+++ b/coordination/etcd_func.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <limits>
 #include <openssl/evp.h>
 #include <utility>
 
@@ -49,7 +50,11 @@
     {
         return 0;
     }
-    if (it.is_number_integer())
+    auto const wraps =
+        it.is_number_unsigned() &&
+        std::cmp_greater(
+            it.get<std::uint64_t>(), std::numeric_limits<std::int64_t>::max());
+    if (it.is_number_integer() && !wraps)
     {
         return it.get<std::int64_t>();
     }
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -273,6 +273,20 @@
     }
 }
 
+// Guards against a revision that wraps round when it is read.
+TEST(etcd_store, refuses_numbers_out_of_range)
+{
+    for (auto const* it :
+         {"18446744073709551615", "\"18446744073709551615\"", "1e30", "1.5"})
+    {
+        auto const body =
+            R"({"header":{"revision":)" + std::string{it} + R"(},"kvs":[]})";
+        EXPECT_FALSE(coordination::etcd_range_answer(body)) << it;
+    }
+    EXPECT_TRUE(
+        coordination::etcd_range_answer(R"({"header":{"revision":7}})"));
+}
+
 // Guards against crashes on arbitrary answers.
 RC_GTEST_PROP(etcd_store, survives_any_answer, (std::string const& text))
 {
