Do not take a worker as ended at an address where it has never answered

An entry of another writer that names a wrong address for a known worker made its runs start twice: the owner called the wrong address, a refused connection (or another worker there) counted as the end of the worker's process once it was no longer listed, and its tasks started elsewhere while they ran on.

Change: only the address where the worker has last answered this owner tells that its process has ended; elsewhere its lease decides. An owner that has not heard the worker yet still trusts the stored address.

Test a_wrong_address_of_a_worker_does_not_end_its_runs, before: 2 starts in place of 1 and a violation, for a refused connection and for another worker there.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -226,6 +226,8 @@
      */
     bool stored_with_tasks = false;
     std::optional<core::time_point> lost_at; ///< Unset while in contact.
+    /** Where it has last answered this owner; empty: nowhere yet. */
+    std::string answered_address;
     contact_state contact = contact_state::none;
     std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
     std::uint64_t restarts = 0; ///< Of the worker under this owner.
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -303,7 +303,12 @@
                  {"runs", worker->runs.size()}});
         }
         lose_contact(*worker, now);
-        if (order.address != worker->info.address)
+        // An entry of another writer may name an address where the worker has
+        // never been.
+        auto const is_its_address = order.address == worker->info.address &&
+                                    (worker->answered_address.empty() ||
+                                     worker->answered_address == order.address);
+        if (!is_its_address)
         {
             return true;
         }
@@ -392,6 +397,7 @@
     }
     worker.started_ms_known = true;
     worker.started_ms = lists.started_ms;
+    worker.answered_address = order.address;
     ++worker.list_count;
     auto const ends_before = worker.last_processed_end;
     for (auto const& row : lists.ended)
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -812,7 +812,8 @@
 // Guards against a second run of a task after two changes of owner: the first
 // new owner cannot read the stored list, and stores one that names no tasks for
 // a worker that it has never heard.
-TEST(dispatch, an_owner_without_a_readable_list_names_no_tasks_of_silent_workers)
+TEST(
+    dispatch, an_owner_without_a_readable_list_names_no_tasks_of_silent_workers)
 {
     auto const world = two_workers();
     world->behaviour_of = [](auto const&, auto)
@@ -836,6 +837,34 @@
         << (world->violations.empty() ? "" : world->violations.front());
 }
 
+// Guards against a second run of a task: an entry of another writer named a
+// wrong address, where nobody listens.
+TEST(dispatch, a_wrong_address_of_a_worker_does_not_end_its_runs)
+{
+    for (auto const result :
+         {state::order_result::connection_refused,
+          state::order_result::other_worker})
+    {
+        auto const world = two_workers();
+        world->behaviour_of = [](auto const&, auto)
+        {
+            return tests::task_behaviour{60'000, false};
+        };
+        ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+        world->run_for(100);
+        ASSERT_EQ(world->starts.size(), 1U);
+        auto& worker = world->worker(worker_of(world->starts.front()));
+        worker.info.address = "127.0.0.1:9";
+        worker.reachable = false;
+        worker.unreachable_result = result;
+        world->run_for(500);
+        worker.listed = false;
+        world->run_for(2000);
+        EXPECT_EQ(world->starts.size(), 1U);
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
 // Guards against a worker that gets no tasks after its drain was taken back.
 TEST(dispatch, a_worker_gets_tasks_after_its_drain_is_taken_back)
 {
