--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -60,6 +60,7 @@
             auto const it = former_restarts.find(info.worker);
             worker->restarts = it == former_restarts.end() ? 0 : it->second;
             worker->lost_at = now;
+            worker->may_have_unknown_runs = recovering && !stored_list_readable;
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
@@ -69,6 +70,10 @@
             worker->in_stored_list = false;
             worker_list_changed = true;
         }
+        if (worker->info.capacity != info.capacity)
+        {
+            worker->estimates_valid = false;
+        }
         worker->info = info;
         worker->in_worker_list = true;
         if (!info.draining)
@@ -79,6 +84,11 @@
         {
             worker->drain_seen_at = now;
         }
+        // The process that replaces it may be listed before its runs end.
+        for (auto& run : worker->runs)
+        {
+            run.drain_seen = run.drain_seen || info.draining;
+        }
         update_retired(*worker, now);
     }
     forget_lost_workers(now);
@@ -293,7 +303,12 @@
                  {"runs", worker->runs.size()}});
         }
         lose_contact(*worker, now);
-        if (order.address != worker->info.address)
+        // An entry of another writer may name an address where the worker has
+        // never been.
+        auto const is_its_address = order.address == worker->info.address &&
+                                    (worker->answered_address.empty() ||
+                                     worker->answered_address == order.address);
+        if (!is_its_address)
         {
             return true;
         }
@@ -339,6 +354,7 @@
             now > run.startable_until)
         {
             ++totals.runs_lost;
+            count_crash(worker, run, now);
             retry_run(worker, i, now);
         }
     }
@@ -381,6 +397,7 @@
     }
     worker.started_ms_known = true;
     worker.started_ms = lists.started_ms;
+    worker.answered_address = order.address;
     ++worker.list_count;
     auto const ends_before = worker.last_processed_end;
     for (auto const& row : lists.ended)
