Known red: a worker that is lost just before a change of owner holds all tasks

Callers see a long-running task down for 13.6 s. The former owner names the tasks of a lost worker only after 500 ms, so a new owner that comes sooner knows no names and waits as before. The test fails with 0 starts in place of 1.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -809,6 +809,32 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against tasks that wait for a worker that was lost just before the
+// change of owner, on which they cannot run.
+TEST(dispatch, a_take_over_holds_no_other_tasks_for_a_worker_just_lost)
+{
+    auto const world = two_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("lost", 1, 1000)));
+    world->run_for(100);
+    ASSERT_EQ(world->starts.size(), 1U);
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("waits", 1, 1000)));
+    auto& worker = world->worker(worker_of(world->starts.front()));
+    worker.listed = false;
+    worker.reachable = false;
+    worker.unreachable_result = state::order_result::not_sent;
+    world->run_for(200);
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_EQ(count_starts(*world, "waits.0.0.0"), 1);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a second run of a task after two changes of owner: the first
 // new owner cannot read the stored list, and stores one that names no tasks for
 // a worker that it has never heard.
