Share the set-up, the faults and the final check of the two properties

keeps_the_rules_with_slow_writes repeated four parts of keeps_the_rules_under_faults word for word (compared by a script before). prepare(), apply_fault() and check_all_jobs_end() serve both; the events, their numbers and every check are the same. Not run: the sanitizer build.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1207,18 +1207,21 @@
     EXPECT_TRUE(world.violations.empty());
 }
 
-// Random faults of workers, the store and owners: no invariant is violated and
-// every job ends.
-RC_GTEST_PROP(dispatch, keeps_the_rules_under_faults, ())
+namespace
+{
+
+// Faults that apply_fault() knows, by number from 0.
+constexpr auto fault_kinds = 10;
+
+// Starts four workers; the times and failures of their runs follow @p seed.
+auto prepare(tests::dispatch_world& world, int seed) -> void
 {
-    auto world = tests::dispatch_world{};
     for (auto i = 0; i < 4; ++i)
     {
         world.add_worker(fmt::format("w{}", i), worker_capacity);
     }
     world.begin_term();
     world.run_for(200);
-    auto const seed = *rc::gen::inRange(0, 1000);
     world.behaviour_of =
         [seed](state::task_name const& task, state::run_number run)
     {
@@ -1227,49 +1230,44 @@
         return tests::task_behaviour{
             static_cast<std::int64_t>(100 + hash % 1500), hash % 41 == 0};
     };
-    auto jobs = 0;
-    auto const events = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(0, 4)));
-    for (auto const& [kind, which] : events)
-    {
-        auto const id = fmt::format("w{}", which);
-        auto& worker = world.worker(id);
-        // A process that has ended is neither reachable nor listed again.
-        auto const has_exited = worker.unreachable_result ==
-                                state::order_result::connection_refused;
-        switch (kind)
-        {
-        case 0: worker.reachable = !has_exited && !worker.reachable; break;
-        case 1: worker.loses_answers = !worker.loses_answers; break;
-        case 2: worker.delays_starts = !worker.delays_starts; break;
-        case 3: world.carry_out_delayed(id); break;
-        case 4: world.restart_worker(id); break;
-        case 5: world.store_down = !world.store_down; break;
-        case 6: world.begin_term(); break;
-        case 7: worker.info.draining = !worker.info.draining; break;
-        case 8: worker.listed = !has_exited && !worker.listed; break;
-        case 9:
-            if (has_exited)
-            {
-                world.return_worker(id);
-            }
-            else
-            {
-                world.exit_worker(id);
-            }
-            break;
-        default:
+}
+
+// Applies or ends a fault of one worker, of the store or of the owner.
+auto apply_fault(tests::dispatch_world& world, std::string const& id, int kind)
+    -> void
+{
+    auto& worker = world.worker(id);
+    // A process that has ended is neither reachable nor listed again.
+    auto const has_exited =
+        worker.unreachable_result == state::order_result::connection_refused;
+    switch (kind)
+    {
+    case 0: worker.reachable = !has_exited && !worker.reachable; break;
+    case 1: worker.loses_answers = !worker.loses_answers; break;
+    case 2: worker.delays_starts = !worker.delays_starts; break;
+    case 3: world.carry_out_delayed(id); break;
+    case 4: world.restart_worker(id); break;
+    case 5: world.store_down = !world.store_down; break;
+    case 6: world.begin_term(); break;
+    case 7: worker.info.draining = !worker.info.draining; break;
+    case 8: worker.listed = !has_exited && !worker.listed; break;
+    case 9:
+        if (has_exited)
         {
-            auto plan = tests::make_plan(fmt::format("j{}", jobs++), 5, 1000);
-            plan.steps.push_back(plan.steps.front());
-            plan.steps.back().after = {0};
-            world.submit(plan);
-            break;
+            world.return_worker(id);
         }
+        else
+        {
+            world.exit_worker(id);
         }
-        world.run_for(std::int64_t{200} * (1 + which));
+        break;
+    default: break;
     }
-    world.store_down = false;
+}
+
+// Ends the faults of all workers and checks that each stored job ends.
+auto check_all_jobs_end(tests::dispatch_world& world) -> void
+{
     for (auto i = 0; i < 4; ++i)
     {
         auto const id = fmt::format("w{}", i);
@@ -1308,63 +1306,64 @@
     RC_ASSERT(all_ended());
 }
 
-// The same with slow writes, answers of starts that come late, and gangs.
-RC_GTEST_PROP(dispatch, keeps_the_rules_with_slow_writes, ())
+} // namespace
+
+// Random faults of workers, the store and owners: no invariant is violated and
+// every job ends.
+RC_GTEST_PROP(dispatch, keeps_the_rules_under_faults, ())
 {
     auto world = tests::dispatch_world{};
-    for (auto i = 0; i < 4; ++i)
+    auto const seed = *rc::gen::inRange(0, 1000);
+    prepare(world, seed);
+    auto jobs = 0;
+    auto const events = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(0, 4)));
+    for (auto const& [kind, which] : events)
     {
-        world.add_worker(fmt::format("w{}", i), worker_capacity);
+        auto const id = fmt::format("w{}", which);
+        if (kind < fault_kinds)
+        {
+            apply_fault(world, id, kind);
+        }
+        else
+        {
+            auto plan = tests::make_plan(fmt::format("j{}", jobs++), 5, 1000);
+            plan.steps.push_back(plan.steps.front());
+            plan.steps.back().after = {0};
+            world.submit(plan);
+        }
+        world.run_for(std::int64_t{200} * (1 + which));
     }
-    world.begin_term();
-    world.run_for(200);
+    world.store_down = false;
+    check_all_jobs_end(world);
+}
+
+// The same with slow writes, answers of starts that come late, and gangs.
+RC_GTEST_PROP(dispatch, keeps_the_rules_with_slow_writes, ())
+{
+    auto world = tests::dispatch_world{};
     auto const seed = *rc::gen::inRange(0, 1000);
-    world.behaviour_of =
-        [seed](state::task_name const& task, state::run_number run)
-    {
-        auto const hash = core::stable_hash(
-            fmt::format("{}/{}/{}", seed, tests::text_of(task), run.value));
-        return tests::task_behaviour{
-            static_cast<std::int64_t>(100 + hash % 1500), hash % 41 == 0};
-    };
+    prepare(world, seed);
     auto jobs = 0;
     auto const events = *rc::gen::container<std::vector<std::pair<int, int>>>(
         rc::gen::pair(rc::gen::inRange(0, 20), rc::gen::inRange(0, 4)));
     for (auto const& [kind, which] : events)
     {
         auto const id = fmt::format("w{}", which);
-        auto& worker = world.worker(id);
-        // A process that has ended is neither reachable nor listed again.
-        auto const has_exited = worker.unreachable_result ==
-                                state::order_result::connection_refused;
         switch (kind)
         {
-        case 0: worker.reachable = !has_exited && !worker.reachable; break;
-        case 1: worker.loses_answers = !worker.loses_answers; break;
-        case 2: worker.delays_starts = !worker.delays_starts; break;
-        case 3: world.carry_out_delayed(id); break;
-        case 4: world.restart_worker(id); break;
-        case 5: world.store_down = !world.store_down; break;
-        case 6: world.begin_term(); break;
-        case 7: worker.info.draining = !worker.info.draining; break;
-        case 8: worker.listed = !has_exited && !worker.listed; break;
-        case 9:
-            if (has_exited)
-            {
-                world.return_worker(id);
-            }
-            else
-            {
-                world.exit_worker(id);
-            }
-            break;
         case 10: world.store_delay_ms = which * 300; break;
         case 11: world.answer_delay_ms = which * 60; break;
         case 12:
         case 13: world.begin_term(); break;
-        case 14: worker.reachable = !has_exited && !worker.reachable; break;
+        case 14: apply_fault(world, id, 0); break;
         default:
         {
+            if (kind < fault_kinds)
+            {
+                apply_fault(world, id, kind);
+                break;
+            }
             auto plan = tests::make_plan(fmt::format("j{}", jobs++), 5, 1000);
             plan.steps.push_back(plan.steps.front());
             plan.steps.back().after = {0};
@@ -1382,42 +1381,7 @@
     world.store_delay_ms = 0;
     world.answer_delay_ms = 0;
     world.store_down = false;
-    for (auto i = 0; i < 4; ++i)
-    {
-        auto const id = fmt::format("w{}", i);
-        auto& worker = world.worker(id);
-        if (worker.unreachable_result ==
-            state::order_result::connection_refused)
-        {
-            world.return_worker(id);
-        }
-        worker.reachable = true;
-        worker.listed = true;
-        worker.info.draining = false;
-        worker.loses_answers = false;
-        worker.delays_starts = false;
-    }
-    auto const all_ended = [&]
-    {
-        return std::all_of(
-            world.stored.jobs.begin(), world.stored.jobs.end(),
-            [&](auto const& it)
-            {
-                auto const phase = world.phase(it.plan.id.value);
-                return phase && state::is_final(*phase);
-            });
-    };
-    world.run_for(1000); // Jobs that the store has refused so far are stored.
-    for (auto i = 0; i < 60 && !all_ended(); ++i)
-    {
-        world.run_for(1000);
-    }
-    world.run_for(5000); // Late orders would cause second runs.
-    if (!world.violations.empty())
-    {
-        RC_FAIL(world.violations.front());
-    }
-    RC_ASSERT(all_ended());
+    check_all_jobs_end(world);
 }
 
 namespace
