Store the worker of a long-running task before its start; name the tasks of draining workers

Change: the progress of a job names, for each long-running task, the only worker where it may run. It is stored before the start is sent, so that a new owner holds the task only until it has heard that worker. A worker that drains gets no starts, so its tasks are named in the stored list at once, and those of a worker that has left the list are stored without the pause of 0.5 s. Jobs that an earlier release has accepted are held as before.

The fake worker of the tests now refuses a run that it was told to stop before it arrived, as the platform's protocol says: the new property found a second run on the former one.

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -52,6 +52,7 @@
     visit("plan", value.plan);
     visit("accepted_in", value.accepted_term);
     visit("accepted_ms", value.accepted_ms);
+    visit("stores_workers", value.stores_workers);
 }
 
 auto visit_members(is<state::task_progress> auto& value, auto&& visit) -> void
@@ -60,6 +61,7 @@
     visit("failed_runs", value.failed_runs);
     visit("checkpoint", value.checkpoint);
     visit("crashed_runs", value.crashed_runs);
+    visit("worker", value.worker);
 }
 
 auto visit_members(is<state::plan_progress> auto& value, auto&& visit) -> void
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -32,10 +32,11 @@
         }
         else if (
             !task.failed_runs.empty() || !task.checkpoint.empty() ||
-            task.is_suspect())
+            task.is_suspect() || !task.stored_worker.empty())
         {
             result.tasks.push_back(
-                {i, task.failed_runs, task.checkpoint, task.crashed_runs});
+                {i, task.failed_runs, task.checkpoint, task.crashed_runs,
+                 task.stored_worker});
         }
     }
     return result;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -59,6 +59,9 @@
     core::worker_id avoided_worker;
     std::string checkpoint;
     std::vector<std::uint64_t> crashed_runs; ///< Each crashed its worker.
+    /** The only worker where it may run, if job_entry::stores_worker_of() is
+     *  true; empty: none. Part of the progress. */
+    core::worker_id stored_worker;
 
     /** Returns true if a worker has crashed under the task. */
     [[nodiscard]] auto is_suspect() const -> bool
@@ -132,6 +135,13 @@
         return record.plan.steps[step.step];
     }
     [[nodiscard]] auto step_of(std::uint32_t task) -> step_entry&;
+    /** Returns true if no run of the task is started before its worker is
+     *  stored. The members of a gang have to start at the same time. */
+    [[nodiscard]] auto stores_worker_of(std::uint32_t task) -> bool
+    {
+        auto const& it = spec(step_of(task));
+        return record.stores_workers && it.long_running && !it.gang;
+    }
     [[nodiscard]] auto name_of(std::uint32_t task) -> task_name;
     auto fail_callbacks(core::error_kind kind, std::string_view cause) -> void;
     /** Returns the index of a task, or std::nullopt if it does not exist. */
@@ -161,6 +171,8 @@
     core::time_point startable_until;
     std::optional<core::time_point> start_confirmed_at;
     bool start_pending = false; ///< The start was sent and not answered.
+    /** The start is sent when dispatch_task::stored_worker is stored. */
+    bool waits_for_store = false;
     bool stop_requested = false;
     std::optional<core::time_point> stop_sent_at;
     std::optional<core::time_point> stop_confirmed_at;
@@ -176,6 +188,16 @@
     std::uint64_t last_seen_in_list = 0; ///< dispatch_worker::list_count.
 };
 
+/** A run whose start is sent when its worker is stored. */
+struct stored_start
+{
+    job_pointer job;
+    std::uint32_t task = 0;
+    run_number run;
+    core::worker_id worker;
+    std::uint64_t version = 0; ///< Progress that has to be stored first.
+};
+
 /** A reported end of a run that is not acknowledged yet. */
 struct pending_end
 {
@@ -384,6 +406,8 @@
     set_workers(std::span<listed_worker const> workers, core::time_point now)
         -> void;
     auto forget_lost_workers(core::time_point now) -> void;
+    auto lift_restriction(dispatch_worker& worker, core::time_point now)
+        -> void;
     auto update_retired(dispatch_worker& worker, core::time_point now) -> void;
     auto
     possible_tasks(dispatch_worker const& worker, core::time_point now) const
@@ -392,6 +416,14 @@
         -> void;
     [[nodiscard]] auto may_run_unseen(job_entry& job, std::uint32_t task) const
         -> bool;
+    auto hold_task(job_pointer const& job, std::uint32_t task) -> void;
+    auto release_task(
+        job_pointer const& job, std::uint32_t task, core::time_point now)
+        -> void;
+    auto release_heard_tasks(core::time_point now) -> void;
+    auto set_stored_worker(
+        job_pointer const& job, std::uint32_t task, core::worker_id worker,
+        core::time_point commit_by) -> void;
     auto token_of(dispatch_worker const& worker) const -> fencing_token;
     auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
@@ -467,7 +499,8 @@
     auto find_worker(core::worker_id const& id) -> dispatch_worker*;
     auto tick(core::time_point now) -> void;
     auto finish_recovery(core::time_point now) -> void;
-    auto release_unknown_tasks(std::size_t unheard) -> void;
+    auto release_unknown_tasks(std::size_t unheard, core::time_point now)
+        -> void;
     auto move_stalled_runs(dispatch_worker& worker, core::time_point now)
         -> void;
 
@@ -503,6 +536,10 @@
     auto start(
         job_pointer const& job, std::uint32_t task, dispatch_worker& worker,
         run_number run, core::time_point now) -> void;
+    auto
+    send_start(dispatch_worker& worker, run_entry& run, core::time_point now)
+        -> void;
+    auto send_stored_starts(core::time_point now) -> void;
     auto next_run(job_entry const& job, dispatch_task const& task) const
         -> run_number;
     auto reserve_worker(
@@ -601,6 +638,9 @@
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
     std::size_t starts_left = 0;                ///< That this pass may send.
     std::vector<run_order> orders;
+    std::vector<stored_start> stored_starts;
+    /** Tasks in task_state::unknown that wait for their stored worker only. */
+    std::vector<std::pair<job_pointer, std::uint32_t>> held_for_worker;
     std::deque<job_pointer> dirty_jobs;
     std::vector<core::job_id> expired_jobs;
     std::optional<core::time_point> commit_due_at;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -58,6 +58,18 @@
     {
         progress.emplace(id.value, &it);
     }
+    for (auto const& [info, tasks] : stored.workers)
+    {
+        auto worker = std::make_unique<dispatch_worker>();
+        worker->info = info;
+        worker->former_tasks = tasks;
+        worker->stored_with_tasks = tasks.has_value();
+        worker->in_stored_list = true;
+        worker->may_have_unknown_runs = true;
+        worker->lease_until = recovery_until;
+        worker->next_hold_at = now;
+        workers.emplace(info.worker, std::move(worker));
+    }
     for (auto const& record : stored.jobs)
     {
         auto const job = add_job(record);
@@ -76,18 +88,6 @@
             release_runnable_steps(job);
         }
     }
-    for (auto const& [info, tasks] : stored.workers)
-    {
-        auto worker = std::make_unique<dispatch_worker>();
-        worker->info = info;
-        worker->former_tasks = tasks;
-        worker->stored_with_tasks = tasks.has_value();
-        worker->in_stored_list = true;
-        worker->may_have_unknown_runs = true;
-        worker->lease_until = recovery_until;
-        worker->next_hold_at = now;
-        workers.emplace(info.worker, std::move(worker));
-    }
     recovering = !stored.jobs.empty();
 }
 
@@ -156,6 +156,7 @@
             job.tasks[it.task].failed_runs = it.failed_runs;
             job.tasks[it.task].checkpoint = it.checkpoint;
             job.tasks[it.task].crashed_runs = it.crashed_runs;
+            job.tasks[it.task].stored_worker = it.worker;
             job.started = true;
         }
     }
@@ -200,7 +201,7 @@
         }
         if (may_run_unseen(*job, i))
         {
-            task.state = task_state::unknown;
+            hold_task(job, i);
         }
         else
         {
@@ -212,8 +213,80 @@
 auto dispatcher::implementation::may_run_unseen(
     job_entry& job, std::uint32_t task) const -> bool
 {
-    return recovering && job.restored &&
-           (!held_tasks_known || held_tasks.contains(job.name_of(task)));
+    if (!recovering || !job.restored)
+    {
+        return false;
+    }
+    if (!job.stores_worker_of(task))
+    {
+        return !held_tasks_known || held_tasks.contains(job.name_of(task));
+    }
+    auto const& stored = job.tasks[task].stored_worker;
+    if (stored.empty())
+    {
+        return false;
+    }
+    auto const it = workers.find(stored);
+    if (it == workers.end())
+    {
+        return !stored_list_readable;
+    }
+    auto const& worker = *it->second;
+    auto const& named = worker.former_tasks;
+    return worker.may_have_unknown_runs &&
+           (!named ||
+            std::find(named->begin(), named->end(), job.name_of(task)) !=
+                named->end());
+}
+
+auto dispatcher::implementation::hold_task(
+    job_pointer const& job, std::uint32_t task) -> void
+{
+    job->tasks[task].state = task_state::unknown;
+    if (job->stores_worker_of(task))
+    {
+        held_for_worker.emplace_back(job, task);
+    }
+}
+
+auto dispatcher::implementation::release_task(
+    job_pointer const& job, std::uint32_t task, core::time_point now) -> void
+{
+    set_stored_worker(job, task, {}, now + settings.commit_delay);
+    make_ready(job, task);
+}
+
+auto dispatcher::implementation::release_heard_tasks(core::time_point now)
+    -> void
+{
+    std::erase_if(
+        held_for_worker,
+        [&](auto const& it)
+        {
+            auto const& [job, task] = it;
+            auto const held = job->tasks[task].state == task_state::unknown;
+            if (held && may_run_unseen(*job, task))
+            {
+                return false;
+            }
+            if (held)
+            {
+                release_task(job, task, now);
+            }
+            return true;
+        });
+}
+
+auto dispatcher::implementation::set_stored_worker(
+    job_pointer const& job, std::uint32_t task, core::worker_id worker,
+    core::time_point commit_by) -> void
+{
+    auto& stored = job->tasks[task].stored_worker;
+    if (stored != worker && job->stores_worker_of(task))
+    {
+        stored = std::move(worker);
+        mark_changed(job, commit_by);
+    }
 }
 
 auto dispatcher::implementation::make_ready(
@@ -333,7 +406,7 @@
             fmt::format("queue {} does not exist", plan.queue.value));
         return on_done(false);
     }
-    auto const job = add_job({std::move(plan), term, hooks.unix_ms()});
+    auto const job = add_job({std::move(plan), term, hooks.unix_ms(), true});
     job->submitted = true;
     event(
         "Job was submitted.", {{"job", job->record.plan.id.value},
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -132,6 +132,8 @@
             task.state = task_state::bound;
             task.worker = &worker;
             run.stop_requested = false;
+            set_stored_worker(
+                job, *index, worker.info.worker, now + settings.commit_delay);
         }
     }
     worker.estimates_valid = false;
@@ -156,7 +158,7 @@
     for (auto i = worker.runs.size(); i-- > 0;)
     {
         auto const& run = worker.runs[i];
-        if (run.last_seen_in_list == worker.list_count)
+        if (run.last_seen_in_list == worker.list_count || run.waits_for_store)
         {
             continue;
         }
@@ -281,6 +283,11 @@
     }
     record_worker_result(worker, *job, outcome, now);
     auto const later = now + settings.commit_delay;
+    if (was_current)
+    {
+        // Often replaced by the worker of the next run within the delay.
+        set_stored_worker(job, index, {}, later);
+    }
     if (outcome == run_outcome::done && !spec.long_running)
     {
         ++totals.ends_done;
@@ -332,7 +339,7 @@
     if (!was_current && may_run_unseen(*job, index))
     {
         // A later run may exist on a worker that has not answered yet.
-        task.state = task_state::unknown;
+        hold_task(job, index);
         event(
             "A task waits for workers without contact.",
             {{"job", job->record.plan.id.value},
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -94,6 +94,7 @@
     -> std::vector<run_order>
 {
     last_pass_at = now;
+    send_stored_starts(now);
     if (schedule_due && now >= next_schedule)
     {
         next_schedule = now + schedule_interval;
@@ -541,23 +542,85 @@
     ++totals.starts;
     starts_left -= std::min<std::size_t>(starts_left, 1);
     auto run = make_run(job, index, number, now);
-    run.start_pending = true;
     worker.used += run.need;
     worker.serving_runs += run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs += run.uses_spare_cpu ? 1 : 0;
     worker.suspect_runs += run.suspect ? 1 : 0;
-    worker.lease_until = std::max(worker.lease_until, run.startable_until);
     if (job->spec(job->step_of(index)).long_running)
     {
         worker.reserved_until = core::time_point{};
     }
+    worker.estimates_valid = false;
+    worker.runs.push_back(std::move(run));
+    if (!job->stores_worker_of(index))
+    {
+        return send_start(worker, worker.runs.back(), now);
+    }
+    worker.runs.back().waits_for_store = true;
+    set_stored_worker(job, index, worker.info.worker, now);
+    stored_starts.push_back(
+        {job, index, number, worker.info.worker, job->version});
+}
+
+auto dispatcher::implementation::send_start(
+    dispatch_worker& worker, run_entry& run, core::time_point now) -> void
+{
+    run.start_pending = true;
+    run.ordered_at = now;
+    run.percent_changed_at = now;
+    run.pace_sent_at = now;
+    run.startable_until =
+        now + with_drift(settings.start_validity) + start_margin;
+    worker.lease_until = std::max(worker.lease_until, run.startable_until);
     auto order = make_order(worker, run, run_order_kind::start);
-    order.command = job->record.plan.command;
+    order.command = run.job->record.plan.command;
     order.checkpoint = run.checkpoint;
     order.deadline_ms = clock_of(worker, now) + to_ms(start_validity(now));
     orders.push_back(std::move(order));
-    worker.runs.push_back(std::move(run));
-    worker.estimates_valid = false;
+}
+
+// A new owner holds a long-running task until it has heard the stored worker,
+// so that the start must not precede the write.
+auto dispatcher::implementation::send_stored_starts(core::time_point now)
+    -> void
+{
+    if (stored_starts.empty() || start_validity(now) < min_start_validity)
+    {
+        return;
+    }
+    auto pending = count_pending_starts(now);
+    std::erase_if(
+        stored_starts,
+        [&](stored_start const& it)
+        {
+            if (it.job->stored_version < it.version)
+            {
+                return false;
+            }
+            auto* const worker = find_worker(it.worker);
+            auto const i =
+                worker == nullptr
+                    ? std::nullopt
+                    : find_run(*worker, it.job->name_of(it.task), it.run);
+            if (!i)
+            {
+                return true;
+            }
+            auto& run = worker->runs[*i];
+            if (run.stop_requested || !accepts_starts(*worker, now))
+            {
+                retry_run(*worker, *i, now);
+                return true;
+            }
+            if (pending >= settings.max_pending_starts)
+            {
+                return false;
+            }
+            ++pending;
+            run.waits_for_store = false;
+            send_start(*worker, run, now);
+            return true;
+        });
 }
 
 auto dispatcher::implementation::make_run(
@@ -584,8 +647,6 @@
     run.ordered_at = now;
     run.percent_changed_at = now;
     run.pace_sent_at = now;
-    run.startable_until =
-        now + with_drift(settings.start_validity) + start_margin;
     run.checkpoint = job->tasks[spec.gang ? step.first_task : index].checkpoint;
     return run;
 }
@@ -690,7 +751,7 @@
     {
         for (auto& run : worker->runs)
         {
-            if (!run.stop_requested)
+            if (!run.stop_requested || run.waits_for_store)
             {
                 continue;
             }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -78,7 +78,10 @@
         worker->in_worker_list = true;
         if (!info.draining)
         {
-            worker->drain_seen_at.reset();
+            if (std::exchange(worker->drain_seen_at, std::nullopt))
+            {
+                lift_restriction(*worker, now);
+            }
         }
         else if (!worker->drain_seen_at)
         {
@@ -98,6 +101,18 @@
     }
 }
 
+// Lets the worker get starts again once the store names it without tasks.
+auto dispatcher::implementation::lift_restriction(
+    dispatch_worker& worker, core::time_point now) -> void
+{
+    if (std::exchange(worker.stored_with_tasks, false))
+    {
+        worker.in_stored_list = false;
+        worker_list_changed = true;
+        commit_at(now);
+    }
+}
+
 auto dispatcher::implementation::update_retired(
     dispatch_worker& worker, core::time_point now) -> void
 {
@@ -114,8 +129,8 @@
     }
 }
 
-// Returns the tasks that may run on a worker without contact: nothing is
-// started there. Unset if others may run there.
+// Returns the tasks that may run on a worker that drains or has no contact:
+// nothing is started there. Unset if others may run there.
 auto dispatcher::implementation::possible_tasks(
     dispatch_worker const& worker, core::time_point now) const
     -> std::optional<std::vector<task_name>>
@@ -124,10 +139,11 @@
     {
         return worker.former_tasks;
     }
-    auto const lost = worker.lost_at &&
-                      now - *worker.lost_at >= min_lost_time &&
-                      worker.all_ends_stored();
-    if (!lost)
+    auto const lost =
+        worker.lost_at &&
+        (!worker.in_worker_list || now - *worker.lost_at >= min_lost_time);
+    auto const gets_starts = !worker.drain_seen_at && !lost;
+    if (gets_starts || !worker.all_ends_stored())
     {
         return std::nullopt;
     }
@@ -146,7 +162,8 @@
         possible_tasks(worker, now))
     {
         worker_list_changed = true;
-        commit_at(now + settings.commit_delay);
+        auto const has_left = worker.lost_at && !worker.in_worker_list;
+        commit_at(has_left ? now : now + settings.commit_delay);
     }
 }
 
@@ -349,8 +366,13 @@
     for (auto i = worker.runs.size(); i-- > 0;)
     {
         auto const& run = worker.runs[i];
+        if (run.waits_for_store)
+        {
+            retry_run(worker, i, now);
+        }
         // A start without an answer may reach the process that replaces it.
-        if (run.seen_running || run.start_confirmed_at ||
+        else if (
+            run.seen_running || run.start_confirmed_at ||
             now > run.startable_until)
         {
             ++totals.runs_lost;
@@ -412,13 +434,16 @@
     worker.restarted = false;
     worker.may_have_unknown_runs = false;
     worker.lost_at.reset();
-    auto const restricted = std::exchange(worker.stored_with_tasks, false);
-    if (std::exchange(worker.exited, false) || restricted)
+    if (std::exchange(worker.exited, false))
     {
         worker.in_stored_list = false;
         worker_list_changed = true;
         commit_at(now);
     }
+    if (!worker.drain_seen_at)
+    {
+        lift_restriction(worker, now);
+    }
     if (worker.contact != contact_state::live)
     {
         worker.contact = contact_state::live;
@@ -579,6 +604,7 @@
 
 auto dispatcher::implementation::finish_recovery(core::time_point now) -> void
 {
+    release_heard_tasks(now);
     if (!recovering || !worker_list_known)
     {
         return;
@@ -621,11 +647,11 @@
     held_tasks_known = true;
     held_tasks = std::move(held);
     recovering = !held_tasks.empty();
-    release_unknown_tasks(unheard);
+    release_unknown_tasks(unheard, now);
 }
 
-auto dispatcher::implementation::release_unknown_tasks(std::size_t unheard)
-    -> void
+auto dispatcher::implementation::release_unknown_tasks(
+    std::size_t unheard, core::time_point now) -> void
 {
     auto released = std::size_t{0};
     for (auto const& [id, job] : jobs)
@@ -635,7 +661,7 @@
             if (job->tasks[i].state == task_state::unknown &&
                 !may_run_unseen(*job, i))
             {
-                make_ready(job, i);
+                release_task(job, i, now);
                 ++released;
             }
         }
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -71,17 +71,24 @@
     job_plan plan;
     core::epoch accepted_term;    ///< Term of the owner that accepted it.
     std::int64_t accepted_ms = 0; ///< Unix time.
+    /** The worker of a long-running task is stored before its start. Owners
+     *  that do not store it leave this unset. */
+    bool stores_workers = false;
 
     auto operator==(plan_record const&) const -> bool = default;
 };
 
-/** Progress of a task that has failed, crashed workers or has a checkpoint. */
+/** Progress of a task that has failed, crashed workers, has a checkpoint or may
+ *  run on a stored worker. */
 struct task_progress
 {
     std::uint32_t task = 0; ///< Index over all tasks of the job.
     std::vector<std::uint64_t> failed_runs; ///< Each counts as a failure.
     std::string checkpoint;
     std::vector<std::uint64_t> crashed_runs; ///< Each crashed its worker.
+    /** The only worker where a long-running task may run; empty: none. Only
+     *  with plan_record::stores_workers. */
+    core::worker_id worker;
 
     auto operator==(task_progress const&) const -> bool = default;
 };
--- /dev/null
+++ b/tests/dispatch_take_over_test.cpp
@@ -0,0 +1,316 @@
+/** @file dispatch_take_over_test.cpp Which tasks a new owner holds. */
+#include "tests/support/dispatch_world_base.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace core = godwitcleat::core;
+namespace state = godwitcleat::state;
+namespace tests = godwitcleat::tests;
+
+namespace
+{
+
+constexpr auto worker_capacity = core::resources{4000, 8000, 0};
+
+auto count_starts(tests::dispatch_world const& world, std::string const& task)
+    -> std::ptrdiff_t
+{
+    return std::count_if(
+        world.starts.begin(), world.starts.end(),
+        [&](auto const& it) { return it.starts_with(task + "@"); });
+}
+
+auto make_long_running(std::string id, std::uint32_t tasks) -> state::job_plan
+{
+    auto plan = tests::make_plan(std::move(id), tasks, 1000);
+    plan.steps.front().long_running = true;
+    return plan;
+}
+
+// Three workers; the one that a job runs on has its id as a label.
+auto three_workers() -> std::unique_ptr<tests::dispatch_world>
+{
+    auto world = std::make_unique<tests::dispatch_world>();
+    for (auto const* const id : {"w1", "w2", "w3"})
+    {
+        world->add_worker(id, worker_capacity).info.labels.insert(id);
+    }
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    world->begin_term();
+    world->run_for(200);
+    return world;
+}
+
+auto submit_on(
+    tests::dispatch_world& world, std::string const& worker,
+    state::job_plan plan) -> bool
+{
+    plan.steps.front().label = worker;
+    return world.submit(std::move(plan));
+}
+
+} // namespace
+
+// Guards against a long-running task that stays down because of a silent worker
+// where it cannot run.
+TEST(take_over, holds_a_long_running_task_only_for_its_own_worker)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("here", 1)));
+    ASSERT_TRUE(submit_on(*world, "w2", make_long_running("lost", 1)));
+    world->run_for(300);
+    ASSERT_EQ(world->running(), 2U);
+    world->restart_worker("w1");
+    world->worker("w2").reachable = false;
+    world->begin_term();
+    world->run_for(1000);
+    EXPECT_EQ(count_starts(*world, "here.0.0.0"), 2);
+    world->worker("w2").info.labels.erase("w2");
+    world->worker("w3").info.labels.insert("w2");
+    world->run_for(6000);
+    EXPECT_EQ(count_starts(*world, "lost.0.0.0"), 1);
+    world->run_for(8000);
+    EXPECT_EQ(count_starts(*world, "lost.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against the same after several changes of owner, the last ones of
+// which have heard no worker.
+TEST(take_over, waits_of_several_owners_do_not_add_up_for_other_workers)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("here", 1)));
+    world->run_for(300);
+    world->worker("w2").reachable = false;
+    world->restart_worker("w1");
+    world->worker("w1").reachable = false;
+    world->begin_term();
+    world->run_for(500);
+    world->begin_term();
+    world->run_for(500);
+    EXPECT_EQ(count_starts(*world, "here.0.0.0"), 1);
+    world->worker("w1").reachable = true;
+    world->begin_term();
+    world->run_for(1000);
+    EXPECT_EQ(count_starts(*world, "here.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a start that a new owner would not know of.
+TEST(take_over, a_long_running_task_starts_after_its_worker_is_stored)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(300);
+    ASSERT_EQ(world->starts.size(), 2U);
+    world->store_delay_ms = 500;
+    world->restart_worker("w1");
+    world->run_for(900);
+    EXPECT_EQ(world->starts.size(), 2U);
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a start on a worker that has begun to drain since the choice.
+TEST(take_over, a_stored_start_is_not_sent_to_a_worker_that_drains)
+{
+    auto const world = three_workers();
+    world->store_delay_ms = 200;
+    auto plan = make_long_running("j1", 1);
+    plan.steps.front().near_rack = "r1";
+    world->owner->submit(plan, world->now(), [](bool) {});
+    world->run_for(600);
+    ASSERT_TRUE(world->starts.empty());
+    for (auto const* const id : {"w1", "w2", "w3"})
+    {
+        world->worker(id).info.draining = true;
+        world->worker(id).info.drain_left_ms = 2000;
+    }
+    world->run_for(3000);
+    EXPECT_TRUE(world->starts.empty());
+    world->worker("w3").info.draining = false;
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    EXPECT_EQ(world->worker("w3").runs.size(), 1U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a job that never starts because its start waited for the store
+// when its worker was lost.
+TEST(take_over, a_stored_start_on_a_lost_worker_is_placed_elsewhere)
+{
+    for (auto const exits : {false, true})
+    {
+        auto const world = three_workers();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("fills", 3)));
+        world->run_for(1000);
+        ASSERT_EQ(world->running(), 3U);
+        world->store_delay_ms = 200;
+        // Packed on the worker with the least room.
+        world->owner->submit(
+            make_long_running("j1", 1), world->now(), [](bool) {});
+        world->run_for(600);
+        ASSERT_EQ(world->running(), 3U);
+        if (exits)
+        {
+            world->exit_worker("w1");
+        }
+        else
+        {
+            world->worker("w1").reachable = false;
+        }
+        world->run_for(3000);
+        EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 1) << exits;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
+// Guards against a cancelled task that starts when its worker is stored.
+TEST(take_over, a_start_that_waits_for_the_store_is_cancelled)
+{
+    auto const world = three_workers();
+    world->store_delay_ms = 200;
+    world->owner->submit(make_long_running("j1", 2), world->now(), [](bool) {});
+    world->run_for(600);
+    ASSERT_TRUE(world->starts.empty());
+    world->owner->cancel(core::job_id{"j1"}, world->now(), [](bool) {});
+    world->run_for(3000);
+    EXPECT_TRUE(world->starts.empty());
+    EXPECT_EQ(world->owner->counts(world->now()).tasks_bound, 0U);
+}
+
+// Guards against a second run of a task of a job that an earlier release has
+// accepted, which stored no workers.
+TEST(take_over, a_job_without_stored_workers_waits_for_all_workers)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("old", 1)));
+    world->run_for(300);
+    ASSERT_EQ(world->starts.size(), 1U);
+    world->stored.jobs.front().stores_workers = false;
+    world->stored.progress.clear();
+    world->worker("w1").reachable = false;
+    world->worker("w1").info.labels.erase("w1");
+    world->worker("w2").info.labels.insert("w1");
+    world->begin_term();
+    world->run_for(4000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    world->run_for(10'000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against tasks that wait for a drained worker on which they cannot run:
+// it has left when the next owner calls it.
+TEST(take_over, holds_only_the_tasks_of_a_drained_worker_that_has_left)
+{
+    auto const world = three_workers();
+    auto drained = tests::make_plan("drained", 1, 1000);
+    ASSERT_TRUE(submit_on(*world, "w1", drained));
+    world->run_for(100);
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(submit_on(*world, "w2", tests::make_plan("waits", 1, 1000)));
+    world->worker("w1").info.draining = true;
+    world->worker("w1").info.drain_left_ms = 2000;
+    world->run_for(500);
+    world->worker("w1").listed = false;
+    world->worker("w1").reachable = false;
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(1000);
+    EXPECT_EQ(count_starts(*world, "waits.0.0.0"), 1);
+    EXPECT_EQ(count_starts(*world, "drained.0.0.0"), 1);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Random faults while long-running tasks run: each runs at most once at a time,
+// only on a stored worker, and all run again after the last fault.
+RC_GTEST_PROP(take_over, long_running_tasks_keep_the_rules, ())
+{
+    constexpr auto workers = 4;
+    auto world = tests::dispatch_world{};
+    for (auto i = 0; i < workers; ++i)
+    {
+        world.add_worker(fmt::format("w{}", i), worker_capacity);
+    }
+    auto const seed = *rc::gen::inRange(0, 1000);
+    world.behaviour_of = [seed](auto const& task, auto run)
+    {
+        auto const hash = core::stable_hash(
+            fmt::format("{}/{}/{}", seed, tests::text_of(task), run.value));
+        return tests::task_behaviour{
+            hash % 3 == 0 ? static_cast<std::int64_t>(100 + hash % 3000) : -1,
+            true};
+    };
+    world.begin_term();
+    world.run_for(200);
+    auto jobs = 0;
+    auto const events = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange(0, workers)));
+    for (auto const& [kind, which] : events)
+    {
+        auto const id = fmt::format("w{}", which);
+        auto& worker = world.worker(id);
+        switch (kind)
+        {
+        case 0: worker.reachable = !worker.reachable; break;
+        case 1: worker.loses_answers = !worker.loses_answers; break;
+        case 2: worker.delays_starts = !worker.delays_starts; break;
+        case 3: world.carry_out_delayed(id); break;
+        case 4: world.restart_worker(id); break;
+        case 5: world.store_down = !world.store_down; break;
+        case 6:
+        case 7:
+        case 8: world.begin_term(); break;
+        case 9: worker.info.draining = !worker.info.draining; break;
+        case 10: worker.listed = !worker.listed; break;
+        case 11: world.store_delay_ms = which * 100; break;
+        default:
+            if (jobs < 3)
+            {
+                world.submit(make_long_running(fmt::format("l{}", jobs++), 4));
+            }
+            break;
+        }
+        world.run_for(std::int64_t{100} * (1 + which));
+    }
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    world.store_down = false;
+    world.store_delay_ms = 0;
+    for (auto i = 0; i < workers; ++i)
+    {
+        auto& worker = world.worker(fmt::format("w{}", i));
+        worker.reachable = true;
+        worker.listed = true;
+        worker.loses_answers = false;
+        worker.delays_starts = false;
+        worker.info.draining = false;
+    }
+    // A task under which two workers have crashed waits until the tasks that
+    // were there have proved sound.
+    world.run_for(30'000);
+    if (!world.violations.empty())
+    {
+        RC_FAIL(world.violations.front());
+    }
+    auto const open_jobs = std::count_if(
+        world.stored.jobs.begin(), world.stored.jobs.end(),
+        [&](auto const& it)
+        {
+            auto const phase = world.phase(it.plan.id.value);
+            return phase && !state::is_final(*phase);
+        });
+    RC_ASSERT(world.running() == static_cast<std::size_t>(4 * open_jobs));
+}
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -386,6 +386,11 @@
             return state::order_result::old_run;
         }
     }
+    auto const stopped = worker.stopped.find(order.task);
+    if (stopped != worker.stopped.end() && stopped->second >= order.run)
+    {
+        return state::order_result::old_run;
+    }
     check_start(worker, order);
     auto const behaviour = behaviour_of(order.task, order.run);
     auto run = fake_run{};
@@ -404,6 +409,8 @@
 auto dispatch_world::stop_run(
     fake_dispatch_worker& worker, state::run_order const& order) -> void
 {
+    auto& stopped = worker.stopped[order.task];
+    stopped = std::max(stopped, order.run);
     for (auto i = std::size_t{0}; i < worker.runs.size(); ++i)
     {
         if (is_same_run(worker.runs[i], order))
@@ -444,6 +451,12 @@
         violations.push_back(
             fmt::format("{} starts after it was completed", name));
     }
+    if (!is_stored_for(order.task, worker.info.worker))
+    {
+        violations.push_back(fmt::format(
+            "{} starts on {} before the store names it", name,
+            worker.info.worker.value));
+    }
     if (drained.contains(worker.info.data_centre))
     {
         violations.push_back(
@@ -451,6 +464,38 @@
     }
 }
 
+auto dispatch_world::is_stored_for(
+    state::task_name const& task, core::worker_id const& worker) const -> bool
+{
+    auto const record = std::find_if(
+        stored.jobs.begin(), stored.jobs.end(),
+        [&](auto const& it) { return it.plan.id == task.job; });
+    if (record == stored.jobs.end() || !record->stores_workers)
+    {
+        return true;
+    }
+    auto const& steps = record->plan.steps;
+    auto const& step = steps.at(task.step);
+    if (!step.long_running || step.gang)
+    {
+        return true;
+    }
+    auto index = task.index;
+    for (auto i = std::size_t{0}; i < steps.size(); ++i)
+    {
+        index += steps[i].tasks * task.occurrence;
+        index += i < task.step ? steps[i].tasks : 0;
+    }
+    auto const progress = std::find_if(
+        stored.progress.begin(), stored.progress.end(),
+        [&](auto const& it) { return it.first == task.job; });
+    return progress != stored.progress.end() &&
+           std::any_of(
+               progress->second.tasks.begin(), progress->second.tasks.end(),
+               [&](auto const& it)
+               { return it.task == index && it.worker == worker; });
+}
+
 auto dispatch_world::need_of(state::task_name const& name) const
     -> core::resources
 {
@@ -537,6 +582,7 @@
     worker.acknowledged = 0;
     worker.runs.clear();
     worker.ended.clear();
+    worker.stopped.clear();
     worker.delayed.clear(); // Their connections ended with the process.
 }
 
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -51,6 +51,9 @@
     std::uint64_t next_end = 1;
     std::vector<fake_run> runs;
     std::vector<state::ended_row> ended;
+    /** Highest run of each task that it was told to stop, even if that run had
+     *  not arrived; it refuses runs up to it. */
+    std::map<state::task_name, state::run_number> stopped;
     std::uint64_t acknowledged = 0;
     std::vector<state::run_order> delayed;
 };
@@ -66,7 +69,8 @@
  * Runs one dispatcher at a time against fake workers and an in-memory store.
  * Each start is checked: a task must not run in two places at a time, nor after
  * its completion was acknowledged; the capacity of a worker must not be
- * exceeded; and nothing may start in a drained data centre.
+ * exceeded; nothing may start in a drained data centre; and a long-running task
+ * must not start on a worker that the store does not name for it.
  */
 class dispatch_world
 {
@@ -170,6 +174,11 @@
         fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
+    /** Returns true if a new owner would wait for @p worker before it starts
+     *  the task. */
+    [[nodiscard]] auto is_stored_for(
+        state::task_name const& task, core::worker_id const& worker) const
+        -> bool;
     auto set_queues() -> void;
 
     /** The answer to an order, on its way to the dispatcher. */
