Allow starts on a worker only once its present address is stored

The list in flight now tells which address it names.

a_list_with_the_former_address_allows_no_start failed before ("j1.0.0.0 starts on w1, which the stored list lacks").

--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -95,7 +95,7 @@
             worker->stored_with_tasks = tasks.has_value();
             if (!tasks)
             {
-                workers_in_flight.push_back(id);
+                workers_in_flight.emplace_back(id, worker->info.address);
             }
             batch.workers->push_back({worker->info, std::move(tasks)});
         }
@@ -149,9 +149,10 @@
     if (worker_list_in_flight)
     {
         worker_list_in_flight = false;
-        for (auto const& id : workers_in_flight)
+        for (auto const& [id, address] : workers_in_flight)
         {
-            if (auto* const worker = find_worker(id))
+            auto* const worker = find_worker(id);
+            if (worker != nullptr && worker->info.address == address)
             {
                 worker->in_stored_list = worker->may_have_runs();
             }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -646,7 +646,9 @@
     std::optional<core::time_point> commit_due_at;
     std::vector<job_pointer> jobs_in_flight;
     std::vector<core::job_id> expired_in_flight;
-    std::vector<core::worker_id> workers_in_flight;
+    /** Workers of the list in flight that may get starts, with the address that
+     *  the list names. */
+    std::vector<std::pair<core::worker_id, std::string>> workers_in_flight;
     bool batch_in_flight = false;
     bool worker_list_changed = false;
     bool worker_list_in_flight = false;
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -232,6 +232,26 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a start on a worker whose new address is not stored, because a
+// list with the former one was stored after the change.
+TEST(take_over, a_list_with_the_former_address_allows_no_start)
+{
+    auto const world = three_workers();
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("j1", 1, 1000)));
+    world->store_delay_ms = 200;
+    world->add_worker("w4", worker_capacity); // Its list is stored at 400 ms.
+    world->run_for(100);
+    world->restart_worker("w1");
+    world->worker("w1").info.address = "127.0.0.1:2";
+    world->run_for(100);
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_EQ(world->starts.size(), 1U);
+    EXPECT_TRUE(world->violations.empty())
+        << (world->violations.empty() ? "" : world->violations.front());
+}
+
 // Random faults while long-running tasks run: each runs at most once at a time,
 // only on a stored worker, and all run again after the last fault.
 RC_GTEST_PROP(take_over, long_running_tasks_keep_the_rules, ())
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -451,6 +451,12 @@
         violations.push_back(
             fmt::format("{} starts after it was completed", name));
     }
+    if (!is_in_stored_list(order.task, worker.info))
+    {
+        violations.push_back(fmt::format(
+            "{} starts on {}, which the stored list lacks", name,
+            worker.info.worker.value));
+    }
     if (!is_stored_for(order.task, worker.info.worker))
     {
         violations.push_back(fmt::format(
@@ -464,6 +470,23 @@
     }
 }
 
+auto dispatch_world::is_in_stored_list(
+    state::task_name const& task, state::listed_worker const& worker) const
+    -> bool
+{
+    return std::any_of(
+        stored.workers.begin(), stored.workers.end(),
+        [&](auto const& it)
+        {
+            auto const& names = it.possible_tasks;
+            return it.info.worker == worker.worker &&
+                   it.info.address == worker.address &&
+                   (!names ||
+                    std::find(names->begin(), names->end(), task) !=
+                        names->end());
+        });
+}
+
 auto dispatch_world::is_stored_for(
     state::task_name const& task, core::worker_id const& worker) const -> bool
 {
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -69,8 +69,9 @@
  * Runs one dispatcher at a time against fake workers and an in-memory store.
  * Each start is checked: a task must not run in two places at a time, nor after
  * its completion was acknowledged; the capacity of a worker must not be
- * exceeded; nothing may start in a drained data centre; and a long-running task
- * must not start on a worker that the store does not name for it.
+ * exceeded; nothing may start in a drained data centre, nor on a worker that the
+ * stored list lacks; and a long-running task must not start on a worker that the
+ * store does not name for it.
  */
 class dispatch_world
 {
@@ -174,8 +175,13 @@
         fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
-    /** Returns true if a new owner would wait for @p worker before it starts
-     *  the task. */
+    /** Returns true if a new owner would call @p worker and wait for it before
+     *  it starts the task. */
+    [[nodiscard]] auto is_in_stored_list(
+        state::task_name const& task, state::listed_worker const& worker) const
+        -> bool;
+    /** Returns true if the stored progress names @p worker, where the task has
+     *  one. */
     [[nodiscard]] auto is_stored_for(
         state::task_name const& task, core::worker_id const& worker) const
         -> bool;
