--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -481,9 +481,8 @@
             auto const& names = it.possible_tasks;
             return it.info.worker == worker.worker &&
                    it.info.address == worker.address &&
-                   (!names ||
-                    std::find(names->begin(), names->end(), task) !=
-                        names->end());
+                   (!names || std::find(names->begin(), names->end(), task) !=
+                                  names->end());
         });
 }
 
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -69,9 +69,9 @@
  * Runs one dispatcher at a time against fake workers and an in-memory store.
  * Each start is checked: a task must not run in two places at a time, nor after
  * its completion was acknowledged; the capacity of a worker must not be
- * exceeded; nothing may start in a drained data centre, nor on a worker that the
- * stored list lacks; and a long-running task must not start on a worker that the
- * store does not name for it.
+ * exceeded; nothing may start in a drained data centre, nor on a worker that
+ * the stored list lacks; and a long-running task must not start on a worker
+ * that the store does not name for it.
  */
 class dispatch_world
 {
