Give small store calls up after a time that follows the store's answer times

The time-out of calls with small answers now follows the measured answer times as in RFC 6298, between 200 ms and the set time-out, doubles until an answer comes, and adds 1 us for each byte of the request. Ranges and watches keep theirs. A call that is given up counts as possibly done, as before: the same write follows, and the term key shows whether the first took effect.

a_lost_answer_of_the_store_is_noticed_early: three lost answers with a time-out of 20 s take 0.6 s in all; on the former code the first alone takes 20 s (not run there: the constructor differs). hosted_test: 14 tests pass.

--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -118,7 +118,7 @@
     , peer_client_(loop_, peer_limits())
     , store_(
           store_client_, {settings_.store.front(), settings_.store_timeout},
-          &metrics_)
+          now_, &metrics_)
     , host_(host_parts(), make_owner_record(), host_settings(*settings_.hosted))
     , router_(
           host_,
--- a/standins/standin-platform/main.cpp
+++ b/standins/standin-platform/main.cpp
@@ -89,7 +89,8 @@
         parts.client = std::make_unique<transport::http_client>(
             loop, transport::http_client_limits{});
         parts.remote = std::make_unique<platform::hosted_store>(
-            *parts.client, platform::hosted_store_settings{*where});
+            *parts.client, platform::hosted_store_settings{*where},
+            core::system_clock());
         return parts;
     }
     parts.own = std::make_unique<standins::memory_store>(core::system_clock());
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_TRANSPORT_TRANSPORT_HPP
 #define GODWITCLEAT_TRANSPORT_TRANSPORT_HPP
 
+#include "transport/answer_timeout_base.hpp"
 #include "transport/endpoint_type.hpp"
 #include "transport/frame_base.hpp"
 #include "transport/http_base.hpp"
