Hear a worker only when all its ends are listed

A worker lists at most 500 unacknowledged ends at a time. After a long outage of the store a worker with short tasks can have that many.

A list with 500 ends now leaves the worker unheard, and no run is taken as missing from it, until the later ends were listed too. Ends are acknowledged meanwhile, so that this goes on.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -262,6 +262,7 @@
     std::uint64_t last_processed_end = 0;
     std::uint64_t acknowledged = 0; ///< Highest end that was acknowledged.
     std::deque<pending_end> unacknowledged_ends;
+    bool ends_complete = true; ///< worker_lists::ends_complete of the last one.
     std::vector<run_entry> runs;
     core::resources used;
     bool hold_in_flight = false;
@@ -292,7 +293,8 @@
 
     [[nodiscard]] auto all_ends_stored() const -> bool
     {
-        return std::all_of(
+        return ends_complete &&
+               std::all_of(
             unacknowledged_ends.begin(), unacknowledged_ends.end(),
             [](pending_end const& it) { return it.is_stored(); });
     }
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -90,6 +90,8 @@
     std::int64_t clock_ms = 0;   ///< The worker's own clock.
     std::vector<running_row> running;
     std::vector<ended_row> ended;
+    /** False: there are later ends, listed once these are acknowledged. */
+    bool ends_complete = true;
 };
 
 /** A long poll that renews a worker's lease, acknowledges ended runs and
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -400,6 +400,7 @@
     worker.restarted = true;
     worker.started_ms = lists.started_ms;
     worker.unacknowledged_ends.clear();
+    worker.ends_complete = true;
     worker.last_processed_end = 0;
     worker.acknowledged = 0;
     worker.contact = contact_state::adopting;
@@ -430,9 +431,14 @@
     {
         process_running(worker, row, now);
     }
-    resolve_missing_runs(worker, order.sent_at, now);
-    worker.restarted = false;
-    worker.may_have_unknown_runs = false;
+    worker.ends_complete = lists.ends_complete;
+    // A run that is not listed may be among the ends that are not listed yet.
+    if (lists.ends_complete)
+    {
+        resolve_missing_runs(worker, order.sent_at, now);
+        worker.restarted = false;
+        worker.may_have_unknown_runs = false;
+    }
     worker.lost_at.reset();
     if (std::exchange(worker.exited, false))
     {
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -252,6 +252,28 @@
         << (world->violations.empty() ? "" : world->violations.front());
 }
 
+// Guards against a second run of tasks whose ends a worker lists only after its
+// earlier ends are acknowledged.
+TEST(take_over, waits_for_all_ends_of_a_worker)
+{
+    auto const world = three_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{200, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 30, 1000)));
+    world->store_down = true;
+    world->run_for(3000);
+    ASSERT_EQ(world->starts.size(), 30U);
+    world->store_down = false;
+    world->max_listed_ends = 3;
+    world->begin_term();
+    world->run_for(5000);
+    EXPECT_EQ(world->starts.size(), 30U);
+    EXPECT_EQ(world->phase("j1"), state::plan_phase::completed);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Random faults while long-running tasks run: each runs at most once at a time,
 // only on a stored worker, and all run again after the last fault.
 RC_GTEST_PROP(take_over, long_running_tasks_keep_the_rules, ())
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -305,6 +305,11 @@
              measurement_of ? measurement_of(worker, run) : 0});
     }
     lists.ended = worker.ended;
+    if (lists.ended.size() >= max_listed_ends)
+    {
+        lists.ended.resize(max_listed_ends);
+        lists.ends_complete = false;
+    }
     return lists;
 }
 
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -124,6 +124,8 @@
     std::int64_t store_delay_ms = 0;
     /** Holds wait for an end, and their answers take answer_delay_ms. */
     bool holds_wait = false;
+    /** Workers list at most this many ends at a time. */
+    std::size_t max_listed_ends = 500;
     bool loses_pace_orders = false; ///< Pace orders are lost.
     bool loses_stop_orders = false; ///< Stop orders are lost.
     /** Order answers reach the dispatcher this much later. */
