Limit the stops without an answer to 64

Pace orders follow the answers of the workers' lists, one for each run and half second at most, and are not limited here.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -175,6 +175,7 @@
     bool waits_for_store = false;
     bool stop_requested = false;
     std::optional<core::time_point> stop_sent_at;
+    bool stop_pending = false; ///< The stop was sent and not answered.
     std::optional<core::time_point> stop_confirmed_at;
     std::string checkpoint;
     std::int64_t percent = 0; ///< Completed share of its work.
@@ -295,8 +296,8 @@
     {
         return ends_complete &&
                std::all_of(
-            unacknowledged_ends.begin(), unacknowledged_ends.end(),
-            [](pending_end const& it) { return it.is_stored(); });
+                   unacknowledged_ends.begin(), unacknowledged_ends.end(),
+                   [](pending_end const& it) { return it.is_stored(); });
     }
 
     [[nodiscard]] auto free() const -> core::resources
@@ -515,6 +516,8 @@
     auto schedule(core::time_point now) -> void;
     [[nodiscard]] auto count_pending_starts(core::time_point now) const
         -> std::size_t;
+    [[nodiscard]] auto count_pending_stops(core::time_point now) const
+        -> std::size_t;
     auto place_step(ready_step const& it, core::time_point now) -> bool;
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
     auto choose_worker(
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -131,6 +131,22 @@
     return result;
 }
 
+auto dispatcher::implementation::count_pending_stops(core::time_point now) const
+    -> std::size_t
+{
+    auto result = std::size_t{0};
+    for (auto const& [id, worker] : workers)
+    {
+        result += std::count_if(
+            worker->runs.begin(), worker->runs.end(),
+            [now](run_entry const& it) {
+                return it.stop_pending &&
+                       now - *it.stop_sent_at < max_answer_time;
+            });
+    }
+    return result;
+}
+
 auto dispatcher::implementation::schedule(core::time_point now) -> void
 {
     auto const pending = count_pending_starts(now);
@@ -747,6 +763,7 @@
 
 auto dispatcher::implementation::add_stop_orders(core::time_point now) -> void
 {
+    auto pending = count_pending_stops(now);
     for (auto const& [id, worker] : workers)
     {
         for (auto& run : worker->runs)
@@ -762,7 +779,14 @@
             {
                 continue;
             }
+            if (pending >= settings.max_pending_stops)
+            {
+                schedule_due = true;
+                return;
+            }
+            ++pending;
             run.stop_sent_at = now;
+            run.stop_pending = true;
             run.stop_confirmed_at.reset();
             orders.push_back(make_order(*worker, run, run_order_kind::stop));
         }
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -161,6 +161,8 @@
     /** Maximum number of starts without an answer. More would delay the other
      *  events of an owner with little processor time. */
     std::size_t max_pending_starts = 64;
+    /** The same for orders to stop a run. */
+    std::size_t max_pending_stops = 64;
     /** Maximum time for which a worker may delay the answer to a hold. */
     core::duration hold_wait = std::chrono::milliseconds{1000};
     /** Maximum delay until the end of a task is stored. */
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -496,6 +496,7 @@
     }
     else if (order.kind == run_order_kind::stop)
     {
+        run.stop_pending = false;
         if (result == order_result::accepted)
         {
             run.stop_confirmed_at = now;
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -85,6 +85,40 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a cancelled job whose stops are all sent at once, and against
+// one whose stops wait for workers that do not answer.
+TEST(dispatch_load, at_most_64_stops_wait_for_an_answer)
+{
+    auto const world = make_fleet();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 500, 1000)));
+    world->run_for(2000);
+    ASSERT_EQ(world->running(), 500U);
+    for (auto i = 0; i < 10; ++i)
+    {
+        world->worker(fmt::format("w{:03}", i)).reachable = false;
+    }
+    world->answer_delay_ms = 100;
+    world->holds_wait = true;
+    world->owner->cancel(core::job_id{"j1"}, world->now(), [](bool) {});
+    for (auto i = 0; i < 20; ++i)
+    {
+        auto const before = world->running();
+        world->run_for(world->answer_delay_ms);
+        EXPECT_LE(before - world->running(), 64U);
+    }
+    for (auto i = 0; i < 10; ++i)
+    {
+        world->worker(fmt::format("w{:03}", i)).reachable = true;
+    }
+    world->run_for(3000);
+    EXPECT_EQ(world->running(), 0U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against workers without an answer that hold up starts on others.
 TEST(dispatch_load, starts_continue_beside_workers_that_do_not_answer)
 {
