Count crashes of workers that return after their lease has lapsed

With 8 s and 20 s of absence it was started 18 times in 120 s and its job never ended.

The runs that lapsed are kept with the worker, for 60 s after it was forgotten, and count as crashes if it is next found restarted. If the same process answers, it was only cut off, and they do not count.

crashes_of_workers_that_return_after_their_lease_count failed before (18 starts, at most 4 and 6 allowed: one for each lapse of a lease until the third crash is known); lapsed_runs_of_a_worker_that_was_cut_off_do_not_count guards the other side.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -265,6 +265,8 @@
     std::deque<pending_end> unacknowledged_ends;
     bool ends_complete = true; ///< worker_lists::ends_complete of the last one.
     std::vector<run_entry> runs;
+    /** Ended with its lease; they count as crashes if it was restarted. */
+    std::vector<run_entry> lapsed_runs;
     core::resources used;
     bool hold_in_flight = false;
     core::time_point next_hold_at;
@@ -312,6 +314,16 @@
     }
 };
 
+/** What is kept of a worker that was forgotten, in case it returns. */
+struct former_worker
+{
+    std::uint64_t restarts = 0; ///< It obeys no lower token.
+    std::int64_t started_ms = 0;
+    bool started_ms_known = false;
+    std::vector<run_entry> lapsed_runs;
+    core::time_point lapsed_runs_until; ///< When they are dropped.
+};
+
 /** A step with tasks that wait for free capacity. */
 struct ready_step
 {
@@ -409,6 +421,8 @@
     set_workers(std::span<listed_worker const> workers, core::time_point now)
         -> void;
     auto forget_lost_workers(core::time_point now) -> void;
+    auto remember(dispatch_worker& worker, core::time_point now) -> void;
+    auto recall(dispatch_worker& worker, core::worker_id const& id) -> void;
     auto lift_restriction(dispatch_worker& worker, core::time_point now)
         -> void;
     auto update_retired(dispatch_worker& worker, core::time_point now) -> void;
@@ -634,8 +648,7 @@
     std::unordered_map<std::string, job_pointer, string_hash, std::equal_to<>>
         jobs;
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
-    /** Restarts of forgotten workers, which obey no lower token. */
-    std::map<core::worker_id, std::uint64_t> former_restarts;
+    std::map<core::worker_id, former_worker> former_workers;
     std::vector<ready_step> ready_steps;
     /** Workers that accept starts in this pass, by service. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -191,6 +191,7 @@
                                        {"runs", worker.runs.size()},
                                        {"cause", cause}});
     totals.runs_lost += worker.runs.size();
+    worker.lapsed_runs = worker.runs;
     while (!worker.runs.empty())
     {
         retry_run(worker, worker.runs.size() - 1, now);
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -34,6 +34,8 @@
 // Runs are stopped this long before their worker leaves; stopping one and
 // saving its checkpoint take this long.
 constexpr auto leave_margin = std::chrono::milliseconds{900};
+// How long the runs of a forgotten worker are kept.
+constexpr auto max_absence = std::chrono::seconds{60};
 constexpr auto unhealthy_pause = std::chrono::milliseconds{500};
 // Added to a run number that a worker has rejected as old, so that the next run
 // exceeds all earlier ones there.
@@ -57,8 +59,7 @@
         {
             worker = std::make_unique<dispatch_worker>();
             worker->next_hold_at = now;
-            auto const it = former_restarts.find(info.worker);
-            worker->restarts = it == former_restarts.end() ? 0 : it->second;
+            recall(*worker, info.worker);
             worker->lost_at = now;
             worker->may_have_unknown_runs = recovering && !stored_list_readable;
             worker_list_changed = true;
@@ -182,13 +183,46 @@
             {
                 worker_list_changed = true;
                 commit_at(now + settings.commit_delay);
-                if (worker.restarts > 0)
-                {
-                    former_restarts[it.first] = worker.restarts;
-                }
+                remember(*it.second, now);
             }
             return lost;
         });
+    for (auto& [id, it] : former_workers)
+    {
+        if (now > it.lapsed_runs_until)
+        {
+            it.lapsed_runs.clear();
+        }
+    }
+}
+
+auto dispatcher::implementation::remember(
+    dispatch_worker& worker, core::time_point now) -> void
+{
+    if (worker.restarts == 0 && worker.lapsed_runs.empty())
+    {
+        return;
+    }
+    auto& it = former_workers[worker.info.worker];
+    it.restarts = worker.restarts;
+    it.started_ms = worker.started_ms;
+    it.started_ms_known = worker.started_ms_known;
+    it.lapsed_runs = std::move(worker.lapsed_runs);
+    it.lapsed_runs_until = now + max_absence;
+}
+
+auto dispatcher::implementation::recall(
+    dispatch_worker& worker, core::worker_id const& id) -> void
+{
+    auto const it = former_workers.find(id);
+    if (it == former_workers.end())
+    {
+        return;
+    }
+    worker.restarts = it->second.restarts;
+    worker.started_ms = it->second.started_ms;
+    worker.started_ms_known = it->second.started_ms_known;
+    worker.lapsed_runs = std::exchange(it->second.lapsed_runs, {});
 }
 
 auto dispatcher::implementation::find_worker(core::worker_id const& id)
@@ -399,6 +433,10 @@
     ++worker.session;
     worker.restarted = true;
     worker.started_ms = lists.started_ms;
+    for (auto const& run : std::exchange(worker.lapsed_runs, {}))
+    {
+        count_crash(worker, run, now);
+    }
     worker.unacknowledged_ends.clear();
     worker.ends_complete = true;
     worker.last_processed_end = 0;
@@ -420,6 +458,7 @@
     }
     worker.started_ms_known = true;
     worker.started_ms = lists.started_ms;
+    worker.lapsed_runs.clear();
     worker.answered_address = order.address;
     ++worker.list_count;
     auto const ends_before = worker.last_processed_end;
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -39,7 +39,8 @@
 class crash_world
 {
 public:
-    explicit crash_world(int workers)
+    explicit crash_world(int workers, std::int64_t worker_down_ms = down_ms)
+        : worker_down_ms_(worker_down_ms)
     {
         for (auto i = 0; i < workers; ++i)
         {
@@ -64,7 +65,8 @@
         world.worker(id).reachable = false;
         world.worker(id).unreachable_result =
             state::order_result::connection_refused;
-        down_until_[id] = world.now() + std::chrono::milliseconds{down_ms};
+        down_until_[id] =
+            world.now() + std::chrono::milliseconds{worker_down_ms_};
         ++crashes;
     }
 
@@ -110,6 +112,7 @@
             });
     }
 
+    std::int64_t worker_down_ms_;
     std::vector<std::string> ids_;
     std::map<std::string, core::time_point> down_until_;
 };
@@ -144,6 +147,47 @@
     EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
 }
 
+// Guards against crashes that are not counted if the worker stays away for
+// longer than its lease. Each start follows the lapse of a lease, and the third
+// crash is known when its worker returns.
+TEST(dispatch_crash, crashes_of_workers_that_return_after_their_lease_count)
+{
+    for (auto const away_ms : {8000, 20'000})
+    {
+        auto it = crash_world{4, away_ms};
+        auto const lease_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                it.world.settings.lease_limit)
+                .count();
+        ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
+        it.run_for(120'000);
+        EXPECT_LE(
+            count_starts(it.world, "bad.0.0.0"),
+            1 + (2 * lease_ms + away_ms) / lease_ms);
+        EXPECT_EQ(it.world.phase("bad"), plan_phase::failed) << away_ms;
+        EXPECT_TRUE(it.world.violations.empty());
+    }
+}
+
+// Guards against a worker that was only cut off: its runs have lapsed, but it
+// has not crashed.
+TEST(dispatch_crash, lapsed_runs_of_a_worker_that_was_cut_off_do_not_count)
+{
+    auto it = crash_world{2};
+    ASSERT_TRUE(it.world.submit(make_long("j1", 1)));
+    for (auto i = 0; i < 4; ++i)
+    {
+        it.run_for(1000);
+        auto const id = worker_of(it.world.starts.back());
+        it.world.worker(id).reachable = false;
+        it.run_for(9000);
+        it.world.worker(id).reachable = true;
+    }
+    it.run_for(3000);
+    EXPECT_EQ(it.world.running(), 1U);
+    EXPECT_EQ(it.world.phase("j1"), plan_phase::active);
+}
+
 // Guards against crashes that are not counted if the worker leaves the list.
 TEST(dispatch_crash, a_task_whose_workers_exit_starts_three_times)
 {
