--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -90,6 +90,8 @@
     std::int64_t clock_ms = 0;   ///< The worker's own clock.
     std::vector<running_row> running;
     std::vector<ended_row> ended;
+    /** False: there are later ends, listed once these are acknowledged. */
+    bool ends_complete = true;
 };
 
 /** A long poll that renews a worker's lease, acknowledges ended runs and
@@ -159,6 +161,8 @@
     /** Maximum number of starts without an answer. More would delay the other
      *  events of an owner with little processor time. */
     std::size_t max_pending_starts = 64;
+    /** The same for orders to stop a run. */
+    std::size_t max_pending_stops = 64;
     /** Maximum time for which a worker may delay the answer to a hold. */
     core::duration hold_wait = std::chrono::milliseconds{1000};
     /** Maximum delay until the end of a task is stored. */
