--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -274,6 +274,44 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a long-running task that stays down because its own worker has
+// left before the new owner called it. One may be down for 3 s after 4 calm
+// ones.
+TEST(take_over, a_worker_that_has_left_holds_its_own_task_for_at_most_7_s)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    world->run_for(300);
+    ASSERT_EQ(world->running(), 1U);
+    world->worker("w1").info.draining = true;
+    world->worker("w1").info.drain_left_ms = 2000;
+    world->loses_stop_orders = true;
+    world->run_for(300);
+    world->worker("w1").info.labels.erase("w1");
+    world->worker("w2").info.labels.insert("w1");
+    world->exit_worker("w1");
+    world->worker("w1").unreachable_result = state::order_result::not_sent;
+    world->begin_term();
+    world->run_for(7000);
+    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
+}
+
+// Guards against tasks that wait for a silent worker of a service that does not
+// run them.
+TEST(take_over, a_silent_worker_of_another_service_holds_no_tasks)
+{
+    auto const world = three_workers();
+    world->worker("w3").info.service = core::service_id{"other"};
+    world->run_for(200);
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    world->worker("w3").reachable = false;
+    world->begin_term();
+    world->drained.clear();
+    world->run_for(3000);
+    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 1);
+}
+
 // Random faults while long-running tasks run: each runs at most once at a time,
 // only on a stored worker, and all run again after the last fault.
 RC_GTEST_PROP(take_over, long_running_tasks_keep_the_rules, ())
