--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -40,9 +40,11 @@
     {
         world->add_worker(id, worker_capacity).info.labels.insert(id);
     }
-    world->behaviour_of = [](auto const&, auto)
+    // Tasks that are not long-running make progress, else they are moved.
+    world->behaviour_of = [](state::task_name const& task, auto)
     {
-        return tests::task_behaviour{-1, false};
+        auto const ends = task.job.value == "ends";
+        return tests::task_behaviour{ends ? 60'000 : -1, false};
     };
     world->begin_term();
     world->run_for(200);
@@ -312,6 +314,69 @@
     EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 1);
 }
 
+// Guards against tasks of a worker that is only silent for a while, which are
+// started again elsewhere or given up, with one owner and with several.
+TEST(take_over, a_silent_worker_keeps_its_tasks_until_its_lease_has_lapsed)
+{
+    for (auto const changes : {0, 1, 3})
+    {
+        auto const world = three_workers();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+        ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 2, 1000)));
+        world->run_for(300);
+        ASSERT_EQ(world->running(), 4U);
+        world->worker("w1").info.labels.erase("w1");
+        world->worker("w2").info.labels.insert("w1");
+        for (auto round = 0; round < 5; ++round)
+        {
+            world->worker("w1").reachable = false;
+            world->worker("w1").listed = round % 2 == 0;
+            for (auto i = 0; i < changes; ++i)
+            {
+                world->begin_term();
+                world->run_for(1000);
+            }
+            world->run_for(5000 - 1000 * changes);
+            world->worker("w1").reachable = true;
+            world->worker("w1").listed = true;
+            world->run_for(1000);
+        }
+        EXPECT_EQ(world->starts.size(), 4U) << changes;
+        EXPECT_EQ(world->worker("w1").runs.size(), 4U) << changes;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
+// Guards against orders of an owner that was paused, which arrive after the
+// next owner has taken over.
+TEST(take_over, late_starts_of_a_paused_owner_have_no_effect)
+{
+    for (auto const pause_ms : {200, 1000, 3000, 8000})
+    {
+        auto const world = three_workers();
+        world->store_delay_ms = 20;
+        for (auto const* const id : {"w1", "w2"})
+        {
+            world->worker(id).delays_starts = true;
+        }
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+        ASSERT_TRUE(submit_on(*world, "w2", tests::make_plan("ends", 2, 1000)));
+        world->run_for(300);
+        ASSERT_TRUE(world->starts.empty());
+        for (auto const* const id : {"w1", "w2"})
+        {
+            world->worker(id).delays_starts = false;
+        }
+        world->begin_term();
+        world->run_for(pause_ms);
+        world->carry_out_delayed("w1");
+        world->carry_out_delayed("w2");
+        world->run_for(10'000);
+        EXPECT_EQ(world->starts.size(), 4U) << pause_ms;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
 // Random faults while long-running tasks run: each runs at most once at a time,
 // only on a stored worker, and all run again after the last fault.
 RC_GTEST_PROP(take_over, long_running_tasks_keep_the_rules, ())
