Check a worker again when a start that waited for the store is sent

Found by reading the change: between the choice of a worker and the end of the write, up to seconds while the store is slow, the worker may return with less capacity or without the label, or the queue may move to another service. The start was sent all the same. It is now checked again, and the task placed anew.

Runs whose start was not sent do not count as crashes when the lease of their worker lapses.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -558,6 +558,8 @@
     auto
     send_start(dispatch_worker& worker, run_entry& run, core::time_point now)
         -> void;
+    [[nodiscard]] static auto
+    still_fits(dispatch_worker const& worker, run_entry const& run) -> bool;
     auto send_stored_starts(core::time_point now) -> void;
     auto next_run(job_entry const& job, dispatch_task const& task) const
         -> run_number;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -2,6 +2,7 @@
 #include "state/dispatch_internal.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace godwitcleat::state
 {
@@ -191,7 +192,11 @@
                                        {"runs", worker.runs.size()},
                                        {"cause", cause}});
     totals.runs_lost += worker.runs.size();
-    worker.lapsed_runs = worker.runs;
+    worker.lapsed_runs.clear();
+    std::copy_if(
+        worker.runs.begin(), worker.runs.end(),
+        std::back_inserter(worker.lapsed_runs),
+        [](run_entry const& it) { return !it.waits_for_store; });
     while (!worker.runs.empty())
     {
         retry_run(worker, worker.runs.size() - 1, now);
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -595,6 +595,17 @@
     orders.push_back(std::move(order));
 }
 
+// The worker or the queue may have changed since the choice.
+auto dispatcher::implementation::still_fits(
+    dispatch_worker const& worker, run_entry const& run) -> bool
+{
+    auto const* const queue = find_queue(*run.job);
+    auto const& label = run.job->spec(run.job->step_of(run.task)).label;
+    return queue != nullptr && queue->service == worker.info.service &&
+           (label.empty() || worker.info.labels.contains(label)) &&
+           worker.used.fits_in(worker.info.capacity);
+}
+
 // A new owner holds a long-running task until it has heard the stored worker,
 // so that the start must not precede the write.
 auto dispatcher::implementation::send_stored_starts(core::time_point now)
@@ -623,7 +634,8 @@
                 return true;
             }
             auto& run = worker->runs[*i];
-            if (run.stop_requested || !accepts_starts(*worker, now))
+            if (run.stop_requested || !accepts_starts(*worker, now) ||
+                !still_fits(*worker, run))
             {
                 retry_run(*worker, *i, now);
                 return true;
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -176,6 +176,39 @@
     }
 }
 
+// Guards against a start on a worker that has returned with less capacity or
+// without the label, or whose queue has moved, since the choice.
+TEST(take_over, a_stored_start_is_not_sent_to_a_worker_that_no_longer_fits)
+{
+    for (auto const change : {0, 1, 2})
+    {
+        auto const world = three_workers();
+        world->store_delay_ms = 200;
+        auto plan = make_long_running("j1", 2);
+        plan.steps.front().label = "w1";
+        world->owner->submit(plan, world->now(), [](bool) {});
+        world->run_for(600);
+        ASSERT_TRUE(world->starts.empty());
+        auto& worker = world->worker("w1");
+        if (change == 2)
+        {
+            auto queue = state::queue_config{};
+            queue.queue = state::queue_id{"q"};
+            queue.service = core::service_id{"other"};
+            world->add_queue(queue);
+        }
+        else
+        {
+            world->restart_worker("w1");
+            worker.info.capacity.cpu_milli = change == 0 ? 1500 : 4000;
+            worker.info.labels.erase(change == 1 ? "w1" : "");
+        }
+        world->run_for(3000);
+        EXPECT_EQ(world->starts.size(), change == 0 ? 1U : 0U) << change;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
 // Guards against a cancelled task that starts when its worker is stored.
 TEST(take_over, a_start_that_waits_for_the_store_is_cancelled)
 {
