Keep an idle connection when the readiness of its last response is noticed late

Traced: with several threads, a response can be read by the handler that sent the request while another thread still holds the epoll event of that response. The event then completes the wait for input of the idle connection, and the client took it as closed by the server. Nothing is lost, but the next request opens a new connection.

The client now looks whether there is input or an end, and waits on if not.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -30,6 +30,21 @@
     EXPECT_EQ(client.connections(server.local()), 1U);
 }
 
+// Guards against an idle connection that is closed because the readiness of the
+// last response is noticed after the response was read.
+TEST_F(http, an_idle_connection_is_kept_while_the_server_keeps_it)
+{
+    constexpr auto count = 10'000;
+    auto const server = serve(echo);
+    for (auto it = 0; it < count; ++it)
+    {
+        auto const result =
+            fetch(client, server.local(), request_of("GET", "/"));
+        ASSERT_TRUE(result.response) << result.reason.message;
+        ASSERT_EQ(client.connections(server.local()), 1U) << it;
+    }
+}
+
 // Guards against answers that reach another caller, and against requests that
 // are lost while others wait for a connection.
 TEST_F(http, many_requests_get_their_own_answers)
--- a/transport/http_client_connection.cpp
+++ b/transport/http_client_connection.cpp
@@ -80,16 +80,38 @@
 {
     auto const self = shared_from_this();
     auto const round = ++watch_round_;
-    auto const on_event = [self, round](error_code ec)
-    {
-        if (ec != asio::error::operation_aborted && round == self->watch_round_)
+    watch_socket(round);
+    idle_timer_.expires_after(client_->limits.idle_timeout);
+    idle_timer_.async_wait(
+        [self, round](error_code ec)
         {
+            if (ec != asio::error::operation_aborted &&
+                round == self->watch_round_)
+            {
+                self->client_->drop_idle(self);
+            }
+        });
+}
+
+auto client_connection::watch_socket(std::uint64_t round) -> void
+{
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), round](error_code ec)
+        {
+            if (ec == asio::error::operation_aborted ||
+                round != self->watch_round_)
+            {
+                return;
+            }
+            // With several threads, the event of the last response may arrive
+            // after the response was read.
+            if (!ec && is_quiet(self->stream_.socket()))
+            {
+                return self->watch_socket(round);
+            }
             self->client_->drop_idle(self);
-        }
-    };
-    stream_.socket().async_wait(tcp::socket::wait_read, on_event);
-    idle_timer_.expires_after(client_->limits.idle_timeout);
-    idle_timer_.async_wait(on_event);
+        });
 }
 
 auto client_connection::stop_watch() -> void
--- a/transport/http_client_internal.hpp
+++ b/transport/http_client_internal.hpp
@@ -111,6 +111,7 @@
 
 private:
     auto start_watch() -> void;
+    auto watch_socket(std::uint64_t round) -> void;
     auto stop_watch() -> void;
     auto begin(exchange_pointer request) -> void;
     auto connect() -> void;
