--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -26,7 +26,7 @@
     auto links = std::vector<relay*>{};
     for (auto i = 0; i < machines; ++i)
     {
-        auto& it = all.add(std::string{"zone-"} + "abcd"[i % 4], "127.0.0.1");
+        auto& it = all.add(std::string{"zone-"} + "abcd"[i % 4]);
         fronts.push_back(it.front);
         links.push_back(new relay{"127.0.0.1", it.peer});
         all.start(it, "advertise_peer = " + links.back()->address());
--- a/review/support/world.h
+++ b/review/support/world.h
@@ -981,7 +981,7 @@
         deadline_ = 0;
         next_end_ = 1;
         seq_ = 0;
-        last_beat_ = -100000;
+        last_beat_ = now_ms() - settings_.heartbeat_ms;
     }
 
     auto beat() -> void
@@ -1013,12 +1013,11 @@
         {
             sleep_ms(5);
             auto const lock = std::scoped_lock{mutex_};
-            auto const quiet = now_ms() - last_beat_;
-            if (up_ && !cut_ && quiet >= settings_.heartbeat_ms)
+            if (up_ && !cut_ && now_ms() - last_beat_ >= settings_.heartbeat_ms)
             {
                 beat();
             }
-            if (listed_ && quiet >= 3 * settings_.heartbeat_ms)
+            if (listed_ && now_ms() - last_beat_ >= 3 * settings_.heartbeat_ms)
             {
                 listed_ = false;
                 record("the entry of %s expires", settings_.id.c_str());
@@ -1244,8 +1243,14 @@
         }
     }
 
-    auto add(std::string const& zone, std::string const& ip) -> daemon_process&
+    // Each daemon has a loopback address of its own, as machines have; connections do not begin
+    // there, so that its ports stay free.
+    auto add(std::string const& zone) -> daemon_process&
     {
+        auto const process = static_cast<unsigned>(::getpid());
+        auto const ip = "127." + std::to_string(1 + process / 200 % 200) + "." +
+                        std::to_string(1 + process % 200) + "." +
+                        std::to_string(daemons.size() + 1);
         auto it = daemon_process{};
         it.name = "front-" + zone + "-" + std::to_string(daemons.size() + 1);
         it.zone = zone;
