--- a/review/support/world.h
+++ b/review/support/world.h
@@ -865,6 +865,18 @@
         return {};
     }
 
+    // Runs at work on a runner.
+    auto count_on(std::string const& runner) -> int
+    {
+        auto const lock = std::scoped_lock{mutex};
+        auto n = 0;
+        for (auto const& it : entries)
+        {
+            n += it.runner == runner && it.to < 0 ? 1 : 0;
+        }
+        return n;
+    }
+
     auto count(std::string const& prefix, std::string const& how) -> int
     {
         auto const lock = std::scoped_lock{mutex};
@@ -937,6 +949,14 @@
         record("%s is back", settings_.id.c_str());
     }
 
+    // It fails all that it starts; what runs already works on, and its health is good.
+    auto fail_starts(bool fails) -> void
+    {
+        record("%s %s", settings_.id.c_str(),
+               fails ? "fails all that it starts" : "is sound again");
+        fails_ = fails;
+    }
+
     // The links to all machines of the system and to the store reset; it works on.
     auto cut_off(bool is_cut) -> void
     {
@@ -959,6 +979,7 @@
         std::uint64_t number = 0;
         std::int64_t since = 0, until = 0; // 0: it lasts.
         std::size_t log = 0;
+        bool fails = false;
     };
     struct ended
     {
@@ -1032,7 +1053,7 @@
                 }
                 else if (running_[i].until != 0 && now_ms() >= running_[i].until)
                 {
-                    end(i, "done");
+                    end(i, running_[i].fails ? "failed" : "done");
                 }
             }
         }
@@ -1140,11 +1161,15 @@
             return refuse("old");
         }
         auto const spec = body.at("spec").get<std::string>();
-        auto it = run{task, number, now_ms(), 0, 0};
+        auto it = run{task, number, now_ms(), 0, 0, fails_};
         if (spec.starts_with("work "))
         {
             it.until = now_ms() + std::stoll(spec.substr(5));
         }
+        if (fails_)
+        {
+            it.until = now_ms() + 100;
+        }
         it.log = log_.begin(task, number, settings_.id);
         running_.push_back(it);
         return accepted();
@@ -1203,6 +1228,7 @@
     std::condition_variable changed_;
     std::atomic<bool> up_{true};
     std::atomic<bool> cut_{false};
+    std::atomic<bool> fails_{false};
     bool listed_ = false;
     std::int64_t born_ms_ = 0, clock_zero_ = 0, deadline_ = 0, last_beat_ = 0;
     std::uint64_t token_ = 0, next_end_ = 1, seq_ = 0;
