Notice a peer connection that has gone silent

Cause: a call that expired left its connection in the pool, and each write that the kernel took counted as activity. So a connection without any replies was used for each new call, also for those to other instances that should have relayed it.

Change: a client whose open or expired calls have got no frame for 300 ms sends a probe (frame number 0), which the server answers at once; without any frame 700 ms later it closes the connection, open calls end with unknown_outcome and the router tries again on a new one. A slow reply is no silence: the probe is answered meanwhile. A connection leaves the pool before its socket is closed, because a call could else be given to it after the peer had seen its end.

--- a/tests/frames_test.cpp
+++ b/tests/frames_test.cpp
@@ -185,6 +185,50 @@
     EXPECT_EQ(fresh->payload, "fresh");
 }
 
+// Guards against a peer that stays unreachable because its connection has gone
+// silent while new ones work. A caller waits for 3 s.
+TEST_F(frames, a_silent_connection_is_replaced)
+{
+    auto const listener = raw_listener{};
+    for (auto const timeout : {core::duration{ample}, core::duration{50ms}})
+    {
+        auto caller = transport::frame_client{loop, limits()};
+        auto const begun = std::chrono::steady_clock::now();
+        auto lost = start_call(caller, listener.local(), "x", timeout);
+        auto const silent = listener.accept();
+        auto const result = await(lost);
+        ASSERT_TRUE(result);
+        EXPECT_FALSE(result->payload);
+        auto received = std::string{};
+        EXPECT_TRUE(silent.read_to_end(received));
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
+        auto next = start_call(caller, listener.local(), "y");
+        auto const fresh = listener.accept();
+        ASSERT_EQ(fresh.read_count(13), frame_of(1, "y"));
+        fresh.write(frame_of(1, "z"));
+        auto const reply = await(next);
+        ASSERT_TRUE(reply);
+        EXPECT_EQ(reply->payload, "z");
+    }
+}
+
+// Guards against a slow reply that is taken for a silent connection.
+TEST_F(frames, a_connection_with_a_slow_reply_is_kept)
+{
+    auto held = std::promise<transport::frame_reply>{};
+    auto const server = serve([&](std::string, transport::frame_reply reply)
+                              { held.set_value(std::move(reply)); });
+    auto slow = start_call(client, server.local(), "x");
+    auto const reply = held.get_future().get();
+    auto const bounds = limits();
+    std::this_thread::sleep_for(
+        2 * (bounds.probe_after + bounds.probe_timeout));
+    reply("late");
+    auto const result = await(slow);
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->payload, "late");
+}
+
 // Guards against a hostile server: a reply to no request, and a length that
 // would use up the memory.
 TEST_F(frames, client_closes_on_bad_replies)
--- a/transport/frame_base.hpp
+++ b/transport/frame_base.hpp
@@ -24,6 +24,10 @@
     /** Longest time without a frame, within one frame or within one write. */
     core::duration idle_timeout = std::chrono::seconds{30};
     core::duration connect_timeout = std::chrono::seconds{2};
+    /** A client whose calls have got no frame for this long sends a probe. */
+    core::duration probe_after = std::chrono::milliseconds{300};
+    /** It closes the connection if nothing arrives for this long after it. */
+    core::duration probe_timeout = std::chrono::milliseconds{700};
 };
 
 /** Sends the reply payload; must be called at most once. */
@@ -35,7 +39,8 @@
 /**
  * Accepts connections of frames: a 4-byte length, an 8-byte request number,
  * both big-endian, and the payload. Replies carry the request's number and
- * may come in any order. A malformed or oversized frame closes its connection.
+ * may come in any order. Number 0 is a probe, which the server answers at once
+ * with an empty payload. A malformed or oversized frame closes its connection.
  */
 class frame_server
 {
@@ -58,7 +63,11 @@
     closing_pointer<implementation> implementation_;
 };
 
-/** Sends frames over one connection for each endpoint, reopened as needed. */
+/**
+ * Sends frames over one connection for each endpoint, reopened as needed. A
+ * connection that has gone silent is noticed by probes and closed; its open
+ * calls end with unknown_outcome.
+ */
 class frame_client
 {
 public:
--- a/transport/frame_client_base.cpp
+++ b/transport/frame_client_base.cpp
@@ -78,6 +78,7 @@
         , client_(std::move(client))
         , where_(std::move(address))
         , connect_timer_(socket().get_executor())
+        , probe_timer_(socket().get_executor())
     {
     }
 
@@ -142,6 +143,7 @@
                 }
             });
         send(number, payload);
+        watch_replies();
     }
 
 private:
@@ -159,6 +161,58 @@
             return;
         }
         start();
+        connected_ = true;
+        watch_replies();
+    }
+
+    // A connection may go silent without an error, so that only the lack of
+    // replies shows it.
+    auto watch_replies() -> void
+    {
+        if (connected_ && !closed() && !probe_armed_ && expects_reply())
+        {
+            heard_ = false;
+            arm_probe(limits().probe_after);
+        }
+    }
+
+    [[nodiscard]] auto expects_reply() const -> bool
+    {
+        return !calls_.empty() || expired_unheard_;
+    }
+
+    auto arm_probe(core::duration delay) -> void
+    {
+        probe_armed_ = true;
+        probe_timer_.expires_after(delay);
+        probe_timer_.async_wait(
+            [self = self()](error_code ec)
+            {
+                if (!ec && !self->closed())
+                {
+                    self->check_replies();
+                }
+            });
+    }
+
+    auto check_replies() -> void
+    {
+        probe_armed_ = false;
+        if (heard_)
+        {
+            probed_ = false;
+            watch_replies();
+        }
+        else if (probed_)
+        {
+            close("the peer has gone silent");
+        }
+        else if (expects_reply())
+        {
+            probed_ = true;
+            send(probe_number, {});
+            arm_probe(limits().probe_timeout);
+        }
     }
 
     auto refuse(
@@ -179,6 +233,7 @@
             return;
         }
         auto const unsent = withdraw(number);
+        expired_unheard_ = true;
         refuse(
             std::move(entry.mapped().on_done),
             unsent ? core::error_kind::unavailable : core::error_kind::timeout,
@@ -188,10 +243,12 @@
 
     auto on_frame(std::uint64_t number, std::string payload) -> bool override
     {
+        heard_ = true;
+        expired_unheard_ = false;
         auto entry = calls_.extract(number);
         if (entry.empty())
         {
-            // A late reply to a call that has expired is dropped.
+            // The reply to a probe, or to a call that has expired.
             return number < next_number_;
         }
         asio::post(
@@ -213,6 +270,7 @@
     auto on_closed(std::string_view reason) -> void override
     {
         connect_timer_.cancel();
+        probe_timer_.cancel();
         client_->remove(self());
         auto calls = std::exchange(calls_, {});
         for (auto& [number, entry] : calls)
@@ -238,6 +296,12 @@
     std::shared_ptr<frame_client_state> client_;
     endpoint where_;
     asio::steady_timer connect_timer_;
+    asio::steady_timer probe_timer_;
+    bool connected_ = false;
+    bool probe_armed_ = false;
+    bool probed_ = false;          ///< A probe has had no reply so far.
+    bool heard_ = false;           ///< A frame came since the timer was set.
+    bool expired_unheard_ = false; ///< No frame came since a call expired.
     std::uint64_t next_number_ = 1;
     std::unordered_map<std::uint64_t, open_call> calls_;
 };
--- a/transport/frame_connection_base.cpp
+++ b/transport/frame_connection_base.cpp
@@ -118,10 +118,11 @@
         return;
     }
     closed_ = true;
-    auto ignored = error_code{};
-    socket_.close(ignored);
     watch_timer_.cancel();
+    // First, so that no call takes a connection whose end the peer has seen.
     on_closed(reason);
+    auto ignored = error_code{};
+    socket_.close(ignored);
 }
 
 auto frame_connection::read() -> void
--- a/transport/frame_internal.hpp
+++ b/transport/frame_internal.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -19,6 +20,9 @@
 /** Bytes of length and request number before each payload. */
 constexpr std::size_t frame_header_bytes = 12;
 
+/** Number of probes and of their replies. */
+constexpr std::uint64_t probe_number = 0;
+
 /** Returns the frame that carries @p payload. */
 auto make_frame(std::uint64_t number, std::string_view payload) -> std::string;
 
--- a/transport/frame_server_base.cpp
+++ b/transport/frame_server_base.cpp
@@ -145,6 +145,11 @@
     {
         return false;
     }
+    if (number == probe_number)
+    {
+        send(probe_number, {});
+        return true;
+    }
     ++in_flight_;
     auto const self =
         std::static_pointer_cast<server_connection>(shared_from_this());
