Start long-running tasks beside others on a worker that has failed runs

Cause: a worker with two failures in a row gets one run at a time until a run ends `done` there. Long-running runs never do, so the first of them kept all others out, and short tasks too.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -498,6 +498,11 @@
     auto record_worker_result(
         dispatch_worker& worker, job_entry& job, run_outcome outcome,
         core::time_point now) -> void;
+    /** Forgets the failures of a worker where a long-running task has been at
+     *  work for some time. */
+    auto forgive_failures(
+        dispatch_worker& worker, run_entry const& run, core::time_point now)
+        -> void;
     /** Counts a run whose worker process has ended, if it may be the cause. */
     auto count_crash(
         dispatch_worker& worker, run_entry const& run, core::time_point now)
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -373,8 +373,10 @@
         {
             continue;
         }
-        // A worker with repeated failures gets one run at a time.
-        if (worker->consecutive_failures > 1 && !worker->runs.empty())
+        // A worker with repeated failures gets one run at a time. Long-running
+        // tasks have no limit of failures, and no other worker may have room.
+        if (worker->consecutive_failures > 1 && !worker->runs.empty() &&
+            !spec.long_running)
         {
             continue;
         }
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -331,6 +331,38 @@
     EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
 }
 
+// Guards against long-running tasks that stay down because the only worker with
+// room for them has failed their starts. One may be down for 9 s after a run.
+TEST(take_over, a_worker_that_failed_all_runs_gets_all_long_running_tasks_back)
+{
+    auto const world = three_workers();
+    world->worker("w1").fails_all_runs = true;
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 4)));
+    world->run_for(6500);
+    ASSERT_EQ(world->running(), 0U);
+    world->worker("w1").fails_all_runs = false;
+    world->run_for(9000);
+    EXPECT_EQ(world->running(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against short tasks that never run beside long-running ones on a
+// worker that has failed runs.
+TEST(take_over, a_worker_that_failed_runs_gets_short_tasks_beside_lasting_ones)
+{
+    auto const world = three_workers();
+    world->worker("w1").fails_all_runs = true;
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(1000);
+    world->worker("w1").fails_all_runs = false;
+    world->run_for(20'000);
+    ASSERT_EQ(world->running(), 2U);
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 1, 1000)));
+    world->run_for(1000);
+    EXPECT_EQ(world->running(), 3U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against tasks that wait for a silent worker of a service that does not
 // run them.
 TEST(take_over, a_silent_worker_of_another_service_holds_no_tasks)
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -169,7 +169,8 @@
     for (auto i = worker.runs.size(); i-- > 0;)
     {
         auto& run = worker.runs[i];
-        if (run.left_ms < 0 || worker.stalled)
+        auto const lasts = run.left_ms < 0 && !worker.fails_all_runs;
+        if (lasts || worker.stalled)
         {
             continue;
         }
