Store a bound of the lease of each worker without contact

Cause: a new owner does not know when a lease was last renewed, so it waits for the validity of the former owner and a whole lease, 13.6 s with a lease of 10 s, and each further owner does so again, although none of them has renewed it.

Change: an owner that has had no contact with a worker for 0.5 s (a new owner: for 1 s) stores an upper bound of the rest of its lease with the list of workers, and again every 2 s while there is any left. A new owner waits for the smaller of both. While the store may hold such a bound, the owner neither renews the lease nor starts anything there; when the worker answers again, the list is written without the bound first, in one write.

Evidence: take_over.waits_of_several_owners_for_an_ended_worker_do_not_add_up failed on the former code; it and a_lease_that_was_renewed_after_a_silence_holds_its_tasks pass.

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -97,6 +97,7 @@
 {
     visit_members(value.info, visit);
     visit("possible_tasks", value.possible_tasks);
+    visit("lease_left_ms", value.lease_left_ms);
 }
 
 auto visit_members(is<job_call> auto& value, auto&& visit) -> void
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -85,6 +85,7 @@
     {
         batch.workers.emplace();
         workers_in_flight.clear();
+        renewable_in_flight.clear();
         for (auto const& [id, worker] : workers)
         {
             if (!worker->may_have_runs())
@@ -97,7 +98,18 @@
             {
                 workers_in_flight.emplace_back(id, worker->info.address);
             }
-            batch.workers->push_back({worker->info, std::move(tasks)});
+            auto& stored = batch.workers->emplace_back();
+            stored.info = worker->info;
+            stored.possible_tasks = std::move(tasks);
+            if (auto const left = lease_left(*worker, now))
+            {
+                stored.lease_left_ms = to_ms(*left);
+                worker->stored_with_lease = true;
+            }
+            else
+            {
+                renewable_in_flight.push_back(id);
+            }
         }
         worker_list_changed = false;
         worker_list_in_flight = true;
@@ -149,6 +161,13 @@
     if (worker_list_in_flight)
     {
         worker_list_in_flight = false;
+        for (auto const& id : renewable_in_flight)
+        {
+            if (auto* const worker = find_worker(id))
+            {
+                worker->stored_with_lease = false;
+            }
+        }
         for (auto const& [id, address] : workers_in_flight)
         {
             auto* const worker = find_worker(id);
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -248,6 +248,8 @@
     /** The store may hold a list of its possible tasks, so it gets no others.
      */
     bool stored_with_tasks = false;
+    /** The store may hold a bound of its lease, so that is not renewed. */
+    bool stored_with_lease = false;
     std::optional<core::time_point> lost_at; ///< Unset while in contact.
     /** Where it has last answered this owner; empty: nowhere yet. */
     std::string answered_address;
@@ -454,6 +456,13 @@
     auto handle_exit(
         dispatch_worker& worker, std::string_view cause, core::time_point now)
         -> void;
+    /** Returns a bound of the rest of the lease of a worker without contact,
+     *  unset if the lease may be renewed. */
+    auto lease_left(dispatch_worker const& worker, core::time_point now) const
+        -> std::optional<core::duration>;
+    /** Stores the bounds of the leases of workers without contact again, as
+     *  they have become shorter. */
+    auto update_stored_leases(core::time_point now) -> void;
     auto process_lists(
         dispatch_worker& worker, hold_order const& order,
         worker_lists const& lists, core::time_point now) -> void;
@@ -674,6 +683,8 @@
     /** Workers of the list in flight that may get starts, with the address that
      *  the list names. */
     std::vector<std::pair<core::worker_id, std::string>> workers_in_flight;
+    /** Workers without dispatch_worker::stored_with_lease in that list. */
+    std::vector<core::worker_id> renewable_in_flight;
     bool batch_in_flight = false;
     bool worker_list_changed = false;
     bool worker_list_in_flight = false;
@@ -683,6 +694,8 @@
     bool held_tasks_known = false;
     std::set<task_name> held_tasks; ///< Of workers that have not answered.
     core::time_point recovery_until;
+    core::time_point loaded_at;
+    core::time_point next_lease_update;
     bool stored_list_readable = true; ///< False: unknown workers have runs.
     core::time_point next_cleanup;
     bool mostly_free = false; ///< Less than mostly_free_percent is reserved.
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -50,6 +50,7 @@
     dispatch_snapshot const& stored, core::time_point now) -> void
 {
     recovering = true;
+    loaded_at = now;
     stored_list_readable = stored.workers_readable;
     recovery_until = now + settings.previous_owner_validity +
                      with_drift(settings.lease_limit) + lease_margin;
@@ -58,15 +59,22 @@
     {
         progress.emplace(id.value, &it);
     }
-    for (auto const& [info, tasks] : stored.workers)
+    for (auto const& it : stored.workers)
     {
+        auto const& info = it.info;
         auto worker = std::make_unique<dispatch_worker>();
         worker->info = info;
-        worker->former_tasks = tasks;
-        worker->stored_with_tasks = tasks.has_value();
+        worker->former_tasks = it.possible_tasks;
+        worker->stored_with_tasks = it.possible_tasks.has_value();
+        worker->stored_with_lease = it.lease_left_ms.has_value();
         worker->in_stored_list = true;
         worker->may_have_unknown_runs = true;
         worker->lease_until = recovery_until;
+        if (it.lease_left_ms)
+        {
+            auto const left = std::chrono::milliseconds{*it.lease_left_ms};
+            worker->lease_until = std::min(recovery_until, now + left);
+        }
         worker->next_hold_at = now;
         workers.emplace(info.worker, std::move(worker));
     }
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -333,8 +333,8 @@
     dispatch_worker const& worker, core::time_point now) const -> bool
 {
     return worker.in_worker_list && worker.in_stored_list &&
-           worker.contact == contact_state::live && !worker.info.draining &&
-           now >= worker.starts_blocked_until &&
+           !worker.stored_with_lease && worker.contact == contact_state::live &&
+           !worker.info.draining && now >= worker.starts_blocked_until &&
            now >= worker.suspended_until &&
            !drained.contains(worker.info.data_centre);
 }
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -40,6 +40,9 @@
     /** Tasks that may run there, if the owner has lost contact with it; unset
      *  while the owner may start others. */
     std::optional<std::vector<task_name>> possible_tasks;
+    /** Upper bound of the rest of its lease when this was written, if the owner
+     *  has lost contact with it; unset while the owner may renew the lease. */
+    std::optional<std::int64_t> lease_left_ms;
 };
 
 /** Fencing token of the orders to one worker; it never decreases. */
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -18,6 +18,8 @@
 // Far below the minimum time in which a lease may lapse, so that it is renewed
 // in time.
 constexpr auto lost_contact_pause = std::chrono::milliseconds{150};
+// Pause between holds until the store allows the renewal of the lease.
+constexpr auto unrenewed_pause = std::chrono::milliseconds{50};
 // If even the fastest answer of an interval took longer, the owner is behind
 // with processing them. The pauses between holds then grow by a step, else they
 // shrink by half of it.
@@ -29,6 +31,9 @@
 // Contact is often regained sooner; naming the tasks of a worker in the store
 // costs a write, and another one before its next start.
 constexpr auto min_lost_time = std::chrono::milliseconds{500};
+// A new owner needs some time to call all workers of a large fleet.
+constexpr auto first_contact_time = std::chrono::seconds{1};
+constexpr auto lease_update_interval = std::chrono::seconds{2};
 constexpr auto unanswered_pause = std::chrono::milliseconds{300};
 constexpr auto rejected_pause = std::chrono::milliseconds{300};
 // Runs are stopped this long before their worker leaves; stopping one and
@@ -62,6 +67,9 @@
             recall(*worker, info.worker);
             worker->lost_at = now;
             worker->may_have_unknown_runs = recovering && !stored_list_readable;
+            worker->lease_until = worker->may_have_unknown_runs
+                                      ? recovery_until
+                                      : core::time_point{};
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
@@ -168,6 +176,43 @@
     }
 }
 
+auto dispatcher::implementation::lease_left(
+    dispatch_worker const& worker, core::time_point now) const
+    -> std::optional<core::duration>
+{
+    auto const is_lost =
+        worker.lost_at && now - *worker.lost_at >= min_lost_time;
+    auto const never_answered =
+        worker.may_have_unknown_runs && now - loaded_at >= first_contact_time;
+    if (worker.contact != contact_state::none || !(is_lost || never_answered))
+    {
+        return std::nullopt;
+    }
+    return std::max(core::duration{}, worker.lease_until - now);
+}
+
+auto dispatcher::implementation::update_stored_leases(core::time_point now)
+    -> void
+{
+    if (now < next_lease_update)
+    {
+        return;
+    }
+    next_lease_update = now + lease_update_interval;
+    auto const any_left = std::any_of(
+        workers.begin(), workers.end(),
+        [&](auto const& it)
+        {
+            auto const left = lease_left(*it.second, now);
+            return it.second->may_have_runs() && left > core::duration{};
+        });
+    if (any_left)
+    {
+        worker_list_changed = true;
+        commit_at(now + settings.commit_delay);
+    }
+}
+
 auto dispatcher::implementation::forget_lost_workers(core::time_point now)
     -> void
 {
@@ -276,10 +321,13 @@
     {
         return order;
     }
-    order.deadline_ms = clock_of(worker, now) + to_ms(settings.lease_limit);
-    worker.lease_until = std::max(
-        worker.lease_until,
-        now + with_drift(settings.lease_limit) + lease_margin);
+    if (!worker.stored_with_lease)
+    {
+        order.deadline_ms = clock_of(worker, now) + to_ms(settings.lease_limit);
+        worker.lease_until = std::max(
+            worker.lease_until,
+            now + with_drift(settings.lease_limit) + lease_margin);
+    }
     if (worker.contact == contact_state::live)
     {
         while (!worker.unacknowledged_ends.empty())
@@ -297,6 +345,10 @@
             worker.serving_runs > 0 && worker.best_effort_runs > 0;
         order.wait = is_shared ? std::min(settings.hold_wait, shared_hold_wait)
                                : settings.hold_wait;
+        if (worker.stored_with_lease)
+        {
+            order.wait = core::duration{}; // To renew its lease soon.
+        }
     }
     return order;
 }
@@ -494,6 +546,16 @@
         worker.contact = contact_state::live;
         schedule_due = true;
         worker.next_hold_at = now;
+        if (worker.stored_with_lease)
+        {
+            worker_list_changed = true;
+            commit_at(now);
+        }
+        return;
+    }
+    if (worker.stored_with_lease)
+    {
+        worker.next_hold_at = now + unrenewed_pause;
         return;
     }
     auto const has_new_ends = worker.last_processed_end != ends_before;
@@ -616,6 +678,7 @@
         update_retired(*worker, now);
         update_stored_tasks(*worker, now);
     }
+    update_stored_leases(now);
     finish_recovery(now);
     forget_lost_workers(now);
     adapt_poll_pause(now);
@@ -669,7 +732,9 @@
             continue;
         }
         ++unheard;
-        if (expired)
+        auto const lapsed =
+            worker->contact == contact_state::none && now > worker->lease_until;
+        if (expired || lapsed)
         {
             worker->may_have_unknown_runs = false;
             worker->lost_at = worker->lost_at.value_or(now);
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -412,6 +412,51 @@
     }
 }
 
+// Guards against waits for an ended worker that begin again with each owner.
+TEST(take_over, waits_of_several_owners_for_an_ended_worker_do_not_add_up)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(300);
+    world->worker("w1").info.labels.erase("w1");
+    world->worker("w2").info.labels.insert("w1");
+    world->exit_worker("w1");
+    world->worker("w1").unreachable_result = state::order_result::unknown;
+    world->run_for(3500);
+    world->begin_term();
+    world->run_for(2500);
+    world->begin_term();
+    world->run_for(4000);
+    EXPECT_EQ(world->starts.size(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a bound of a lease that is too short after the worker has
+// returned and its lease was renewed.
+TEST(take_over, a_lease_that_was_renewed_after_a_silence_holds_its_tasks)
+{
+    for (auto const delay_ms : {0, 300})
+    {
+        auto const world = three_workers();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+        world->run_for(300);
+        auto& worker = world->worker("w1");
+        worker.reachable = false;
+        world->run_for(4000);
+        worker.reachable = true;
+        world->store_delay_ms = delay_ms;
+        world->run_for(1000);
+        worker.reachable = false;
+        worker.info.labels.erase("w1");
+        world->worker("w2").info.labels.insert("w1");
+        world->begin_term();
+        world->run_for(5500);
+        EXPECT_EQ(world->starts.size(), 2U) << delay_ms;
+        EXPECT_EQ(worker.runs.size(), 2U) << delay_ms;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
 // Guards against orders of an owner that was paused, which arrive after the
 // next owner has taken over.
 TEST(take_over, late_starts_of_a_paused_owner_have_no_effect)
