Keep the tasks of a worker that refuses connections until its lease lapses

Cause: a worker that was not listed any more (its entry expires after three heartbeats) and refused a connection was taken as ended, and its leases were not waited for. A cut with resets shows the same. Nothing else that an owner sees tells the two apart: an entry that vanishes early is no proof either, since the store may drop entries.

Change: only another worker that answers at its address, a restart, or the end of its lease end its runs. The price is that tasks of a worker that has crashed for good and refuses wait for its lease, as those of a silent one always did.

Tests: the world's exit_worker() meant "not listed and refuses connections", which is no proof of an exit; four tests of exits needed it: a_take_over_does_not_wait_for_a_worker_that_has_left, a_worker_that_returns_after_its_exit_gets_tasks, an_ended_worker_with_an_unanswered_start_stays_stored, a_task_whose_workers_exit_starts_three_times (they failed with the change and the former world). Their claims stay as they are, now for an exit that is proved by another worker at the address. What they no longer say, how long an unproved exit holds its tasks, is asked by a_worker_that_ended_unseen_holds_its_tasks_for_its_lease: not before the lease lapses and at most 0.5 s later. Workers of the properties that are cut off now refuse connections every other time. take_over.a_worker_that_refuses_connections_keeps_its_tasks failed on the former code (with violations) and passes.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -453,9 +453,7 @@
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
     auto adapt_poll_pause(core::time_point now) -> void;
     auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
-    auto handle_exit(
-        dispatch_worker& worker, std::string_view cause, core::time_point now)
-        -> void;
+    auto handle_exit(dispatch_worker& worker, core::time_point now) -> void;
     /** Returns a bound of the rest of the lease of a worker without contact,
      *  unset if the lease may be renewed. */
     auto lease_left(dispatch_worker const& worker, core::time_point now) const
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -146,7 +146,7 @@
     unhealthy,          ///< Not carried out; the worker is unhealthy.
     other_worker,       ///< Not carried out; another worker has the address.
     not_sent,           ///< The order was not sent.
-    connection_refused, ///< Not sent; no process listens at the address.
+    connection_refused, ///< Not sent; the address refused the connection.
     unknown             ///< No answer; it may still be carried out.
 };
 
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -411,19 +411,11 @@
         auto const is_its_address = order.address == worker->info.address &&
                                     (worker->answered_address.empty() ||
                                      worker->answered_address == order.address);
-        if (!is_its_address)
+        // A refused connection proves no exit, even of a worker that is not
+        // listed: a network that is cut off with resets looks the same.
+        if (is_its_address && result == order_result::other_worker)
         {
-            return true;
-        }
-        if (result == order_result::other_worker)
-        {
-            handle_exit(*worker, "another worker has its address", now);
-        }
-        else if (
-            result == order_result::connection_refused && worker_list_known &&
-            !worker->in_worker_list)
-        {
-            handle_exit(*worker, "it is not listed and does not listen", now);
+            handle_exit(*worker, now);
         }
         return true;
     }
@@ -435,9 +427,9 @@
     return true;
 }
 
+// Another worker answers at its address.
 auto dispatcher::implementation::handle_exit(
-    dispatch_worker& worker, std::string_view cause, core::time_point now)
-    -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     auto const may_have_had_runs = worker.may_have_runs();
     if (!std::exchange(worker.exited, true))
@@ -445,8 +437,7 @@
         event(
             "The process of a worker has ended.",
             {{"worker", worker.info.worker.value},
-             {"runs", worker.runs.size()},
-             {"cause", cause}});
+             {"runs", worker.runs.size()}});
         worker.may_have_unknown_runs = false;
     }
     for (auto i = worker.runs.size(); i-- > 0;)
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -412,6 +412,58 @@
     }
 }
 
+// Guards against second runs of the tasks of workers that are cut off with
+// resets: they are not listed and refuse connections, but work on.
+TEST(take_over, a_worker_that_refuses_connections_keeps_its_tasks)
+{
+    for (auto const changes : {0, 1, 3})
+    {
+        auto const world = three_workers();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+        ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 2, 1000)));
+        world->run_for(300);
+        ASSERT_EQ(world->running(), 4U);
+        auto& worker = world->worker("w1");
+        worker.info.labels.erase("w1");
+        world->worker("w2").info.labels.insert("w1");
+        worker.reachable = false;
+        worker.unreachable_result = state::order_result::connection_refused;
+        world->run_for(1000);
+        worker.listed = false;
+        for (auto i = 0; i < changes; ++i)
+        {
+            world->begin_term();
+            world->run_for(1000);
+        }
+        world->run_for(4000 - 1000 * changes);
+        EXPECT_EQ(world->starts.size(), 4U) << changes;
+        worker.reachable = true;
+        worker.listed = true;
+        world->run_for(1000);
+        EXPECT_EQ(world->starts.size(), 4U) << changes;
+        EXPECT_EQ(worker.runs.size(), 4U) << changes;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
+// Guards against tasks of an ended worker that wait longer than its lease.
+TEST(take_over, a_worker_that_ended_unseen_holds_its_tasks_for_its_lease)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(300);
+    world->worker("w1").info.labels.erase("w1");
+    world->worker("w2").info.labels.insert("w1");
+    world->exit_worker("w1");
+    world->worker("w1").unreachable_result =
+        state::order_result::connection_refused;
+    world->run_for(5500);
+    EXPECT_EQ(world->starts.size(), 2U);
+    world->run_for(1200); // 6 s, 3% and a margin after the last renewal.
+    EXPECT_EQ(world->starts.size(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against waits for an ended worker that begin again with each owner.
 TEST(take_over, waits_of_several_owners_for_an_ended_worker_do_not_add_up)
 {
@@ -421,7 +473,8 @@
     world->worker("w1").info.labels.erase("w1");
     world->worker("w2").info.labels.insert("w1");
     world->exit_worker("w1");
-    world->worker("w1").unreachable_result = state::order_result::unknown;
+    world->worker("w1").unreachable_result =
+        state::order_result::connection_refused;
     world->run_for(3500);
     world->begin_term();
     world->run_for(2500);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -586,7 +586,7 @@
 }
 
 // Guards against tasks that wait for the lease of a worker whose process has
-// exited.
+// exited, as another one at its address shows.
 TEST(dispatch, a_take_over_does_not_wait_for_a_worker_that_has_left)
 {
     auto const world = two_workers();
@@ -705,7 +705,7 @@
     auto& w1 = world->worker("w1");
     w1.listed = false;
     w1.reachable = false;
-    w1.unreachable_result = state::order_result::connection_refused;
+    w1.unreachable_result = state::order_result::other_worker;
     world->store_down = false;
     world->begin_term();
     world->drained.clear();
@@ -1239,10 +1239,20 @@
     auto& worker = world.worker(id);
     // A process that has ended is neither reachable nor listed again.
     auto const has_exited =
-        worker.unreachable_result == state::order_result::connection_refused;
+        worker.unreachable_result == state::order_result::other_worker;
     switch (kind)
     {
-    case 0: worker.reachable = !has_exited && !worker.reachable; break;
+    case 0:
+        worker.reachable = !has_exited && !worker.reachable;
+        // A worker that is cut off may seem to refuse connections.
+        if (!has_exited)
+        {
+            worker.unreachable_result =
+                worker.unreachable_result == state::order_result::unknown
+                    ? state::order_result::connection_refused
+                    : state::order_result::unknown;
+        }
+        break;
     case 1: worker.loses_answers = !worker.loses_answers; break;
     case 2: worker.delays_starts = !worker.delays_starts; break;
     case 3: world.carry_out_delayed(id); break;
@@ -1272,8 +1282,7 @@
     {
         auto const id = fmt::format("w{}", i);
         auto& worker = world.worker(id);
-        if (worker.unreachable_result ==
-            state::order_result::connection_refused)
+        if (worker.unreachable_result == state::order_result::other_worker)
         {
             world.return_worker(id);
         }
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -620,7 +620,7 @@
     auto& worker = workers_.at(id);
     worker.listed = false;
     worker.reachable = false;
-    worker.unreachable_result = state::order_result::connection_refused;
+    worker.unreachable_result = state::order_result::other_worker;
 }
 
 auto dispatch_world::return_worker(std::string const& id) -> void
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -92,7 +92,8 @@
     /** Restarts a worker process; its runs and lists are lost. */
     auto restart_worker(std::string const& id) -> void;
 
-    /** Ends a worker process, which leaves the list of workers. */
+    /** Ends a worker process, which leaves the list of workers; another process
+     *  takes its address. */
     auto exit_worker(std::string const& id) -> void;
 
     /** Starts a worker process again after exit_worker(). */
