--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -333,8 +333,8 @@
     dispatch_worker const& worker, core::time_point now) const -> bool
 {
     return worker.in_worker_list && worker.in_stored_list &&
-           worker.contact == contact_state::live && !worker.info.draining &&
-           now >= worker.starts_blocked_until &&
+           !worker.stored_with_lease && worker.contact == contact_state::live &&
+           !worker.info.draining && now >= worker.starts_blocked_until &&
            now >= worker.suspended_until &&
            !drained.contains(worker.info.data_centre);
 }
@@ -373,8 +373,10 @@
         {
             continue;
         }
-        // A worker with repeated failures gets one run at a time.
-        if (worker->consecutive_failures > 1 && !worker->runs.empty())
+        // A worker with repeated failures gets one run at a time. Long-running
+        // tasks have no limit of failures, and no other worker may have room.
+        if (worker->consecutive_failures > 1 && !worker->runs.empty() &&
+            !spec.long_running)
         {
             continue;
         }
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -40,6 +40,9 @@
     /** Tasks that may run there, if the owner has lost contact with it; unset
      *  while the owner may start others. */
     std::optional<std::vector<task_name>> possible_tasks;
+    /** Upper bound of the rest of its lease when this was written, if the owner
+     *  has lost contact with it; unset while the owner may renew the lease. */
+    std::optional<std::int64_t> lease_left_ms;
 };
 
 /** Fencing token of the orders to one worker; it never decreases. */
@@ -143,7 +146,7 @@
     unhealthy,          ///< Not carried out; the worker is unhealthy.
     other_worker,       ///< Not carried out; another worker has the address.
     not_sent,           ///< The order was not sent.
-    connection_refused, ///< Not sent; no process listens at the address.
+    connection_refused, ///< Not sent; the address refused the connection.
     unknown             ///< No answer; it may still be carried out.
 };
 
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -18,6 +18,8 @@
 // Far below the minimum time in which a lease may lapse, so that it is renewed
 // in time.
 constexpr auto lost_contact_pause = std::chrono::milliseconds{150};
+// Pause between holds until the store allows the renewal of the lease.
+constexpr auto unrenewed_pause = std::chrono::milliseconds{50};
 // If even the fastest answer of an interval took longer, the owner is behind
 // with processing them. The pauses between holds then grow by a step, else they
 // shrink by half of it.
@@ -29,6 +31,9 @@
 // Contact is often regained sooner; naming the tasks of a worker in the store
 // costs a write, and another one before its next start.
 constexpr auto min_lost_time = std::chrono::milliseconds{500};
+// A new owner needs some time to call all workers of a large fleet.
+constexpr auto first_contact_time = std::chrono::seconds{1};
+constexpr auto lease_update_interval = std::chrono::seconds{2};
 constexpr auto unanswered_pause = std::chrono::milliseconds{300};
 constexpr auto rejected_pause = std::chrono::milliseconds{300};
 // Runs are stopped this long before their worker leaves; stopping one and
@@ -62,6 +67,9 @@
             recall(*worker, info.worker);
             worker->lost_at = now;
             worker->may_have_unknown_runs = recovering && !stored_list_readable;
+            worker->lease_until = worker->may_have_unknown_runs
+                                      ? recovery_until
+                                      : core::time_point{};
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
@@ -168,6 +176,43 @@
     }
 }
 
+auto dispatcher::implementation::lease_left(
+    dispatch_worker const& worker, core::time_point now) const
+    -> std::optional<core::duration>
+{
+    auto const is_lost =
+        worker.lost_at && now - *worker.lost_at >= min_lost_time;
+    auto const never_answered =
+        worker.may_have_unknown_runs && now - loaded_at >= first_contact_time;
+    if (worker.contact != contact_state::none || !(is_lost || never_answered))
+    {
+        return std::nullopt;
+    }
+    return std::max(core::duration{}, worker.lease_until - now);
+}
+
+auto dispatcher::implementation::update_stored_leases(core::time_point now)
+    -> void
+{
+    if (now < next_lease_update)
+    {
+        return;
+    }
+    next_lease_update = now + lease_update_interval;
+    auto const any_left = std::any_of(
+        workers.begin(), workers.end(),
+        [&](auto const& it)
+        {
+            auto const left = lease_left(*it.second, now);
+            return it.second->may_have_runs() && left > core::duration{};
+        });
+    if (any_left)
+    {
+        worker_list_changed = true;
+        commit_at(now + settings.commit_delay);
+    }
+}
+
 auto dispatcher::implementation::forget_lost_workers(core::time_point now)
     -> void
 {
@@ -276,10 +321,13 @@
     {
         return order;
     }
-    order.deadline_ms = clock_of(worker, now) + to_ms(settings.lease_limit);
-    worker.lease_until = std::max(
-        worker.lease_until,
-        now + with_drift(settings.lease_limit) + lease_margin);
+    if (!worker.stored_with_lease)
+    {
+        order.deadline_ms = clock_of(worker, now) + to_ms(settings.lease_limit);
+        worker.lease_until = std::max(
+            worker.lease_until,
+            now + with_drift(settings.lease_limit) + lease_margin);
+    }
     if (worker.contact == contact_state::live)
     {
         while (!worker.unacknowledged_ends.empty())
@@ -297,6 +345,10 @@
             worker.serving_runs > 0 && worker.best_effort_runs > 0;
         order.wait = is_shared ? std::min(settings.hold_wait, shared_hold_wait)
                                : settings.hold_wait;
+        if (worker.stored_with_lease)
+        {
+            order.wait = core::duration{}; // To renew its lease soon.
+        }
     }
     return order;
 }
@@ -359,19 +411,11 @@
         auto const is_its_address = order.address == worker->info.address &&
                                     (worker->answered_address.empty() ||
                                      worker->answered_address == order.address);
-        if (!is_its_address)
-        {
-            return true;
-        }
-        if (result == order_result::other_worker)
+        // A refused connection proves no exit, even of a worker that is not
+        // listed: a network that is cut off with resets looks the same.
+        if (is_its_address && result == order_result::other_worker)
         {
-            handle_exit(*worker, "another worker has its address", now);
-        }
-        else if (
-            result == order_result::connection_refused && worker_list_known &&
-            !worker->in_worker_list)
-        {
-            handle_exit(*worker, "it is not listed and does not listen", now);
+            handle_exit(*worker, now);
         }
         return true;
     }
@@ -383,9 +427,9 @@
     return true;
 }
 
+// Another worker answers at its address.
 auto dispatcher::implementation::handle_exit(
-    dispatch_worker& worker, std::string_view cause, core::time_point now)
-    -> void
+    dispatch_worker& worker, core::time_point now) -> void
 {
     auto const may_have_had_runs = worker.may_have_runs();
     if (!std::exchange(worker.exited, true))
@@ -393,8 +437,7 @@
         event(
             "The process of a worker has ended.",
             {{"worker", worker.info.worker.value},
-             {"runs", worker.runs.size()},
-             {"cause", cause}});
+             {"runs", worker.runs.size()}});
         worker.may_have_unknown_runs = false;
     }
     for (auto i = worker.runs.size(); i-- > 0;)
@@ -494,6 +537,16 @@
         worker.contact = contact_state::live;
         schedule_due = true;
         worker.next_hold_at = now;
+        if (worker.stored_with_lease)
+        {
+            worker_list_changed = true;
+            commit_at(now);
+        }
+        return;
+    }
+    if (worker.stored_with_lease)
+    {
+        worker.next_hold_at = now + unrenewed_pause;
         return;
     }
     auto const has_new_ends = worker.last_processed_end != ends_before;
@@ -616,6 +669,7 @@
         update_retired(*worker, now);
         update_stored_tasks(*worker, now);
     }
+    update_stored_leases(now);
     finish_recovery(now);
     forget_lost_workers(now);
     adapt_poll_pause(now);
@@ -669,7 +723,9 @@
             continue;
         }
         ++unheard;
-        if (expired)
+        auto const lapsed =
+            worker->contact == contact_state::none && now > worker->lease_until;
+        if (expired || lapsed)
         {
             worker->may_have_unknown_runs = false;
             worker->lost_at = worker->lost_at.value_or(now);
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -331,6 +331,38 @@
     EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
 }
 
+// Guards against long-running tasks that stay down because the only worker with
+// room for them has failed their starts. One may be down for 9 s after a run.
+TEST(take_over, a_worker_that_failed_all_runs_gets_all_long_running_tasks_back)
+{
+    auto const world = three_workers();
+    world->worker("w1").fails_all_runs = true;
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 4)));
+    world->run_for(6500);
+    ASSERT_EQ(world->running(), 0U);
+    world->worker("w1").fails_all_runs = false;
+    world->run_for(9000);
+    EXPECT_EQ(world->running(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against short tasks that never run beside long-running ones on a
+// worker that has failed runs.
+TEST(take_over, a_worker_that_failed_runs_gets_short_tasks_beside_lasting_ones)
+{
+    auto const world = three_workers();
+    world->worker("w1").fails_all_runs = true;
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(1000);
+    world->worker("w1").fails_all_runs = false;
+    world->run_for(20'000);
+    ASSERT_EQ(world->running(), 2U);
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 1, 1000)));
+    world->run_for(1000);
+    EXPECT_EQ(world->running(), 3U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against tasks that wait for a silent worker of a service that does not
 // run them.
 TEST(take_over, a_silent_worker_of_another_service_holds_no_tasks)
@@ -380,6 +412,104 @@
     }
 }
 
+// Guards against second runs of the tasks of workers that are cut off with
+// resets: they are not listed and refuse connections, but work on.
+TEST(take_over, a_worker_that_refuses_connections_keeps_its_tasks)
+{
+    for (auto const changes : {0, 1, 3})
+    {
+        auto const world = three_workers();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+        ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 2, 1000)));
+        world->run_for(300);
+        ASSERT_EQ(world->running(), 4U);
+        auto& worker = world->worker("w1");
+        worker.info.labels.erase("w1");
+        world->worker("w2").info.labels.insert("w1");
+        worker.reachable = false;
+        worker.unreachable_result = state::order_result::connection_refused;
+        world->run_for(1000);
+        worker.listed = false;
+        for (auto i = 0; i < changes; ++i)
+        {
+            world->begin_term();
+            world->run_for(1000);
+        }
+        world->run_for(4000 - 1000 * changes);
+        EXPECT_EQ(world->starts.size(), 4U) << changes;
+        worker.reachable = true;
+        worker.listed = true;
+        world->run_for(1000);
+        EXPECT_EQ(world->starts.size(), 4U) << changes;
+        EXPECT_EQ(worker.runs.size(), 4U) << changes;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
+// Guards against tasks of an ended worker that wait longer than its lease.
+TEST(take_over, a_worker_that_ended_unseen_holds_its_tasks_for_its_lease)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(300);
+    world->worker("w1").info.labels.erase("w1");
+    world->worker("w2").info.labels.insert("w1");
+    world->exit_worker("w1");
+    world->worker("w1").unreachable_result =
+        state::order_result::connection_refused;
+    world->run_for(5500);
+    EXPECT_EQ(world->starts.size(), 2U);
+    world->run_for(1200); // 6 s, 3% and a margin after the last renewal.
+    EXPECT_EQ(world->starts.size(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against waits for an ended worker that begin again with each owner.
+TEST(take_over, waits_of_several_owners_for_an_ended_worker_do_not_add_up)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+    world->run_for(300);
+    world->worker("w1").info.labels.erase("w1");
+    world->worker("w2").info.labels.insert("w1");
+    world->exit_worker("w1");
+    world->worker("w1").unreachable_result =
+        state::order_result::connection_refused;
+    world->run_for(3500);
+    world->begin_term();
+    world->run_for(2500);
+    world->begin_term();
+    world->run_for(4000);
+    EXPECT_EQ(world->starts.size(), 4U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against a bound of a lease that is too short after the worker has
+// returned and its lease was renewed.
+TEST(take_over, a_lease_that_was_renewed_after_a_silence_holds_its_tasks)
+{
+    for (auto const delay_ms : {0, 300})
+    {
+        auto const world = three_workers();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
+        world->run_for(300);
+        auto& worker = world->worker("w1");
+        worker.reachable = false;
+        world->run_for(4000);
+        worker.reachable = true;
+        world->store_delay_ms = delay_ms;
+        world->run_for(1000);
+        worker.reachable = false;
+        worker.info.labels.erase("w1");
+        world->worker("w2").info.labels.insert("w1");
+        world->begin_term();
+        world->run_for(5500);
+        EXPECT_EQ(world->starts.size(), 2U) << delay_ms;
+        EXPECT_EQ(worker.runs.size(), 2U) << delay_ms;
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
 // Guards against orders of an owner that was paused, which arrive after the
 // next owner has taken over.
 TEST(take_over, late_starts_of_a_paused_owner_have_no_effect)
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -169,7 +169,8 @@
     for (auto i = worker.runs.size(); i-- > 0;)
     {
         auto& run = worker.runs[i];
-        if (run.left_ms < 0 || worker.stalled)
+        auto const lasts = run.left_ms < 0 && !worker.fails_all_runs;
+        if (lasts || worker.stalled)
         {
             continue;
         }
@@ -619,7 +620,7 @@
     auto& worker = workers_.at(id);
     worker.listed = false;
     worker.reachable = false;
-    worker.unreachable_result = state::order_result::connection_refused;
+    worker.unreachable_result = state::order_result::other_worker;
 }
 
 auto dispatch_world::return_worker(std::string const& id) -> void
