Avoid a worker that fails runs beside an earlier long-running task

A worker that began to fail all new runs was then never avoided, and each job lost its attempts there.

Change: the count stays; instead long-running runs that have been at work for 5 s do not count as the one run that such a worker gets at a time. A short run that ends `done` beside them sets the count back as before.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -249,7 +249,7 @@
      */
     bool stored_with_tasks = false;
     bool lift_pending = false; ///< A list without its tasks was asked for.
-    /** The store may hold a bound of its lease, so that is not renewed. */
+    /** The store may hold a bound of its lease, so that it is not renewed. */
     bool stored_with_lease = false;
     std::optional<core::time_point> lost_at; ///< Unset while in contact.
     /** Where it has last answered this owner; empty: nowhere yet. */
@@ -506,11 +506,10 @@
     auto record_worker_result(
         dispatch_worker& worker, job_entry& job, run_outcome outcome,
         core::time_point now) -> void;
-    /** Forgets the failures of a worker where a long-running task has been at
-     *  work for some time. */
-    auto forgive_failures(
-        dispatch_worker& worker, run_entry const& run, core::time_point now)
-        -> void;
+    /** Returns true if the worker has failed runs repeatedly and a run there
+     * may still fail for its fault. */
+    [[nodiscard]] static auto
+    is_on_trial(dispatch_worker const& worker, core::time_point now) -> bool;
     /** Counts a run whose worker process has ended, if it may be the cause. */
     auto count_crash(
         dispatch_worker& worker, run_entry const& run, core::time_point now)
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -19,9 +19,6 @@
 constexpr auto failures_before_suspension = std::uint32_t{2};
 constexpr auto first_suspension = std::chrono::seconds{3};
 constexpr auto max_suspension_doublings = std::uint32_t{1};
-// A long-running task that is at work for this long counts as a success of its
-// worker, as its run never ends as done.
-constexpr auto sound_run_time = std::chrono::seconds{5};
 // Weight of a run in the mean of actual to declared run time, and the maximum
 // ratio that a run contributes.
 constexpr auto run_time_factor_rate = 0.03;
@@ -91,7 +88,6 @@
     run.seen_running = true;
     run.last_seen_at = now;
     update_suspicion(worker, run);
-    forgive_failures(worker, run, now);
     if (run.job)
     {
         mark_started(*run.job);
@@ -445,21 +441,6 @@
     }
 }
 
-auto dispatcher::implementation::forgive_failures(
-    dispatch_worker& worker, run_entry const& run, core::time_point now) -> void
-{
-    if (worker.consecutive_failures == 0 || !run.job ||
-        now - run.ordered_at < sound_run_time)
-    {
-        return;
-    }
-    if (run.job->spec(run.job->step_of(run.task)).long_running)
-    {
-        worker.consecutive_failures = 0;
-        schedule_due = true;
-    }
-}
-
 auto dispatcher::implementation::request_stops(job_entry& job) -> void
 {
     if (job.active_runs == 0)
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -25,6 +25,9 @@
 constexpr auto min_start_validity = std::chrono::milliseconds{250};
 constexpr auto stop_retry = std::chrono::milliseconds{400};
 constexpr auto stop_overrun = std::chrono::milliseconds{1000};
+// A long-running task that is at work for this long does not fail for the fault
+// of its worker.
+constexpr auto sound_run_time = std::chrono::seconds{5};
 // How long a worker stays reserved for a long-running task.
 constexpr auto reservation_time = std::chrono::milliseconds{2500};
 constexpr auto runs_per_term = std::uint64_t{1000};
@@ -339,6 +342,19 @@
            !drained.contains(worker.info.data_centre);
 }
 
+// A worker with repeated failures gets one run at a time, but for long-running
+// ones, which never end as done.
+auto dispatcher::implementation::is_on_trial(
+    dispatch_worker const& worker, core::time_point now) -> bool
+{
+    return worker.consecutive_failures > 1 &&
+           std::any_of(
+               worker.runs.begin(), worker.runs.end(),
+               [&](run_entry const& it) {
+                   return is_short(it) || now - it.ordered_at < sound_run_time;
+               });
+}
+
 auto dispatcher::implementation::choose_worker(
     job_entry& job, step_entry& step, dispatch_task const& task,
     queue_config const& queue, core::time_point now) -> worker_choice
@@ -373,10 +389,9 @@
         {
             continue;
         }
-        // A worker with repeated failures gets one run at a time. Long-running
-        // tasks have no limit of failures, and no other worker may have room.
-        if (worker->consecutive_failures > 1 && !worker->runs.empty() &&
-            !spec.long_running)
+        // Long-running tasks have no limit of failures, and no other worker may
+        // have room.
+        if (!spec.long_running && is_on_trial(*worker, now))
         {
             continue;
         }
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -362,6 +362,27 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against starts without limit on a worker that fails all runs while an
+// earlier long-running task is at work there.
+TEST(take_over, a_worker_that_fails_runs_beside_a_lasting_one_is_avoided)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    world->run_for(8000);
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{100, true};
+    };
+    for (auto i = 0; i < 20; ++i)
+    {
+        auto const id = fmt::format("bad{}", i);
+        ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan(id, 1, 3000)));
+    }
+    world->run_for(3000);
+    EXPECT_LE(world->starts.size(), 4U);
+    EXPECT_EQ(world->running(), 1U);
+}
+
 // Guards against tasks that wait for a silent worker of a service that does not
 // run them.
 TEST(take_over, a_silent_worker_of_another_service_holds_no_tasks)
