Restore a test's failure message and share a set-up of the take-over tests

Found by reading the change again. While the last tests were written, an edit dropped the message that the test a_list_with_the_former_address_allows_no_start prints with a violation; the assertion itself had stayed. Two tests of a worker that ends unseen had the same set-up, now end_unseen(). A new worker's lease is only set where it may have unknown runs, in place of setting the default again.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -67,9 +67,10 @@
             recall(*worker, info.worker);
             worker->lost_at = now;
             worker->may_have_unknown_runs = recovering && !stored_list_readable;
-            worker->lease_until = worker->may_have_unknown_runs
-                                      ? recovery_until
-                                      : core::time_point{};
+            if (worker->may_have_unknown_runs)
+            {
+                worker->lease_until = recovery_until;
+            }
             worker_list_changed = true;
         }
         if (!worker->info.address.empty() &&
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -59,6 +59,16 @@
     return world.submit(std::move(plan));
 }
 
+// Ends the process of w1, which nothing proves; w2 may run its tasks.
+auto end_unseen(tests::dispatch_world& world) -> void
+{
+    world.worker("w1").info.labels.erase("w1");
+    world.worker("w2").info.labels.insert("w1");
+    world.exit_worker("w1");
+    world.worker("w1").unreachable_result =
+        state::order_result::connection_refused;
+}
+
 } // namespace
 
 // Guards against a long-running task that stays down because of a silent worker
@@ -283,7 +293,8 @@
     world->drained.clear();
     world->run_for(3000);
     EXPECT_EQ(world->starts.size(), 1U);
-    EXPECT_TRUE(world->violations.empty());
+    EXPECT_TRUE(world->violations.empty())
+        << (world->violations.empty() ? "" : world->violations.front());
 }
 
 // Guards against a second run of tasks whose ends a worker lists only after its
@@ -472,11 +483,7 @@
     auto const world = three_workers();
     ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
     world->run_for(300);
-    world->worker("w1").info.labels.erase("w1");
-    world->worker("w2").info.labels.insert("w1");
-    world->exit_worker("w1");
-    world->worker("w1").unreachable_result =
-        state::order_result::connection_refused;
+    end_unseen(*world);
     world->run_for(5500);
     EXPECT_EQ(world->starts.size(), 2U);
     world->run_for(1200); // 6 s, 3% and a margin after the last renewal.
@@ -490,11 +497,7 @@
     auto const world = three_workers();
     ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 2)));
     world->run_for(300);
-    world->worker("w1").info.labels.erase("w1");
-    world->worker("w2").info.labels.insert("w1");
-    world->exit_worker("w1");
-    world->worker("w1").unreachable_result =
-        state::order_result::connection_refused;
+    end_unseen(*world);
     world->run_for(3500);
     world->begin_term();
     world->run_for(2500);
