--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -4,11 +4,29 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace godwitcleat::coordination
 {
 
+namespace
+{
+
+auto name_of(protocol::job_call_kind kind) -> std::string_view
+{
+    switch (kind)
+    {
+    case protocol::job_call_kind::submit: return "submit";
+    case protocol::job_call_kind::cancel: return "cancel";
+    case protocol::job_call_kind::phase: return "phase";
+    case protocol::job_call_kind::count: return "count";
+    }
+    return "unknown";
+}
+
+} // namespace
+
 /** One call until it has an answer. */
 struct job_router::attempt
 {
@@ -17,8 +35,10 @@
     core::time_point begun;
     core::time_point deadline;
     std::atomic<bool> maybe_done = false; ///< A try may have taken effect.
-    std::size_t tries = 0;
+    std::atomic<std::size_t> tries = 0;
     std::atomic<bool> answered = false;
+    std::mutex mutex;         ///< Of the member below.
+    std::string last_failure; ///< Why the last try had no final answer.
     transport::timer_handle timer;
     transport::timer_handle deadline_timer;
 };
@@ -71,9 +91,42 @@
                          ? "the owner of the jobs did not answer in time; ask "
                            "again with the same id"
                          : "the owner of the jobs cannot be reached; retry";
+    log_failure(*it);
     finish(it, std::move(answer));
 }
 
+auto job_router::log_failure(attempt& it) -> void
+{
+    {
+        auto const lock = std::scoped_lock{lines_mutex_};
+        if (it.answered || !lines_.allow("unreached", clock_()))
+        {
+            return;
+        }
+    }
+    auto cause = std::string{};
+    {
+        auto const lock = std::scoped_lock{it.mutex};
+        cause = it.last_failure;
+    }
+    auto const owner = host_.owner();
+    log_.info(
+        "A call did not reach the owner.",
+        {{"call", name_of(it.call.kind)},
+         {"job", it.call.job.value},
+         {"owner", owner ? owner->instance.value : ""},
+         {"term", owner ? owner->term.value : 0},
+         {"tries", it.tries.load()},
+         {"relayed", it.call.relayed},
+         {"cause", cause}});
+}
+
+auto job_router::note_failure(attempt& it, std::string_view cause) -> void
+{
+    auto const lock = std::scoped_lock{it.mutex};
+    it.last_failure = cause;
+}
+
 auto job_router::try_once(std::shared_ptr<attempt> const& it) -> void
 {
     if (host_.is_active())
@@ -134,6 +187,7 @@
         {
             if (!payload)
             {
+                note_failure(*it, core::last_reason().message);
                 if (core::last_reason().kind == core::error_kind::unavailable)
                 {
                     it->maybe_done = before; // Nothing was sent.
@@ -143,6 +197,7 @@
             auto answer = protocol::decode<protocol::job_answer>(*payload);
             if (!answer)
             {
+                note_failure(*it, core::last_reason().message);
                 return retry(it);
             }
             it->maybe_done = before;
@@ -155,10 +210,12 @@
 {
     if (answer.error == core::error_kind::not_owner)
     {
+        note_failure(*it, answer.message);
         return retry(it);
     }
     if (answer.error == core::error_kind::unknown_outcome)
     {
+        note_failure(*it, answer.message);
         it->maybe_done = true;
         return retry(it);
     }
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_COORDINATION_JOB_ROUTER_BASE_HPP
 
 #include "coordination/dispatch_host_base.hpp"
+#include "coordination/line_budget_base.hpp"
 #include "core/core.hpp"
 #include "protocol/protocol.hpp"
 #include "transport/transport.hpp"
@@ -10,7 +11,9 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <mutex>
 #include <string>
+#include <string_view>
 
 namespace godwitcleat::coordination
 {
@@ -73,6 +76,9 @@
     auto retry(std::shared_ptr<attempt> const& it) -> void;
     auto finish(std::shared_ptr<attempt> const& it, protocol::job_answer answer)
         -> void;
+    /** Logs which owner was asked, and why there was no answer. */
+    auto log_failure(attempt& it) -> void;
+    static auto note_failure(attempt& it, std::string_view cause) -> void;
     auto answer_without_owner(std::shared_ptr<attempt> const& it) -> void;
 
     dispatch_host& host_;
@@ -82,6 +88,8 @@
     core::logger log_;
     job_router_settings settings_;
     std::atomic<std::size_t> next_member_ = 0;
+    std::mutex lines_mutex_; ///< Of the member below.
+    line_budget lines_;
 };
 
 } // namespace godwitcleat::coordination
