Close idle connections to an endpoint that a timed-out request shows silent

After a cut, the open connections to a worker or to the store stay silent for seconds while new ones work.

Cause: the HTTP client's pool is last in, first out, and only the connection of a request that timed out was closed. Each following request took another idle connection from before the cut and waited for its whole timeout: with 4 connections to a worker up to 4 orders or holds in a row (0.7 s, or 1.7 s for a hold), with 8 to the store up to 8 calls of 0.2 s to 1 s, so that renewals of the owner's lease (each 0.6 s, 3 s lease) can fail in a row.

Change: a request that times out after it was written and without a byte of a response also closes the idle connections to that endpoint that have had no response since it began. Those that have answered meanwhile are kept, so that one slow answer costs no new connections.

Evidence: http.a_silent_endpoint_costs_one_timeout, four idle connections that go silent. Before: 3 are still open after the first timeout, and the next request takes one of them until its time limit of 5 s.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -89,6 +89,72 @@
     EXPECT_EQ(fresh->response->body, "fresh");
 }
 
+// Guards against calls that fail one after the other, each on another idle
+// connection that has gone silent, while new connections work.
+TEST_F(http, a_silent_endpoint_costs_one_timeout)
+{
+    constexpr auto count = 4;
+    auto const listener = raw_listener{};
+    auto first = std::vector<std::future<transport::http_result>>{};
+    auto silent = std::vector<raw_socket>{};
+    for (auto it = 0; it < count; ++it)
+    {
+        first.push_back(
+            start(client, listener.local(), request_of("POST", "/")));
+        silent.push_back(listener.accept());
+    }
+    for (auto& it : silent)
+    {
+        auto received = std::string{};
+        ASSERT_TRUE(it.read_until("\r\n\r\n", received));
+        it.write(ok_response);
+    }
+    for (auto& it : first)
+    {
+        auto const result = await(it);
+        ASSERT_TRUE(result && result->response);
+    }
+    ASSERT_EQ(client.connections(listener.local()), std::size_t{count});
+    auto const unanswered =
+        fetch(client, listener.local(), request_of("POST", "/"), 50ms);
+    EXPECT_EQ(unanswered.reason.kind, core::error_kind::timeout);
+    EXPECT_EQ(client.connections(listener.local()), 0U);
+    auto next = start(client, listener.local(), request_of("POST", "/"), 5s);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return listener.has_connection() ||
+                   next.wait_for(0s) == std::future_status::ready;
+        }));
+    ASSERT_TRUE(listener.has_connection()) << "a silent connection was used";
+    auto const fresh = listener.accept();
+    auto received = std::string{};
+    ASSERT_TRUE(fresh.read_until("\r\n\r\n", received));
+    fresh.write(ok_response);
+    auto const result = await(next);
+    ASSERT_TRUE(result && result->response);
+}
+
+// Guards against new connections for each slow answer: those that have answered
+// meanwhile are kept.
+TEST_F(http, a_timeout_keeps_connections_that_have_answered_since)
+{
+    auto const listener = raw_listener{};
+    auto slow = start(client, listener.local(), request_of("POST", "/"), 500ms);
+    auto const unanswered = listener.accept();
+    auto other = start(client, listener.local(), request_of("POST", "/"));
+    auto const answers = listener.accept();
+    auto received = std::string{};
+    ASSERT_TRUE(answers.read_until("\r\n\r\n", received));
+    answers.write(ok_response);
+    auto const answered = await(other);
+    ASSERT_TRUE(answered && answered->response);
+    auto const late = await(slow);
+    ASSERT_TRUE(late);
+    EXPECT_EQ(late->reason.kind, core::error_kind::timeout);
+    EXPECT_EQ(client.connections(listener.local()), 1U);
+}
+
 // Guards against unbounded queues, and against a request reported as written
 // although it only waited for a connection.
 TEST_F(http, bounds_connections_and_waiting_requests)
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -117,7 +117,9 @@
  * Sends requests over pooled connections, one request at a time on each. A
  * request is never repeated by the client. A pooled connection that the
  * server has closed is replaced before anything is written. A connection
- * whose request failed or timed out is closed.
+ * whose request failed or timed out is closed. If a request timed out without
+ * a byte of a response, so are the idle connections to that endpoint that have
+ * had no response since it was sent.
  */
 class http_client
 {
--- a/transport/http_client_base.cpp
+++ b/transport/http_client_base.cpp
@@ -25,7 +25,7 @@
     auto& pool = pools[where];
     if (!pool.idle.empty())
     {
-        auto const connection = pool.idle.back();
+        auto const connection = pool.idle.back().connection;
         pool.idle.pop_back();
         connection->run(request);
         return;
@@ -123,7 +123,7 @@
     }
     if (next)
     {
-        pool.idle.push_back(next);
+        pool.idle.push_back({next, now()});
         next->watch();
         return;
     }
@@ -142,7 +142,10 @@
         return;
     }
     auto& idle = pool->second.idle;
-    auto const it = std::find(idle.begin(), idle.end(), connection);
+    auto const it = std::find_if(
+        idle.begin(), idle.end(),
+        [&connection](auto const& entry)
+        { return entry.connection == connection; });
     if (it == idle.end())
     {
         return;
@@ -156,6 +159,29 @@
     }
 }
 
+auto http_client_state::drop_idle_before(
+    endpoint const& where, core::time_point time) -> void
+{
+    auto const lock = std::scoped_lock{mutex};
+    auto const pool = pools.find(where);
+    if (pool == pools.end())
+    {
+        return;
+    }
+    std::erase_if(
+        pool->second.idle,
+        [&pool, time](auto const& entry)
+        {
+            if (entry.since >= time)
+            {
+                return false;
+            }
+            pool->second.all.erase(entry.connection);
+            entry.connection->abort();
+            return true;
+        });
+}
+
 auto http_client_state::close() -> void
 {
     auto open = std::map<endpoint, endpoint_pool>{};
--- a/transport/http_client_connection.cpp
+++ b/transport/http_client_connection.cpp
@@ -128,14 +128,14 @@
     progress_ = send_progress::nothing_written;
     connection_refused_ = false;
     interim_ = 0;
+    begun_ = now();
     stop_watch();
     if (aborted_)
     {
         fail(core::error_kind::shutting_down, "the client was closed");
         return;
     }
-    if (core::time_point{std::chrono::steady_clock::now()} >=
-        request_->deadline)
+    if (begun_ >= request_->deadline)
     {
         fail_timeout();
         return;
@@ -302,8 +302,20 @@
     fail(kind, fmt::format("{}: {}", what, ec.message()));
 }
 
+auto client_connection::is_silent() const -> bool
+{
+    auto const heard = interim_ > 0 || (parser_ && parser_->got_some());
+    return progress_ == send_progress::maybe_written && !heard;
+}
+
 auto client_connection::fail_timeout() -> void
 {
+    // Whatever silenced this connection, such as a cut that is over, has likely
+    // silenced the others; each would cost its next request the whole timeout.
+    if (is_silent())
+    {
+        client_->drop_idle_before(where_, begun_);
+    }
     fail(core::error_kind::timeout, "no response before the deadline");
 }
 
--- a/transport/http_client_internal.hpp
+++ b/transport/http_client_internal.hpp
@@ -5,6 +5,7 @@
 #include "transport/http_base.hpp"
 #include "transport/http_internal.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -23,6 +24,12 @@
 
 class client_connection;
 
+/** Returns the time of the clock that the deadlines refer to. */
+inline auto now() -> core::time_point
+{
+    return core::time_point{std::chrono::steady_clock::now()};
+}
+
 /** One request from send() to its result. */
 struct exchange
 {
@@ -41,11 +48,18 @@
 using exchange_pointer = std::shared_ptr<exchange>;
 using connection_pointer = std::shared_ptr<client_connection>;
 
+/** A connection that no request uses. */
+struct idle_connection
+{
+    connection_pointer connection;
+    core::time_point since; ///< Time of its last response.
+};
+
 /** Connections and waiting requests of one endpoint. */
 struct endpoint_pool
 {
     std::set<connection_pointer> all;
-    std::vector<connection_pointer> idle; ///< Last used at the back.
+    std::vector<idle_connection> idle; ///< Last used at the back.
     std::deque<exchange_pointer> waiting;
 };
 
@@ -66,6 +80,8 @@
     auto open(endpoint const& where, endpoint_pool& pool) -> connection_pointer;
     auto release(connection_pointer const& connection, bool reusable) -> void;
     auto drop_idle(connection_pointer const& connection) -> void;
+    /** Closes the idle connections without a response after @p time. */
+    auto drop_idle_before(endpoint const& where, core::time_point time) -> void;
     auto close() -> void;
 
     /** Calls on_done on a thread of the reactor. */
@@ -127,6 +143,7 @@
         boost::beast::error_code ec, core::error_kind kind,
         std::string_view what) -> void;
     auto fail_timeout() -> void;
+    [[nodiscard]] auto is_silent() const -> bool;
     auto fail(core::error_kind kind, std::string_view message) -> void;
     auto finish(http_result result, bool reusable) -> void;
 
@@ -142,6 +159,7 @@
     send_progress progress_ = send_progress::nothing_written;
     bool connection_refused_ = false;
     int interim_ = 0;
+    core::time_point begun_; ///< When the request was given to the connection.
     std::uint64_t watch_round_ = 0; ///< Makes events of old watches void.
     bool aborted_ = false;
 };
