--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -38,6 +38,11 @@
         coordination::store_query query,
         handler<coordination::store_range> on_done) -> void override
     {
+        if (fail_watches && !query.range_end.empty())
+        {
+            core::fail(core::error_kind::unavailable, "the store is cut off");
+            return on_done(std::nullopt);
+        }
         target_.range(std::move(query), std::move(on_done));
     }
 
@@ -52,6 +57,14 @@
             core::fail(core::error_kind::unknown_outcome, "the answer is lost");
             return on_done(std::nullopt);
         }
+        if (hold_commits)
+        {
+            held = [this, transaction, on_done]
+            {
+                target_.commit(transaction, on_done);
+            };
+            return;
+        }
         if (repeat_commits_late)
         {
             late.push_back(transaction);
@@ -78,6 +91,11 @@
         coordination::store_lease lease,
         handler<coordination::store_lease> on_done) -> void override
     {
+        if (fail_renewals)
+        {
+            core::fail(core::error_kind::unavailable, "the store is cut off");
+            return on_done(std::nullopt);
+        }
         target_.keep_alive(lease, std::move(on_done));
     }
 
@@ -88,6 +106,9 @@
         target_.revoke(lease, std::move(on_done));
     }
 
+    std::atomic<bool> fail_watches = false;
+    std::atomic<bool> fail_renewals = false;
+    bool hold_commits = false;
     bool hold_grants = false;
     bool repeat_commits_late = false;
     int lose_commits = 0;
@@ -230,6 +251,50 @@
     EXPECT_FALSE(first.term.is_valid());
 }
 
+// The later owner has left, and the former one has a write without an answer.
+TEST_F(term_fixture, an_open_write_does_not_bring_an_older_term_back)
+{
+    auto first = keeper{store, loop, "first"};
+    auto second = keeper{store, loop, "second"};
+    first.term.start();
+    ASSERT_TRUE(eventually([&] { return first.acquired.load() == 1; }));
+    first.store.hold_commits = true;
+    auto result = write(first, "a", "1");
+    first.store.hold_commits = false;
+    first.store.fail_watches = true;
+    first.store.fail_renewals = true;
+    store.expire(coordination::store_lease{1});
+    second.term.start();
+    ASSERT_TRUE(eventually([&] { return second.acquired.load() == 2; }));
+    second.term.leave([] {});
+    ASSERT_TRUE(eventually([&] { return !first.term.is_valid(); }));
+    first.store.fail_renewals = false;
+    EXPECT_TRUE(eventually([&] { return first.acquired.load() == 0; }));
+    EXPECT_FALSE(first.term.is_valid());
+    EXPECT_FALSE(store.peek("p/live/owner"));
+    loop.post(first.store.held);
+    ASSERT_EQ(result.wait_for(3s), std::future_status::ready);
+    EXPECT_EQ(result.get(), coordination::write_result::lost);
+}
+
+TEST_F(term_fixture, a_term_goes_on_after_its_lease_beside_an_open_write)
+{
+    auto it = keeper{store, loop, "first"};
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    it.store.hold_commits = true;
+    auto result = write(it, "a", "1");
+    it.store.hold_commits = false;
+    store.expire(coordination::store_lease{1});
+    ASSERT_TRUE(
+        eventually([&] { return store.peek("p/live/owner").has_value(); }));
+    loop.post(it.store.held);
+    ASSERT_EQ(result.wait_for(3s), std::future_status::ready);
+    EXPECT_EQ(result.get(), coordination::write_result::stored);
+    EXPECT_TRUE(it.term.is_valid());
+    EXPECT_EQ(it.acquired.load(), 1U);
+}
+
 // Guards against a stop that leaves the jobs without owner until the lease
 // lapses.
 TEST_F(term_fixture, a_leaving_owner_hands_over_at_once)
