Start long-running tasks again however often workers crash under them

A run at work for over 10 s proves the task sound and clears its crashes. Suspects that last are kept apart for at most 6 s after their last run: waiting for the proof of each other took over 10 s.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -58,7 +58,11 @@
     /** Worker of the last run that failed, stalled or was paused too long. */
     core::worker_id avoided_worker;
     std::string checkpoint;
-    std::vector<std::uint64_t> crashed_runs; ///< Each crashed its worker.
+    /** Each crashed its worker. Of a long-running task only those since it was
+     *  last proved sound, at most max_crash_history. */
+    std::vector<std::uint64_t> crashed_runs;
+    /** When its last run that was lost with its worker was at work. */
+    core::time_point lost_at;
     /** The only worker where it may run, if job_entry::stores_worker_of() is
      *  true; empty: none. Part of the progress. */
     core::worker_id stored_worker;
@@ -69,8 +73,8 @@
         return !crashed_runs.empty();
     }
 
-    /** Returns true if it is not started beside another suspect. After one
-     *  crash, the other tasks of that worker are suspects as well. */
+    /** Returns true if it is kept from other suspects. After one crash, the
+     *  other tasks of that worker are suspects as well. */
     [[nodiscard]] auto needs_isolation() const -> bool
     {
         return crashed_runs.size() > 1;
@@ -514,7 +518,18 @@
     auto count_crash(
         dispatch_worker& worker, run_entry const& run, core::time_point now)
         -> void;
-    auto update_suspicion(dispatch_worker& worker, run_entry& run) -> void;
+    auto note_loss(run_entry const& run) -> void;
+    auto update_suspicion(
+        dispatch_worker& worker, run_entry& run, core::time_point now) -> void;
+    /** Returns true if a long-running task is not started again yet, because
+     *  workers crash under it. */
+    [[nodiscard]] auto is_backing_off(
+        plan_step const& spec, dispatch_task const& task,
+        core::time_point now) const -> bool;
+    /** Returns true if the task is not started beside another suspect. */
+    [[nodiscard]] auto is_isolated(
+        plan_step const& spec, dispatch_task const& task,
+        core::time_point now) const -> bool;
     auto
     retry_run(dispatch_worker& worker, std::size_t index, core::time_point now)
         -> void;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -87,7 +87,7 @@
     run.last_seen_in_list = worker.list_count;
     run.seen_running = true;
     run.last_seen_at = now;
-    update_suspicion(worker, run);
+    update_suspicion(worker, run, now);
     if (run.job)
     {
         mark_started(*run.job);
@@ -197,6 +197,13 @@
         worker.runs.begin(), worker.runs.end(),
         std::back_inserter(worker.lapsed_runs),
         [](run_entry const& it) { return !it.waits_for_store; });
+    for (auto const& it : worker.runs)
+    {
+        if (it.seen_running || it.start_confirmed_at)
+        {
+            note_loss(it);
+        }
+    }
     while (!worker.runs.empty())
     {
         retry_run(worker, worker.runs.size() - 1, now);
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -217,7 +217,10 @@
         remember_unplaceable(*it.job, step, false, now);
         if (spec.long_running)
         {
-            auto const waiting = step.ready_tasks.size();
+            auto const waiting = static_cast<std::size_t>(std::count_if(
+                step.ready_tasks.begin(), step.ready_tasks.end(),
+                [&](std::uint32_t index)
+                { return !is_backing_off(spec, it.job->tasks[index], now); }));
             auto const& queue = *find_queue(*it.job);
             while (reserved < waiting && reserve_worker(it, queue, now))
             {
@@ -367,6 +370,8 @@
     }
     auto const waited_long =
         spec.uses_spare_cpu && has_waited_long(job, step, now);
+    // All members of a gang need a worker at the same time.
+    auto const isolated = is_isolated(spec, task, now);
     auto result = worker_choice{};
     auto best_cost = std::numeric_limits<double>::max();
     auto const candidates = startable_workers_for(queue);
@@ -410,8 +415,7 @@
                 continue;
             }
         }
-        // All members of a gang need a worker at the same time.
-        if (task.needs_isolation() && worker->suspect_runs > 0 && !spec.gang)
+        if (worker->suspect_runs > 0 && isolated)
         {
             result.beside_suspect = true;
             continue;
@@ -459,6 +463,7 @@
 {
     auto& job = *it.job;
     auto& step = job.steps[it.step];
+    auto const& spec = job.spec(step);
     auto const* const queue = find_queue(job);
     auto const waiting = step.ready_tasks.size();
     auto const log_starts = [&]
@@ -478,7 +483,11 @@
     {
         auto const index = step.ready_tasks[i];
         auto& task = job.tasks[index];
-        if (task.needs_isolation())
+        if (is_backing_off(spec, task, now))
+        {
+            continue;
+        }
+        if (is_isolated(spec, task, now))
         {
             if (!suspects_wait)
             {
@@ -519,6 +528,14 @@
     {
         return true; // Members of the previous run have not ended yet.
     }
+    auto const waits = std::any_of(
+        step.ready_tasks.begin(), step.ready_tasks.end(),
+        [&](std::uint32_t index)
+        { return is_backing_off(job.spec(step), job.tasks[index], now); });
+    if (waits)
+    {
+        return true;
+    }
     // Capacity is reserved temporarily, so that it is not counted twice.
     auto chosen = std::vector<dispatch_worker*>{};
     auto const need = job.spec(step).need;
