--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -22,6 +22,7 @@
 #include "coordination/range_cache_base.hpp"
 #include "coordination/request_policy_func.hpp"
 #include "coordination/retry_budget_base.hpp"
+#include "coordination/revision_times_base.hpp"
 #include "coordination/router_base.hpp"
 #include "coordination/shard_host_base.hpp"
 #include "coordination/shard_log_base.hpp"
--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -57,6 +57,9 @@
     };
 }
 
+// So that a lease is hardly shorter than its limit while the store answers.
+constexpr auto idle_writes_per_lease = 10;
+
 } // namespace
 
 struct dispatch_host::implementation
@@ -72,7 +75,8 @@
               parts.target, parts.loop, parts.clock,
               parts.log.with_prefix("term"), settings.key_prefix,
               std::move(self), settings.term,
-              {[this](core::epoch number) { acquired(number); },
+              {[this](core::epoch number, core::time_point last_write_by)
+               { acquired(number, last_write_by); },
                [this](std::string_view cause)
                {
                    lost(cause);
@@ -80,7 +84,7 @@
     {
     }
 
-    auto acquired(core::epoch number) -> void;
+    auto acquired(core::epoch number, core::time_point last_write_by) -> void;
     auto load_jobs(core::epoch number) -> void;
     auto load_progress(core::epoch number) -> void;
     auto load_workers(core::epoch number) -> void;
@@ -88,6 +92,7 @@
     auto activate(core::epoch number) -> void;
     auto lost(std::string_view cause) -> void;
     auto pump() -> void;
+    [[nodiscard]] auto is_write_due(core::time_point now) const -> bool;
     auto pump_by_timer() -> void;
     auto request_pump() -> void;
     auto send_hold(state::hold_order order) -> void;
@@ -140,13 +145,15 @@
     term_keeper term;
 };
 
-auto dispatch_host::implementation::acquired(core::epoch number) -> void
+auto dispatch_host::implementation::acquired(
+    core::epoch number, core::time_point last_write_by) -> void
 {
     {
         auto const lock = std::scoped_lock{mutex};
         dispatcher.reset();
         active_term = number;
         loading = {};
+        loading.last_write_by = last_write_by;
         writing = false;
         refused_since.reset();
         workers_given = false;
@@ -301,10 +308,13 @@
         };
         auto const now = parts.clock();
         parts.metrics.observe_time("take_over_seconds", now - acquired_at);
+        auto const last_write_by = loading.last_write_by.value_or(now);
         log.info(
-            "Jobs are loaded.", {{"term", number.value},
-                                 {"jobs", loading.jobs.size()},
-                                 {"workers", loading.workers.size()}});
+            "Jobs are loaded.",
+            {{"term", number.value},
+             {"jobs", loading.jobs.size()},
+             {"workers", loading.workers.size()},
+             {"last_write_ms_ago", milliseconds_of(now - last_write_by)}});
         dispatcher.emplace(
             number, std::exchange(loading, {}), settings.dispatch,
             std::move(hooks), now);
@@ -383,6 +393,7 @@
         }
         if (!leaving && term.is_valid())
         {
+            dispatcher->limit_leases(term.last_write_at());
             holds = dispatcher->take_holds(now);
             auto const allowed_until = parts.starts_allowed_until();
             min_start_time = std::min(
@@ -394,6 +405,10 @@
         if (!writing && now >= write_after)
         {
             batch = dispatcher->take_batch(now);
+            if (!batch && !leaving && term.is_valid() && is_write_due(now))
+            {
+                batch.emplace();
+            }
             writing = batch.has_value();
             write_begun = now;
         }
@@ -422,6 +437,14 @@
     }
 }
 
+// Without a write the leases of the workers are not prolonged.
+auto dispatch_host::implementation::is_write_due(core::time_point now) const
+    -> bool
+{
+    return now - term.last_write_at() >=
+           settings.dispatch.lease_after_write / idle_writes_per_lease;
+}
+
 auto dispatch_host::implementation::send_hold(state::hold_order order) -> void
 {
     parts.metrics.count("worker_holds");
--- a/coordination/store_func.cpp
+++ b/coordination/store_func.cpp
@@ -17,6 +17,12 @@
     on_done(std::nullopt);
 }
 
+auto store::reached_by(std::int64_t /*revision*/) const
+    -> std::optional<core::time_point>
+{
+    return std::nullopt;
+}
+
 auto prefix_end(std::string prefix) -> std::string
 {
     constexpr unsigned char highest = 0xff;
--- a/coordination/store_type.hpp
+++ b/coordination/store_type.hpp
@@ -132,6 +132,13 @@
         std::string prefix, std::int64_t after, core::duration wait,
         handler<store_changes> on_done) -> void;
 
+    /**
+     * Returns a time by which the store had reached @p revision, as early a one
+     * as its answers to this instance have shown; unset if none has.
+     */
+    [[nodiscard]] virtual auto reached_by(std::int64_t revision) const
+        -> std::optional<core::time_point>;
+
     /** Grants a lease of @p time_to_live, rounded up to the store's unit. */
     virtual auto
     grant(core::duration time_to_live, handler<store_lease> on_done)
--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -153,6 +153,10 @@
     std::int64_t owned_revision = 0;            ///< Of the take-over.
     term_value current;
     std::int64_t term_revision = 0;
+    /** When the former owner's last write had been carried out. */
+    core::time_point former_write_by;
+    core::time_point last_write; ///< Result of term_keeper::last_write_at().
+    core::time_point write_sent; ///< First time that the open write was sent.
     bool taking_again = false;
 
     std::vector<store_write> writes;
@@ -398,6 +402,13 @@
         // The owner key may have been written since the lease was asked for.
         taken_meanwhile = !is_free();
         self.term = core::epoch{next.term};
+        // Without a term key, nothing tells when an owner has written.
+        former_write_by = clock();
+        if (revision > 0)
+        {
+            former_write_by =
+                target.reached_by(revision).value_or(former_write_by);
+        }
         transaction.compares = {
             {owner_key, named_revision}, {term_key, revision}};
         transaction.writes = {
@@ -492,13 +503,14 @@
         current = next;
         term_revision = revision;
         owned_revision = revision;
+        last_write = sent;
         free_since.reset();
         named = self;
         renew_timer =
             later(loop, settings.renew_interval, [](auto& it) { it.renew(); });
     }
     log.info("This instance owns the jobs.", {{"term", next.term}});
-    hooks.on_acquired(core::epoch{next.term});
+    hooks.on_acquired(core::epoch{next.term}, former_write_by);
 }
 
 auto term_keeper::implementation::retry_later() -> void
@@ -653,6 +665,7 @@
     {
         auto const lock = std::unique_lock{mutex};
         term_revision = answer->revision;
+        last_write = write_sent;
         ++current.writes;
     }
     if (answer)
@@ -707,6 +720,7 @@
                         auto const lock = std::scoped_lock{it.mutex};
                         it.term_revision =
                             answer->entries.front().modify_revision;
+                        it.last_write = it.write_sent;
                         ++it.current.writes;
                     }
                     return it.finish_write(write_result::stored);
@@ -786,6 +800,12 @@
            now < implementation_->valid_until;
 }
 
+auto term_keeper::last_write_at() const -> core::time_point
+{
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->last_write;
+}
+
 auto term_keeper::owner() const -> std::optional<protocol::owner_record>
 {
     auto const lock = std::scoped_lock{implementation_->mutex};
@@ -807,6 +827,7 @@
         implementation_->writes = std::move(writes);
         implementation_->on_written = std::move(on_done);
         implementation_->maybe_written = false;
+        implementation_->write_sent = implementation_->clock();
     }
     implementation_->send_write();
 }
--- a/coordination/term_base.hpp
+++ b/coordination/term_base.hpp
@@ -44,8 +44,10 @@
 /** Hooks of a term. Called on threads of the store, without locks. */
 struct term_hooks
 {
-    /** This instance owns the jobs from now on, until on_lost. */
-    std::function<void(core::epoch)> on_acquired;
+    /** This instance owns the jobs from now on, until on_lost. All writes of
+     *  former owners were carried out before @p last_write_by. */
+    std::function<void(core::epoch, core::time_point last_write_by)>
+        on_acquired;
     /** Another instance may own the jobs now. */
     std::function<void(std::string_view cause)> on_lost;
 };
@@ -83,6 +85,10 @@
      *  the store has revoked the lease early. */
     [[nodiscard]] auto is_valid() const -> bool;
 
+    /** Returns when the last acknowledged write of this term was sent, or the
+     *  take-over if there is none. */
+    [[nodiscard]] auto last_write_at() const -> core::time_point;
+
     /** Returns the owner that the store names, if any. */
     [[nodiscard]] auto owner() const -> std::optional<protocol::owner_record>;
 
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -89,6 +89,11 @@
     implementation_->start_limit = until;
 }
 
+auto dispatcher::limit_leases(core::time_point last_write) -> void
+{
+    implementation_->last_write = last_write;
+}
+
 auto dispatcher::set_drained(std::set<core::data_centre_id> data_centres)
     -> void
 {
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -109,6 +109,13 @@
      */
     auto limit_starts(core::time_point until) -> void;
 
+    /**
+     * Leases end at most dispatch_settings::lease_after_write after
+     * `last_write`, when the owner's last acknowledged write was sent. A new
+     * owner can tell by the last write how long former owners' leases last.
+     */
+    auto limit_leases(core::time_point last_write) -> void;
+
     /** Sets the data centres in which no task is started. */
     auto set_drained(std::set<core::data_centre_id> data_centres) -> void;
 
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -449,6 +449,14 @@
         -> std::int64_t;
     auto take_holds(core::time_point now) -> std::vector<hold_order>;
     auto make_hold(dispatch_worker& worker, core::time_point now) -> hold_order;
+    /** Returns the length of a lease that is granted now. */
+    [[nodiscard]] auto lease_length(core::time_point now) const
+        -> core::duration
+    {
+        auto const until =
+            std::min(last_write, now) + settings.lease_after_write;
+        return std::min(settings.lease_limit, until - now);
+    }
     auto hold_answered(
         hold_order const& order, order_result result,
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
@@ -654,6 +662,8 @@
     queue_table_pointer queues = std::make_shared<queue_table const>();
     std::set<core::data_centre_id> drained;
     core::time_point start_limit = core::time_point::max();
+    /** Argument of dispatcher::limit_leases(). */
+    core::time_point last_write = core::time_point::max();
     /** Added to the pauses between holds while answers are processed late. */
     core::duration extra_poll_pause{};
     /** Shortest time from a start to its answer in this interval. */
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -14,6 +14,8 @@
 // The lease of a worker that has not answered may exceed the requested length
 // by this much: its clock may be 2% slow, and its last reading a little old.
 constexpr auto lease_margin = std::chrono::milliseconds{300};
+// Workers that can be reached report their ends in this time.
+constexpr auto min_recovery_time = std::chrono::seconds{1};
 
 } // namespace
 
@@ -54,6 +56,13 @@
     stored_list_readable = stored.workers_readable;
     recovery_until = now + settings.previous_owner_validity +
                      with_drift(settings.lease_limit) + lease_margin;
+    if (stored.last_write_by)
+    {
+        recovery_until = std::clamp(
+            *stored.last_write_by + with_drift(settings.lease_after_write) +
+                lease_margin,
+            now + min_recovery_time, recovery_until);
+    }
     auto progress = std::unordered_map<std::string, plan_progress const*>{};
     for (auto const& [id, it] : stored.progress)
     {
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -115,7 +115,8 @@
 auto dispatcher::implementation::start_validity(core::time_point now) const
     -> core::duration
 {
-    return std::min(settings.start_validity, start_limit - now);
+    return std::min(
+        {settings.start_validity, start_limit - now, lease_length(now)});
 }
 
 auto dispatcher::implementation::count_pending_starts(
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -157,6 +157,10 @@
 {
     /** Maximum length of a worker's lease. */
     core::duration lease_limit = std::chrono::seconds{6};
+    /** Leases end at most this long after the owner's last write. Shorter: a
+     *  new owner waits less for silent workers; longer: tasks go on through a
+     *  longer outage of the store. */
+    core::duration lease_after_write = std::chrono::milliseconds{8400};
     /** How long a previous owner may still act after its term has ended. */
     core::duration previous_owner_validity = std::chrono::seconds{3};
     /** Maximum time until a start is carried out. */
@@ -205,6 +209,9 @@
     std::vector<std::pair<core::job_id, plan_progress>> progress;
     std::vector<stored_worker> workers;
     bool workers_readable = true; ///< False if `workers` may lack some.
+    /** All writes of former owners were carried out before this time; unset if
+     *  that is not known. */
+    std::optional<core::time_point> last_write_by;
 };
 
 } // namespace godwitcleat::state
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -322,12 +322,12 @@
     {
         return order;
     }
-    if (!worker.stored_with_lease)
+    auto const length = lease_length(now);
+    if (!worker.stored_with_lease && length > core::duration{})
     {
-        order.deadline_ms = clock_of(worker, now) + to_ms(settings.lease_limit);
+        order.deadline_ms = clock_of(worker, now) + to_ms(length);
         worker.lease_until = std::max(
-            worker.lease_until,
-            now + with_drift(settings.lease_limit) + lease_margin);
+            worker.lease_until, now + with_drift(length) + lease_margin);
     }
     if (worker.contact == contact_state::live)
     {
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -341,6 +341,132 @@
     EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
 }
 
+// The same, up to the time after which LOST counts the task: 6 s after its last
+// run and 3 s more.
+TEST(take_over, a_worker_that_has_left_holds_its_own_task_for_at_most_9_s)
+{
+    auto const world = three_workers();
+    world->settings.lease_limit = std::chrono::seconds{10};
+    world->begin_term();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    world->run_for(3000);
+    ASSERT_EQ(world->running(), 1U);
+    end_unseen(*world);
+    world->begin_term();
+    world->run_for(9000);
+    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against leases that outlast those which the next owner expects.
+TEST(take_over, leases_end_8400_ms_after_the_last_write_that_was_acknowledged)
+{
+    constexpr auto limit_ms = 8400;
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    world->run_for(1000);
+    auto const& worker = world->worker("w1");
+    auto const last_write_at_most = worker.clock_ms;
+    world->store_down = true;
+    world->run_for(5000);
+    EXPECT_LE(worker.deadline_ms, last_write_at_most + limit_ms);
+    world->store_down = false;
+    world->run_for(100);
+    EXPECT_GT(worker.deadline_ms, last_write_at_most + limit_ms);
+}
+
+// Guards against a write that is acknowledged late and counts from then.
+TEST(take_over, leases_do_not_count_from_the_answer_to_a_write)
+{
+    constexpr auto limit_ms = 8400;
+    constexpr auto step_ms = 10;
+    auto const world = three_workers();
+    world->run_for(700);
+    world->store_delay_ms = 1500;
+    auto const& worker = world->worker("w1");
+    auto const before = worker.clock_ms;
+    world->owner->submit(make_long_running("j1", 1), world->now(), [](bool) {});
+    world->run_for(3100);
+    EXPECT_EQ(worker.deadline_ms, before + step_ms + limit_ms);
+}
+
+// Guards against a wait for leases that have ended with the former owner's last
+// write, long before the take-over.
+TEST(take_over, an_outage_of_the_store_shortens_the_wait_for_a_worker)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 1, 1000)));
+    world->run_for(1000);
+    ASSERT_EQ(world->running(), 2U);
+    world->store_down = true;
+    world->run_for(3000);
+    end_unseen(*world);
+    world->run_for(1000);
+    world->store_down = false;
+    world->begin_term();
+    world->run_for(3900);
+    EXPECT_EQ(world->starts.size(), 2U);
+    world->run_for(1100);
+    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against second runs on a worker whose lease was renewed while the
+// store did not answer, as its owner still counted as valid.
+TEST(take_over, a_lease_that_was_renewed_during_an_outage_holds_its_tasks)
+{
+    for (auto const outage_ms : {1000, 3000, 5000, 8000})
+    {
+        auto const world = three_workers();
+        world->settings.lease_limit = std::chrono::seconds{10};
+        world->begin_term();
+        ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+        ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 1, 1000)));
+        world->run_for(1000);
+        ASSERT_EQ(world->running(), 2U);
+        world->store_down = true;
+        world->run_for(outage_ms);
+        world->worker("w1").reachable = false;
+        world->worker("w1").listed = false;
+        world->worker("w1").info.labels.erase("w1");
+        world->worker("w2").info.labels.insert("w1");
+        world->store_down = false;
+        world->begin_term();
+        world->run_for(20'000);
+        EXPECT_EQ(world->starts.size(), 4U) << outage_ms;
+        EXPECT_TRUE(world->violations.empty()) << outage_ms;
+    }
+}
+
+// Guards against tasks that are started again because a long outage has ended
+// all leases, although their workers report their ends at once.
+TEST(take_over, after_a_long_outage_workers_are_heard_first)
+{
+    auto const world = three_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{3000, false};
+    };
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 2, 1000)));
+    world->run_for(1000);
+    ASSERT_EQ(world->running(), 2U);
+    world->worker("w2").info.labels.insert("w1");
+    world->store_down = true;
+    world->run_for(20'000);
+    world->store_down = false;
+    world->worker("w1").reachable = false;
+    world->begin_term();
+    world->run_for(300);
+    world->worker("w1").reachable = true;
+    world->run_for(8000);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_EQ(
+        world->phase("ends"), std::optional{state::plan_phase::completed});
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against long-running tasks that stay down because the only worker with
 // room for them has failed their starts. One may be down for 9 s after a run.
 TEST(take_over, a_worker_that_failed_all_runs_gets_all_long_running_tasks_back)
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr auto step_ms = std::int64_t{10};
+constexpr auto idle_write_interval_ms = std::int64_t{600};
 
 auto is_same_run(fake_run const& run, state::run_order const& order) -> bool
 {
@@ -98,6 +99,13 @@
 {
     term = term.next();
     batch_.reset();
+    if (last_write_ms_)
+    {
+        stored.last_write_by =
+            core::time_point{std::chrono::milliseconds{*last_write_ms_}};
+    }
+    last_write_ms_ = now_ms_;
+    acknowledged_write_ms_ = now_ms_;
     auto hooks = state::dispatch_hooks{};
     hooks.unix_ms = [this]
     {
@@ -142,6 +150,8 @@
         last_listed_ = std::move(listed);
     }
     owner->set_drained(drained);
+    owner->limit_leases(
+        core::time_point{std::chrono::milliseconds{acknowledged_write_ms_}});
     owner->tick(now());
     pass_on_answers();
     answer_holds();
@@ -548,6 +558,13 @@
         batch_ = owner->take_batch(now());
         if (!batch_)
         {
+            // The owner also writes if nothing has changed.
+            if (!store_down &&
+                now_ms_ - acknowledged_write_ms_ >= idle_write_interval_ms)
+            {
+                acknowledged_write_ms_ = now_ms_;
+                last_write_ms_ = now_ms_;
+            }
             return;
         }
         if (store_down)
@@ -556,6 +573,7 @@
             owner->batch_rejected();
             return;
         }
+        batch_sent_at_ = now_ms_;
         batch_applied_ = false;
         batch_applied_at_ = now_ms_ + store_delay_ms;
         batch_answered_at_ = now_ms_ + 2 * store_delay_ms;
@@ -563,11 +581,13 @@
     if (!batch_applied_ && now_ms_ >= batch_applied_at_)
     {
         batch_applied_ = true;
+        last_write_ms_ = now_ms_;
         apply(*batch_);
     }
     if (batch_applied_ && now_ms_ >= batch_answered_at_)
     {
         batch_.reset();
+        acknowledged_write_ms_ = batch_sent_at_;
         owner->batch_committed(now());
     }
 }
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -174,6 +174,11 @@
     std::int64_t batch_applied_at_ = 0;
     std::int64_t batch_answered_at_ = 0;
     bool batch_applied_ = false;
+    std::int64_t batch_sent_at_ = 0;
+    /** When the store carried out the last write of any owner. */
+    std::optional<std::int64_t> last_write_ms_;
+    /** When the owner's last acknowledged write was sent. */
+    std::int64_t acknowledged_write_ms_ = 0;
     auto check_start(
         fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -88,6 +88,13 @@
         target_.revoke(lease, std::move(on_done));
     }
 
+    auto reached_by(std::int64_t revision) const
+        -> std::optional<core::time_point> override
+    {
+        return reached ? reached(revision) : std::nullopt;
+    }
+
+    std::function<std::optional<core::time_point>(std::int64_t)> reached;
     bool hold_grants = false;
     bool repeat_commits_late = false;
     int lose_commits = 0;
@@ -113,7 +120,11 @@
                {},
                cpu_milli},
               {},
-              {[this](core::epoch number) { acquired = number.value; },
+              {[this](core::epoch number, core::time_point by)
+               {
+                   last_write_by = by;
+                   acquired = number.value;
+               },
                [this](std::string_view)
                {
                    acquired = 0;
@@ -123,6 +134,7 @@
 
     gated_store store;
     std::atomic<std::uint64_t> acquired = 0;
+    std::atomic<core::time_point> last_write_by = core::time_point{};
     coordination::term_keeper term;
 };
 
@@ -230,6 +242,78 @@
     EXPECT_FALSE(first.term.is_valid());
 }
 
+// Guards against a new owner that waits for the leases of workers longer than
+// the former owner can have granted them.
+TEST_F(term_fixture, a_new_owner_is_told_when_the_former_one_last_wrote)
+{
+    auto const clock = core::suspend_aware_clock();
+    auto const began = clock();
+    auto second = keeper{store, loop, "second"};
+    {
+        auto first = keeper{store, loop, "first"};
+        first.term.start();
+        ASSERT_TRUE(eventually([&] { return first.acquired.load() == 1; }));
+        ASSERT_EQ(
+            write(first, "a", "1").get(), coordination::write_result::stored);
+        first.term.leave([] {});
+    }
+    auto const last = store.peek("p/term")->modify_revision;
+    second.store.reached = [&](std::int64_t revision)
+    {
+        return revision == last ? std::optional{began} : std::nullopt;
+    };
+    second.term.start();
+    ASSERT_TRUE(eventually([&] { return second.acquired.load() == 2; }));
+    EXPECT_EQ(second.last_write_by.load(), began);
+}
+
+// Guards against a wait that ends early because nothing tells when the former
+// owner has written, be it that no answer has shown the revision or that the
+// term key is missing.
+TEST_F(term_fixture, a_last_write_that_cannot_be_dated_counts_as_just_done)
+{
+    auto const clock = core::suspend_aware_clock();
+    auto const began = clock();
+    auto it = keeper{store, loop, "first"};
+    it.store.reached = [&](std::int64_t revision)
+    {
+        return revision == 0 ? std::optional{began} : std::nullopt;
+    };
+    std::this_thread::sleep_for(20ms);
+    auto const started = clock();
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    EXPECT_GE(it.last_write_by.load(), started);
+    it.term.leave([] {});
+    auto next = keeper{store, loop, "second"};
+    auto const restarted = clock();
+    next.term.start();
+    ASSERT_TRUE(eventually([&] { return next.acquired.load() == 2; }));
+    EXPECT_GE(next.last_write_by.load(), restarted);
+}
+
+// Guards against leases that outlast those which the next owner expects: a
+// write whose answers are lost may have been carried out when it was first
+// sent.
+TEST_F(term_fixture, the_last_write_counts_from_its_first_sending)
+{
+    auto const clock = core::suspend_aware_clock();
+    auto it = keeper{store, loop, "first"};
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    auto const taken = it.term.last_write_at();
+    EXPECT_LE(taken, clock());
+    it.store.lose_commits = 3;
+    auto const before = clock();
+    auto result = write(it, "a", "1");
+    auto const after = clock();
+    EXPECT_EQ(it.term.last_write_at(), taken);
+    ASSERT_EQ(result.wait_for(3s), std::future_status::ready);
+    EXPECT_EQ(result.get(), coordination::write_result::stored);
+    EXPECT_GE(it.term.last_write_at(), before);
+    EXPECT_LE(it.term.last_write_at(), after);
+}
+
 // Guards against a stop that leaves the jobs without owner until the lease
 // lapses.
 TEST_F(term_fixture, a_leaving_owner_hands_over_at_once)
@@ -262,7 +346,7 @@
         "p/",
         {core::instance_id{"first"}, "another-boot", "127.0.0.1:1", {}, 0},
         {},
-        {[&](core::epoch number) { acquired = number.value; },
+        {[&](core::epoch number, auto) { acquired = number.value; },
          [](std::string_view) {
          }}};
     again.start();
