Wait for whole leases after an owner whose leases are not bound to its writes

An owner of an earlier release, or one with another limit, renews leases without writing, so that after a rolling upgrade a silent worker's tasks could be started a second time.

Change: the take-over writes the key lease-limit with its term and the limit. A new owner uses the date only if that key names the former term and its own limit; else it waits for the former owner's validity and a whole lease as before. A missing term key also gives no date now, in place of one that counts as just done. One read more for each take-over.

Test: term_fixture.a_former_owner_without_the_lease_limit_gives_no_date; a_last_write_that_cannot_be_dated_counts_as_just_done asks for no date without a term key, which is the longer wait.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -75,7 +75,9 @@
               parts.target, parts.loop, parts.clock,
               parts.log.with_prefix("term"), settings.key_prefix,
               std::move(self), settings.term,
-              {[this](core::epoch number, core::time_point last_write_by)
+              {[this](
+                   core::epoch number,
+                   std::optional<core::time_point> last_write_by)
                { acquired(number, last_write_by); },
                [this](std::string_view cause)
                {
@@ -84,7 +86,9 @@
     {
     }
 
-    auto acquired(core::epoch number, core::time_point last_write_by) -> void;
+    auto
+    acquired(core::epoch number, std::optional<core::time_point> last_write_by)
+        -> void;
     auto load_jobs(core::epoch number) -> void;
     auto load_progress(core::epoch number) -> void;
     auto load_workers(core::epoch number) -> void;
@@ -146,7 +150,7 @@
 };
 
 auto dispatch_host::implementation::acquired(
-    core::epoch number, core::time_point last_write_by) -> void
+    core::epoch number, std::optional<core::time_point> last_write_by) -> void
 {
     {
         auto const lock = std::scoped_lock{mutex};
@@ -308,13 +312,16 @@
         };
         auto const now = parts.clock();
         parts.metrics.observe_time("take_over_seconds", now - acquired_at);
-        auto const last_write_by = loading.last_write_by.value_or(now);
+        auto const since_write =
+            loading.last_write_by
+                ? fmt::format(
+                      "{}", milliseconds_of(now - *loading.last_write_by))
+                : "unknown";
         log.info(
-            "Jobs are loaded.",
-            {{"term", number.value},
-             {"jobs", loading.jobs.size()},
-             {"workers", loading.workers.size()},
-             {"last_write_ms_ago", milliseconds_of(now - last_write_by)}});
+            "Jobs are loaded.", {{"term", number.value},
+                                 {"jobs", loading.jobs.size()},
+                                 {"workers", loading.workers.size()},
+                                 {"last_write_ms_ago", since_write}});
         dispatcher.emplace(
             number, std::exchange(loading, {}), settings.dispatch,
             std::move(hooks), now);
--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -71,6 +71,7 @@
         , candidate_key(live_prefix + "candidate")
         , member_key(live_prefix + "member/" + own.instance.value)
         , term_key(prefix + "term")
+        , lease_limit_key(prefix + "lease-limit")
         , self(std::move(own))
         , settings(figures)
         , hooks(std::move(calls))
@@ -112,9 +113,19 @@
     auto try_to_take() -> void;
     auto grant() -> void;
     auto read_term(store_lease granted, core::time_point sent) -> void;
-    auto
-    take(store_lease granted, core::time_point sent, store_range const& term)
-        -> void;
+    auto read_lease_limit(
+        store_lease granted, core::time_point sent, store_range term) -> void;
+    auto take(
+        store_lease granted, core::time_point sent, store_range const& term,
+        store_range const& lease_limit) -> void;
+    /** Returns the value of the lease limit key for a term. */
+    [[nodiscard]] auto lease_limit_text(std::uint64_t number) const
+        -> std::string
+    {
+        auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+            settings.lease_after_write);
+        return fmt::format("{}.{}", number, ms.count());
+    }
     auto taken(
         std::optional<store_commit> answer, store_lease granted,
         core::time_point sent, term_value const& next) -> void;
@@ -149,6 +160,9 @@
     std::string candidate_key; ///< Names an instance that asks for the jobs.
     std::string member_key;
     std::string term_key;
+    /** Names the last term whose leases are bound to its writes, and the limit.
+     */
+    std::string lease_limit_key;
     protocol::owner_record self;
     term_settings settings;
     term_hooks hooks;
@@ -164,8 +178,9 @@
     std::int64_t owned_revision = 0;            ///< Of the take-over.
     term_value current;
     std::int64_t term_revision = 0;
-    /** When the former owner's last write had been carried out. */
-    core::time_point former_write_by;
+    /** When the former owner's last write had been carried out; unset if its
+     *  leases are not bound to its writes. */
+    std::optional<core::time_point> former_write_by;
     core::time_point last_write; ///< Result of term_keeper::last_write_at().
     core::time_point write_sent; ///< First time that the open write was sent.
     bool taking_again = false;
@@ -384,12 +399,29 @@
                 {
                     return it.retry_later();
                 }
-                it.take(granted, sent, *answer);
+                it.read_lease_limit(granted, sent, std::move(*answer));
+            }));
+}
+
+auto term_keeper::implementation::read_lease_limit(
+    store_lease granted, core::time_point sent, store_range term) -> void
+{
+    target.range(
+        lease_limit_key, "", 1,
+        guarded(
+            [granted, sent, term = std::move(term)](auto& it, auto answer)
+            {
+                if (!answer)
+                {
+                    return it.retry_later();
+                }
+                it.take(granted, sent, term, *answer);
             }));
 }
 
 auto term_keeper::implementation::take(
-    store_lease granted, core::time_point sent, store_range const& term) -> void
+    store_lease granted, core::time_point sent, store_range const& term,
+    store_range const& lease_limit) -> void
 {
     auto next = term_value{1, 0};
     auto revision = std::int64_t{0};
@@ -413,18 +445,19 @@
         // The owner key may have been written since the lease was asked for.
         taken_meanwhile = !is_free();
         self.term = core::epoch{next.term};
-        // Without a term key, nothing tells when an owner has written.
-        former_write_by = clock();
-        if (revision > 0)
+        // An owner of an earlier release grants leases without writing.
+        former_write_by.reset();
+        if (!lease_limit.entries.empty() && lease_limit.entries.front().value ==
+                                                lease_limit_text(next.term - 1))
         {
-            former_write_by =
-                target.reached_by(revision).value_or(former_write_by);
+            former_write_by = target.reached_by(revision).value_or(clock());
         }
         transaction.compares = {
             {owner_key, named_revision}, {term_key, revision}};
         transaction.writes = {
             {owner_key, protocol::encode(self), "", granted},
-            {term_key, to_text(next), "", {}}};
+            {term_key, to_text(next), "", {}},
+            {lease_limit_key, lease_limit_text(next.term), "", {}}};
     }
     if (taken_meanwhile)
     {
--- a/coordination/term_base.hpp
+++ b/coordination/term_base.hpp
@@ -27,6 +27,8 @@
     /** Taken off the lease, for the way to the store and clock drift. */
     core::duration margin = std::chrono::milliseconds{250};
     core::duration renew_interval = std::chrono::milliseconds{600};
+    /** Leases of workers end at most this long after the last write. */
+    core::duration lease_after_write = std::chrono::milliseconds{8400};
     core::duration retry_interval = std::chrono::milliseconds{150};
     /** An unanswered write is sent again after this. */
     core::duration write_retry = std::chrono::milliseconds{60};
@@ -45,8 +47,10 @@
 struct term_hooks
 {
     /** This instance owns the jobs from now on, until on_lost. All writes of
-     *  former owners were carried out before @p last_write_by. */
-    std::function<void(core::epoch, core::time_point last_write_by)>
+     *  former owners were carried out before @p last_write_by; unset if their
+     *  leases may last longer than term_settings::lease_after_write. */
+    std::function<void(
+        core::epoch, std::optional<core::time_point> last_write_by)>
         on_acquired;
     /** Another instance may own the jobs now. */
     std::function<void(std::string_view cause)> on_lost;
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -100,6 +100,7 @@
     it.retention = from.retention;
     it.previous_owner_validity = from.owner_lease;
     result.term.lease = from.owner_lease;
+    result.term.lease_after_write = it.lease_after_write;
     result.term.renew_interval = from.owner_lease / renewals_per_lease;
     return result;
 }
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -141,9 +143,10 @@
                {},
                cpu_milli},
               {},
-              {[this](core::epoch number, core::time_point by)
+              {[this](core::epoch number, auto by)
                {
-                   last_write_by = by;
+                   dated = by.has_value();
+                   last_write_by = by.value_or(core::time_point{});
                    acquired = number.value;
                },
                [this](std::string_view)
@@ -155,6 +158,7 @@
 
     gated_store store;
     std::atomic<std::uint64_t> acquired = 0;
+    std::atomic<bool> dated = false;
     std::atomic<core::time_point> last_write_by = core::time_point{};
     coordination::term_keeper term;
 };
@@ -329,12 +333,36 @@
     };
     second.term.start();
     ASSERT_TRUE(eventually([&] { return second.acquired.load() == 2; }));
+    EXPECT_TRUE(second.dated);
     EXPECT_EQ(second.last_write_by.load(), began);
 }
 
+// Guards against a short wait for the leases of an owner of an earlier release,
+// which grants them without writing.
+TEST_F(term_fixture, a_former_owner_without_the_lease_limit_gives_no_date)
+{
+    constexpr auto limits = std::array{"", "1.9000", "0.8400", "x"};
+    for (auto const* const limit : limits)
+    {
+        auto fresh = standins::memory_store{core::suspend_aware_clock()};
+        auto second = keeper{fresh, loop, "second"};
+        {
+            auto first = keeper{fresh, loop, "first"};
+            first.term.start();
+            ASSERT_TRUE(eventually([&] { return first.acquired.load() == 1; }));
+            first.term.leave([] {});
+        }
+        ASSERT_EQ(fresh.peek("p/lease-limit")->value, "1.8400");
+        fresh.commit({{}, {{"p/lease-limit", limit, "", {}}}}, [](auto) {});
+        second.term.start();
+        ASSERT_TRUE(eventually([&] { return second.acquired.load() == 2; }));
+        EXPECT_FALSE(second.dated) << limit;
+        EXPECT_EQ(fresh.peek("p/lease-limit")->value, "2.8400");
+    }
+}
+
 // Guards against a wait that ends early because nothing tells when the former
-// owner has written, be it that no answer has shown the revision or that the
-// term key is missing.
+// owner has written: no answer has shown the revision, or there is no term key.
 TEST_F(term_fixture, a_last_write_that_cannot_be_dated_counts_as_just_done)
 {
     auto const clock = core::suspend_aware_clock();
@@ -345,15 +373,15 @@
         return revision == 0 ? std::optional{began} : std::nullopt;
     };
     std::this_thread::sleep_for(20ms);
-    auto const started = clock();
     it.term.start();
     ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
-    EXPECT_GE(it.last_write_by.load(), started);
+    EXPECT_FALSE(it.dated);
     it.term.leave([] {});
     auto next = keeper{store, loop, "second"};
     auto const restarted = clock();
     next.term.start();
     ASSERT_TRUE(eventually([&] { return next.acquired.load() == 2; }));
+    EXPECT_TRUE(next.dated);
     EXPECT_GE(next.last_write_by.load(), restarted);
 }
 
