Test calls to a silent peer whose connection takes no more bytes

Cause: the connection to the owner had gone silent; through d-1 so much was sent that its send buffer was full, so that no further call was sent at all.

--- a/tests/frames_test.cpp
+++ b/tests/frames_test.cpp
@@ -212,6 +212,40 @@
     }
 }
 
+// Guards against a peer that stays unreachable because its silent connection
+// takes no more bytes, so that no request is sent. A caller waits for 3 s.
+TEST_F(frames, a_silent_connection_that_takes_no_bytes_is_replaced)
+{
+    // 30 MB, more than the buffers of a connection hold.
+    constexpr auto count = 300;
+    auto const listener = raw_listener{};
+    auto const begun = std::chrono::steady_clock::now();
+    auto lost = std::vector<std::future<call_result>>{};
+    for (auto it = 0; it < count; ++it)
+    {
+        lost.push_back(start_call(
+            client, listener.local(), std::string(limits().frame_bytes, 'x'),
+            500ms));
+    }
+    auto const silent = listener.accept();
+    auto unsent = 0;
+    for (auto& it : lost)
+    {
+        auto const result = await(it);
+        ASSERT_TRUE(result);
+        EXPECT_FALSE(result->payload);
+        unsent += result->reason.kind == core::error_kind::unavailable ? 1 : 0;
+    }
+    EXPECT_GT(unsent, 0) << "the buffers hold all requests; send more";
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            call(client, listener.local(), "y", 100ms);
+            return listener.has_connection();
+        }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
+}
+
 // Guards against a slow reply that is taken for a silent connection.
 TEST_F(frames, a_connection_with_a_slow_reply_is_kept)
 {
