--- a/tests/answer_timeout_test.cpp
+++ b/tests/answer_timeout_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <map>
 
 namespace coordination = godwitcleat::coordination;
 namespace core = godwitcleat::core;
@@ -121,3 +122,42 @@
     // Three lost answers, each noticed within a tenth of the time-out.
     EXPECT_LT(std::chrono::steady_clock::now() - begun, 6s);
 }
+
+// Guards against a write that counts as not done, and is followed by others,
+// although the store may have carried it out and may do so late.
+TEST_F(http, only_429_and_503_of_the_store_show_that_a_write_was_not_done)
+{
+    using core::error_kind;
+    auto status = std::atomic<int>{0};
+    auto const server = serve(
+        [&status](auto const& /*request*/, auto reply)
+        {
+            auto response = transport::http_response{};
+            response.status = status;
+            reply(std::move(response));
+        });
+    auto settings = platform::hosted_store_settings{};
+    settings.address = server.local();
+    auto store = platform::hosted_store{client, settings, core::system_clock()};
+    auto const write = [&]
+    {
+        auto done = std::promise<error_kind>{};
+        store.commit(
+            {{}, {{"key", "value", "", {}}}},
+            [&](std::optional<coordination::store_commit> const& answer) {
+                done.set_value(
+                    answer ? error_kind::none : core::last_reason().kind);
+            });
+        return done.get_future().get();
+    };
+    auto const expected = std::map<int, error_kind>{
+        {400, error_kind::invalid_input},   {403, error_kind::invalid_input},
+        {404, error_kind::not_found},       {429, error_kind::unavailable},
+        {500, error_kind::unknown_outcome}, {502, error_kind::unknown_outcome},
+        {503, error_kind::unavailable},     {504, error_kind::unknown_outcome}};
+    for (auto const& [given, kind] : expected)
+    {
+        status = given;
+        EXPECT_EQ(write(), kind) << given;
+    }
+}
