--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # Entry points for newcomers and CI. `make JOBS=4 test` limits parallel compiles.
 JOBS ?= 8
 TEST_JOBS ?= 4
+SEEDS ?= 1 2 3
+SOAK ?=
 
-.PHONY: deps build test demo format format-check lint asan tsan clean
+.PHONY: deps build test soak demo format format-check lint asan tsan clean
 
 deps:
 	scripts/install_deps.sh
@@ -15,6 +17,9 @@
 	scripts/run_known_red.sh build/release
 	ctest --test-dir build/release --output-on-failure -j $(TEST_JOBS)
 
+soak: build
+	scripts/soak.sh build/release build/release/soak "$(SEEDS)" $(SOAK)
+
 demo: build
 	scripts/demo.sh build/release
 
