Platform stand-in: a lost answer of the store does not come

Cause, in the stand-in: it answered 500 to a write whose answer is lost, and 404 to a renewal whose answer is lost or that is refused. The platform sends neither; the daemon took the 500 for a write that was not done, and the write that the stand-in carried out seconds later brought old progress back. Now the connection stays open without an answer, and a refused renewal gets 503. (The daemon treats every status but 200, 404 and 412 as not done, which the platform promises for 503 only.)

The soak prints each breach of a task once.

--- a/standins/soak/soak_check.hpp
+++ b/standins/soak/soak_check.hpp
@@ -196,8 +196,7 @@
         {
             auto const found = jobs_.find(job_of(it.task));
             if (it.how.empty() && found != jobs_.end() &&
-                is_over(found->second.cancelled) &&
-                reported_.insert(it.task).second)
+                is_over(found->second.cancelled))
             {
                 breach("UNASKED runs on after the cancellation", it.task);
             }
@@ -372,6 +371,10 @@
 
     auto breach(std::string const& rule, std::string const& about) -> void
     {
+        if (!reported_.insert(rule + about).second)
+        {
+            return;
+        }
         write({{"event", "breach"}, {"rule", rule}, {"about", about}});
         fmt::print("BREACH {} {}\n  {}\n", rule, about, command_);
         auto const recent =
--- a/standins/support/hosted_gateway_base.cpp
+++ b/standins/support/hosted_gateway_base.cpp
@@ -120,10 +120,7 @@
 {
     if (silent)
     {
-        // The answer never comes; the server would send 500 if it were dropped.
-        auto const lock = std::scoped_lock{mutex_};
-        watches_.push_back({"\xff", 0, core::time_point::max(), reply});
-        return;
+        return leave_open(reply);
     }
     if (busy)
     {
@@ -160,20 +157,20 @@
         auto const ms = json::parse(request.body).at("ttl-ms").get<int>();
         return store_.grant(
             std::chrono::milliseconds{ms},
-            [reply, ms](auto lease)
+            [this, reply, ms](auto lease)
             {
                 if (!lease)
                 {
-                    return respond(reply, 503);
+                    return fail(reply, 503);
                 }
                 respond(reply, 200, {{"lease", lease->value}, {"ttl-ms", ms}});
             });
     }
     auto const id = coordination::store_lease{static_cast<std::uint64_t>(
         number(path.substr(path.find_last_of('/') + 1)))};
-    auto const answer = [reply](auto lease)
+    auto const answer = [this, reply](auto lease)
     {
-        respond(reply, lease ? 200 : 404);
+        lease ? respond(reply, 200) : fail(reply, 404);
     };
     if (path.starts_with("/api/kv-keep/"))
     {
@@ -267,16 +264,11 @@
     }
     store_.commit(
         std::move(transaction),
-        [reply](auto result)
+        [this, reply](auto result)
         {
             if (!result)
             {
-                auto const lost = core::last_reason().kind ==
-                                  core::error_kind::unknown_outcome;
-                // A closed connection stands for a lost answer.
-                auto response = transport::http_response{};
-                response.status = lost ? 500 : 503;
-                return reply(std::move(response));
+                return fail(reply, 503);
             }
             if (!result->succeeded)
             {
@@ -286,6 +278,25 @@
         });
 }
 
+// The server would send 500 if the reply were dropped.
+auto hosted_gateway::leave_open(transport::http_reply const& reply) -> void
+{
+    auto const lock = std::scoped_lock{mutex_};
+    watches_.push_back({"\xff", 0, core::time_point::max(), reply});
+}
+
+// An answer that is lost does not come; 500 would say that nothing was done.
+auto hosted_gateway::fail(transport::http_reply const& reply, int status)
+    -> void
+{
+    auto const kind = core::last_reason().kind;
+    if (kind == core::error_kind::unknown_outcome)
+    {
+        return leave_open(reply);
+    }
+    respond(reply, kind == core::error_kind::unavailable ? 503 : status);
+}
+
 auto hosted_gateway::compact() -> void
 {
     auto const lock = std::scoped_lock{mutex_};
--- a/standins/support/hosted_gateway_base.hpp
+++ b/standins/support/hosted_gateway_base.hpp
@@ -71,6 +71,8 @@
         transport::http_reply const& reply) -> void;
     auto commit(std::string const& body, transport::http_reply const& reply)
         -> void;
+    auto leave_open(transport::http_reply const& reply) -> void;
+    auto fail(transport::http_reply const& reply, int status) -> void;
     auto poll() -> void;
     auto notice_changes() -> void;
     auto answer_watch(waiting_watch const& it) -> bool;
