Soak: a refused job is not sent again, and soaks at the same time do not meet

The platform's callers take 429 and 503 as final; now ours do.

Each soak now has a loopback address of its own for its daemons.

--- a/standins/soak/soak_clients.hpp
+++ b/standins/soak/soak_clients.hpp
@@ -25,7 +25,8 @@
     {
     }
 
-    /** Hands in @p job, with retries; true if it was accepted. */
+    /** Hands in @p job, again after no clear answer; true if it was accepted.
+     */
     auto submit(soak_job const& job) -> bool
     {
         constexpr auto most_tries = 6;
@@ -39,9 +40,9 @@
                 result.progress == transport::send_progress::nothing_written;
             check_.submitted(
                 job.id, status, unsent || status == 429 || status == 503);
-            if (status == 200)
+            if (status == 200 || status == 429 || status == 503)
             {
-                return true;
+                return status == 200; // A refused job is not sent again.
             }
             pause(400);
         }
--- a/standins/soak/soak_fleet.hpp
+++ b/standins/soak/soak_fleet.hpp
@@ -245,18 +245,15 @@
     std::vector<std::unique_ptr<instance>> all;
 
 private:
-    // Below the ephemeral ports, which other processes use at any time.
+    // Ports below the ephemeral ones, on a loopback address of this process, so
+    // that soaks at the same time do not meet.
     auto free_endpoint() -> transport::endpoint
     {
-        auto loop = transport::reactor{1};
-        while (true)
-        {
-            auto const it = transport::endpoint{"127.0.0.1", ++next_port_};
-            if (transport::http_server::listen(loop, it, {}, [](auto, auto) {}))
-            {
-                return it;
-            }
-        }
+        auto const pid = static_cast<std::uint32_t>(getpid());
+        auto const address = fmt::format(
+            "127.{}.{}.{}", 1 + (pid >> 16U & 0x7fU), pid >> 8U & 0xffU,
+            pid & 0xffU);
+        return {address, ++next_port_};
     }
 
     [[nodiscard]] auto settings_of(instance const& it) const -> std::string
@@ -269,8 +266,7 @@
     link_loop& links_;
     soak_check& check_;
     transport::endpoint store_;
-    std::uint16_t next_port_ =
-        static_cast<std::uint16_t>(20'000 + getpid() * 97 % 10'000);
+    std::uint16_t next_port_ = 20'000;
 };
 
 } // namespace godwitcleat::soak
