Withdraw the comparison of the term beside an open write

The code is the former one again. A change has to hold new writes back until the owner key is restored, or restore it in the transaction of the next write.

--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -97,13 +97,6 @@
         return current.term != number;
     }
 
-    /** Returns true if a write has no outcome yet. */
-    [[nodiscard]] auto is_writing() const -> bool
-    {
-        auto const lock = std::scoped_lock{mutex};
-        return static_cast<bool>(on_written);
-    }
-
     auto take_live(range_entries const& entries) -> void;
     auto is_asked_to_yield(range_entries const& entries) -> bool;
     auto ask_for_jobs() -> void;
@@ -140,10 +133,6 @@
     auto renewed(std::optional<store_lease> answer, core::time_point sent)
         -> void;
     auto take_again() -> void;
-    auto read_own_term(store_lease granted, core::time_point sent) -> void;
-    auto restore_owner_key(
-        store_lease granted, core::time_point sent, std::int64_t revision)
-        -> void;
     auto lose(std::string_view cause) -> void;
     auto send_write() -> void;
     auto written(std::optional<store_commit> answer, std::uint64_t in_term)
@@ -621,78 +610,45 @@
     log.warn("The owner's lease has lapsed.", {{"term", current.term}});
     auto const sent = clock();
     target.grant(
-        settings.lease, guarded(
-                            [sent](auto& it, auto granted)
-                            {
-                                if (!granted)
-                                {
-                                    it.taking_again = false;
-                                    return;
-                                }
-                                if (!it.is_writing())
-                                {
-                                    return it.restore_owner_key(
-                                        *granted, sent, it.term_revision);
-                                }
-                                it.read_own_term(*granted, sent);
-                            }));
-}
-
-// An open write may have changed the term key, or may still do so.
-auto term_keeper::implementation::read_own_term(
-    store_lease granted, core::time_point sent) -> void
-{
-    target.range(
-        term_key, "", 1,
+        settings.lease,
         guarded(
-            [granted, sent](auto& it, auto answer)
+            [sent](auto& it, auto granted)
             {
-                if (!answer)
-                {
-                    it.taking_again = false;
-                    return;
-                }
-                auto const value =
-                    answer->entries.empty()
-                        ? std::nullopt
-                        : parse_term(answer->entries.front().value);
-                if (!value || value->term != it.current.term)
+                if (!granted)
                 {
                     it.taking_again = false;
-                    return it.lose("another instance has taken the jobs");
-                }
-                it.restore_owner_key(
-                    granted, sent, answer->entries.front().modify_revision);
-            }));
-}
-
-auto term_keeper::implementation::restore_owner_key(
-    store_lease granted, core::time_point sent, std::int64_t revision) -> void
-{
-    auto transaction = store_transaction{};
-    transaction.compares = {{owner_key, 0}, {term_key, revision}};
-    transaction.writes = {{owner_key, protocol::encode(self), "", granted}};
-    target.commit(
-        std::move(transaction),
-        guarded(
-            [granted, sent, revision](auto& it, auto answer)
-            {
-                it.taking_again = false;
-                if (!answer)
-                {
                     return;
                 }
-                if (!answer->succeeded)
+                auto transaction = store_transaction{};
+                auto const open = static_cast<bool>(it.on_written);
+                transaction.compares = {{it.owner_key, 0}};
+                if (!open)
                 {
-                    if (it.is_writing() || it.term_revision != revision)
-                    {
-                        return; // The next renewal tries again.
-                    }
-                    return it.lose("another instance has taken the jobs");
+                    transaction.compares.push_back(
+                        {it.term_key, it.term_revision});
                 }
-                auto const lock = std::scoped_lock{it.mutex};
-                it.lease = granted;
-                it.valid_until = sent + it.settings.lease - it.settings.margin;
+                transaction.writes = {
+                    {it.owner_key, protocol::encode(it.self), "", *granted}};
+                it.target.commit(
+                    std::move(transaction),
+                    it.guarded(
+                        [sent, lease = *granted](auto& keeper, auto answer)
+                        {
+                            keeper.taking_again = false;
+                            if (!answer)
+                            {
+                                return;
+                            }
+                            if (!answer->succeeded)
+                            {
+                                return keeper.lose(
+                                    "another instance has taken the jobs");
+                            }
+                            auto const lock = std::scoped_lock{keeper.mutex};
+                            keeper.lease = lease;
+                            keeper.valid_until = sent + keeper.settings.lease -
+                                                 keeper.settings.margin;
+                        }));
             }));
 }
 
