End the lease of a take-over without an answer before the next try

What callers could see: two owners at once, and so two runs of a task.

Cause: a take-over without an answer, whose effect is not seen, was tried again with another lease, and its own lease was kept. If the first one was carried out late and the second one, refused for that, lost its answer, the instance found its own name in the owner key and took itself as the owner with the second lease. The owner key hung on the first one and vanished with it; another instance took over while this one renewed the second lease and stayed valid.

Change: the lease of a try that is given up is ended, again until the store answers, before the next try. Then the late transaction has no lease and fails.

--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -128,6 +128,7 @@
     auto
     own(store_lease granted, core::time_point sent, term_value const& next,
         std::int64_t revision) -> void;
+    auto give_up(store_lease granted) -> void;
     auto retry_later() -> void;
     auto renew() -> void;
     auto renewed(std::optional<store_lease> answer, core::time_point sent)
@@ -490,7 +491,7 @@
                     answer->entries.front().value == to_text(next);
                 if (!ours)
                 {
-                    return it.retry_later();
+                    return it.give_up(granted);
                 }
                 // The value does not tell who wrote it; the owner key does.
                 auto const revision = answer->entries.front().modify_revision;
@@ -512,11 +513,30 @@
                                 return keeper.own(
                                     granted, sent, next, revision);
                             }
-                            keeper.retry_later();
+                            keeper.give_up(granted);
                         }));
             }));
 }
 
+// The take-over may still be carried out. Under its lease it would name this
+// instance as the owner beside a later take-over with another lease.
+auto term_keeper::implementation::give_up(store_lease granted) -> void
+{
+    target.revoke(
+        granted, guarded(
+                     [granted](auto& it, auto answer)
+                     {
+                         if (answer)
+                         {
+                             return it.retry_later();
+                         }
+                         it.retry_timer = it.later(
+                             it.loop, it.settings.retry_interval,
+                             [granted](auto& keeper)
+                             { keeper.give_up(granted); });
+                     }));
+}
+
 auto term_keeper::implementation::own(
     store_lease granted, core::time_point sent, term_value const& next,
     std::int64_t revision) -> void
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -59,6 +59,11 @@
             core::fail(core::error_kind::unknown_outcome, "the answer is lost");
             return on_done(std::nullopt);
         }
+        if (intercept && intercept(transaction))
+        {
+            core::fail(core::error_kind::unknown_outcome, "the answer is lost");
+            return on_done(std::nullopt);
+        }
         if (hold_commits)
         {
             held = [this, transaction, on_done]
@@ -117,6 +122,8 @@
     std::atomic<bool> fail_watches = false;
     std::atomic<bool> fail_renewals = false;
     bool hold_commits = false;
+    /** Returns true if a commit gets no answer and is not carried out. */
+    std::function<bool(coordination::store_transaction const&)> intercept;
     std::function<std::optional<core::time_point>(std::int64_t)> reached;
     bool hold_grants = false;
     bool repeat_commits_late = false;
@@ -293,6 +300,43 @@
     EXPECT_EQ(result.get(), coordination::write_result::lost);
 }
 
+// Guards against two owners: one that renews another lease than that of the
+// owner key, and the next one, which finds no owner key.
+TEST_F(term_fixture, a_take_over_that_is_carried_out_late_leaves_one_owner)
+{
+    auto first = keeper{store, loop, "first"};
+    auto second = keeper{store, loop, "second"};
+    auto late = coordination::store_transaction{};
+    auto n = 0;
+    first.store.intercept = [&](auto const& it)
+    {
+        if (it.writes.front().key != "p/live/owner" || ++n > 2)
+        {
+            return false;
+        }
+        if (n == 1)
+        {
+            late = it;
+        }
+        else
+        {
+            store.commit(late, [](auto) {});
+        }
+        return true;
+    };
+    first.term.start();
+    ASSERT_TRUE(eventually([&] { return first.acquired.load() == 1; }));
+    first.store.fail_watches = true;
+    store.expire(late.writes.front().lease);
+    second.term.start();
+    for (auto i = 0; i < 100 && second.acquired == 0; ++i)
+    {
+        std::this_thread::sleep_for(10ms);
+    }
+    EXPECT_FALSE(first.term.is_valid() && second.term.is_valid());
+    EXPECT_TRUE(store.peek("p/live/owner").has_value());
+}
+
 TEST_F(term_fixture, a_term_goes_on_after_its_lease_beside_an_open_write)
 {
     auto it = keeper{store, loop, "first"};
