A new owner waits for all ends of a worker that is in contact

Found by a review of the shorter waits: at the end of the wait a worker in contact counted as heard although it had not reported all its ends (500 at a time), so that tasks whose ends come later were started again. Only workers without contact are given up at its end.

Test: take_over.waits_for_all_ends_of_a_worker_after_a_long_outage.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -724,9 +724,10 @@
             continue;
         }
         ++unheard;
-        auto const lapsed =
-            worker->contact == contact_state::none && now > worker->lease_until;
-        if (expired || lapsed)
+        // One in contact may not have reported all ends yet.
+        auto const lapsed = worker->contact == contact_state::none &&
+                            (expired || now > worker->lease_until);
+        if (lapsed)
         {
             worker->may_have_unknown_runs = false;
             worker->lost_at = worker->lost_at.value_or(now);
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -319,6 +319,28 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// The leases have ended when the new owner begins, so that it waits for 1 s
+// only.
+TEST(take_over, waits_for_all_ends_of_a_worker_after_a_long_outage)
+{
+    auto const world = three_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{200, false};
+    };
+    ASSERT_TRUE(world->submit(tests::make_plan("j1", 30, 1000)));
+    world->store_down = true;
+    world->run_for(12'000);
+    ASSERT_EQ(world->starts.size(), 30U);
+    world->store_down = false;
+    world->max_listed_ends = 1;
+    world->begin_term();
+    world->run_for(15'000);
+    EXPECT_EQ(world->starts.size(), 30U);
+    EXPECT_EQ(world->phase("j1"), state::plan_phase::completed);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a long-running task that stays down because its own worker has
 // left before the new owner called it. One may be down for 3 s after 4 calm
 // ones.
