Hold writes back while an owner restores its key, and compare the term

Cause: an owner whose lease has lapsed beside a write without an outcome compared only the absence of the owner key, as its own write may have moved the revision of the term key.

Change: while the owner key is being restored, writes wait. The term is read, and the owner key is written on the condition of that revision. Only the write that was open before can move it, and only once, so a second try decides. Another term ends the ownership. The store's lease is ended if it is not used.

--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -97,6 +97,13 @@
         return current.term != number;
     }
 
+    /** Returns true while this process owns the jobs in term @p number. */
+    [[nodiscard]] auto owns(std::uint64_t number) const -> bool
+    {
+        auto const lock = std::scoped_lock{mutex};
+        return state == phase::owning && current.term == number;
+    }
+
     auto take_live(range_entries const& entries) -> void;
     auto is_asked_to_yield(range_entries const& entries) -> bool;
     auto ask_for_jobs() -> void;
@@ -134,6 +141,13 @@
     auto renewed(std::optional<store_lease> answer, core::time_point sent)
         -> void;
     auto take_again() -> void;
+    auto read_own_term(
+        std::uint64_t in_term, store_lease granted, core::time_point sent,
+        int tries) -> void;
+    auto restore_owner_key(
+        std::uint64_t in_term, store_lease granted, core::time_point sent,
+        int tries, std::int64_t revision) -> void;
+    auto resume_writes(std::uint64_t in_term) -> void;
     auto lose(std::string_view cause) -> void;
     auto send_write() -> void;
     auto written(std::optional<store_commit> answer, std::uint64_t in_term)
@@ -173,7 +187,10 @@
     std::optional<core::time_point> former_write_by;
     core::time_point last_write; ///< Result of term_keeper::last_write_at().
     core::time_point write_sent; ///< First time that the open write was sent.
+    /** The owner key is being restored. Writes wait, as each one moves the
+     *  revision of the term key. */
     bool taking_again = false;
+    bool write_waits = false; ///< Until `taking_again` is false.
 
     std::vector<store_write> writes;
     std::function<void(write_result)> on_written;
@@ -550,6 +567,8 @@
             return;
         }
         write_timer = {};
+        taking_again = false;
+        write_waits = false;
         state = phase::owning;
         lease = granted;
         valid_until = sent + settings.lease - settings.margin;
@@ -619,6 +638,9 @@
 // The lease has lapsed. The term goes on if no other instance has begun one.
 auto term_keeper::implementation::take_again() -> void
 {
+    // The write without an outcome may move the term key once meanwhile.
+    constexpr auto max_tries = 2;
+    auto in_term = std::uint64_t{0};
     {
         auto const lock = std::scoped_lock{mutex};
         valid_until = core::time_point{};
@@ -626,52 +648,101 @@
         {
             return;
         }
+        in_term = current.term;
     }
-    log.warn("The owner's lease has lapsed.", {{"term", current.term}});
+    log.warn("The owner's lease has lapsed.", {{"term", in_term}});
     auto const sent = clock();
     target.grant(
         settings.lease,
         guarded(
-            [sent](auto& it, auto granted)
+            [in_term, sent](auto& it, auto granted)
             {
                 if (!granted)
                 {
-                    it.taking_again = false;
-                    return;
+                    return it.resume_writes(in_term);
                 }
-                auto transaction = store_transaction{};
-                auto const open = static_cast<bool>(it.on_written);
-                transaction.compares = {{it.owner_key, 0}};
-                if (!open)
+                it.read_own_term(in_term, *granted, sent, max_tries);
+            }));
+}
+
+auto term_keeper::implementation::read_own_term(
+    std::uint64_t in_term, store_lease granted, core::time_point sent,
+    int tries) -> void
+{
+    target.range(
+        term_key, "", 1,
+        guarded(
+            [in_term, granted, sent, tries](auto& it, auto answer)
+            {
+                if (!answer || !it.owns(in_term))
                 {
-                    transaction.compares.push_back(
-                        {it.term_key, it.term_revision});
+                    it.target.revoke(granted, [](auto) {});
+                    return it.resume_writes(in_term);
                 }
-                transaction.writes = {
-                    {it.owner_key, protocol::encode(it.self), "", *granted}};
-                it.target.commit(
-                    std::move(transaction),
-                    it.guarded(
-                        [sent, lease = *granted](auto& keeper, auto answer)
-                        {
-                            keeper.taking_again = false;
-                            if (!answer)
-                            {
-                                return;
-                            }
-                            if (!answer->succeeded)
-                            {
-                                return keeper.lose(
-                                    "another instance has taken the jobs");
-                            }
-                            auto const lock = std::scoped_lock{keeper.mutex};
-                            keeper.lease = lease;
-                            keeper.valid_until = sent + keeper.settings.lease -
-                                                 keeper.settings.margin;
-                        }));
+                auto const value =
+                    answer->entries.empty()
+                        ? std::nullopt
+                        : parse_term(answer->entries.front().value);
+                if (tries == 0 || !value || value->term != in_term)
+                {
+                    it.target.revoke(granted, [](auto) {});
+                    it.lose("another instance has taken the jobs");
+                    return it.resume_writes(in_term);
+                }
+                it.restore_owner_key(
+                    in_term, granted, sent, tries,
+                    answer->entries.front().modify_revision);
             }));
 }
 
+auto term_keeper::implementation::restore_owner_key(
+    std::uint64_t in_term, store_lease granted, core::time_point sent,
+    int tries, std::int64_t revision) -> void
+{
+    auto transaction = store_transaction{};
+    transaction.compares = {{owner_key, 0}, {term_key, revision}};
+    transaction.writes = {{owner_key, protocol::encode(self), "", granted}};
+    target.commit(
+        std::move(transaction),
+        guarded(
+            [in_term, granted, sent, tries](auto& it, auto answer)
+            {
+                if (answer && !answer->succeeded)
+                {
+                    return it.read_own_term(in_term, granted, sent, tries - 1);
+                }
+                if (answer)
+                {
+                    auto const lock = std::scoped_lock{it.mutex};
+                    if (it.state == phase::owning && it.current.term == in_term)
+                    {
+                        it.lease = granted;
+                        it.valid_until =
+                            sent + it.settings.lease - it.settings.margin;
+                    }
+                }
+                it.resume_writes(in_term);
+            }));
+}
+
+auto term_keeper::implementation::resume_writes(std::uint64_t in_term) -> void
+{
+    auto waits = false;
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (current.term != in_term)
+        {
+            return;
+        }
+        taking_again = false;
+        waits = std::exchange(write_waits, false);
+    }
+    if (waits)
+    {
+        send_write();
+    }
+}
+
 auto term_keeper::implementation::lose(std::string_view cause) -> void
 {
     {
@@ -696,6 +767,11 @@
     auto transaction = store_transaction{};
     {
         auto const lock = std::scoped_lock{mutex};
+        if (taking_again)
+        {
+            write_waits = true;
+            return;
+        }
         transaction.compares = {{term_key, term_revision}};
         transaction.writes = writes;
         transaction.writes.push_back(
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -45,7 +45,7 @@
             core::fail(core::error_kind::unavailable, "the store is cut off");
             return on_done(std::nullopt);
         }
-        target_.range(std::move(query), std::move(on_done));
+        target_.range(std::move(query), late_answer(std::move(on_done)));
     }
 
     auto commit(
@@ -76,7 +76,7 @@
         {
             late.push_back(transaction);
         }
-        target_.commit(std::move(transaction), std::move(on_done));
+        target_.commit(std::move(transaction), late_answer(std::move(on_done)));
     }
 
     auto grant(
@@ -130,8 +130,20 @@
     int lose_commits = 0;
     std::function<void()> held;
     std::vector<coordination::store_transaction> late;
+    /** Time from the execution of a range or commit to its answer. */
+    std::atomic<std::chrono::milliseconds> answer_delay{};
 
 private:
+    template <class Result>
+    auto late_answer(handler<Result> on_done) -> handler<Result>
+    {
+        return [this, on_done = std::move(on_done)](auto answer)
+        {
+            std::this_thread::sleep_for(answer_delay.load());
+            on_done(std::move(answer));
+        };
+    }
+
     coordination::store& target_;
 };
 
@@ -355,6 +367,36 @@
     EXPECT_EQ(it.acquired.load(), 1U);
 }
 
+// Guards against an owner that never gets its lease back, as each of its writes
+// moves the revision on which the owner key depends.
+TEST_F(term_fixture, an_owner_with_steady_writes_gets_its_lease_back)
+{
+    auto it = keeper{store, loop, "first"};
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    it.store.answer_delay = 20ms;
+    auto stopped = std::atomic<bool>{false};
+    auto stored = std::atomic<int>{0};
+    auto writer = std::thread{
+        [&]
+        {
+            while (!stopped)
+            {
+                auto const result = write(it, "a", "1").get();
+                stored += result == coordination::write_result::stored ? 1 : 0;
+            }
+        }};
+    store.expire(coordination::store_lease{1});
+    EXPECT_TRUE(
+        eventually([&] { return store.peek("p/live/owner").has_value(); }));
+    EXPECT_TRUE(eventually([&] { return it.term.is_valid(); }));
+    auto const before = stored.load();
+    EXPECT_TRUE(eventually([&] { return stored > before; }));
+    stopped = true;
+    writer.join();
+    EXPECT_EQ(it.acquired.load(), 1U);
+}
+
 // Guards against a new owner that waits for the leases of workers longer than
 // the former owner can have granted them.
 TEST_F(term_fixture, a_new_owner_is_told_when_the_former_one_last_wrote)
