Hold tasks of a silent worker's service only

Cause: a new owner does not know where such tasks were started, and the store did not tell on which services they can be.

Change: a job is stored with the service of its queue. If the queue is moved to another service, tasks of the job start there once the progress says that they may run on any service. A worker that changes its service while it may have runs is stored without a service, and gets starts only once the list names its new one. A silent worker without names then holds tasks of jobs that may run on its service. Jobs of an earlier release have no service and are held as before.

Evidence: take_over.a_silent_worker_of_another_service_holds_no_tasks failed before with 0 starts in place of 1. The test was wrong in one point: its task made no progress, so that the dispatcher moves it after 1.8 s, a second start. It now uses a task that makes progress, with the same bounds; with the former rule in place it fails with 0 starts, with the change it passes. New: a_task_of_a_queue_that_was_moved_waits_for_all_services, a_worker_that_has_changed_its_service_holds_its_tasks. The simulated world now counts a start as a violation if the store does not show that the task may run on that service, in all tests and properties of the dispatcher.

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -53,6 +53,7 @@
     visit("accepted_in", value.accepted_term);
     visit("accepted_ms", value.accepted_ms);
     visit("stores_workers", value.stores_workers);
+    visit("service", value.service);
 }
 
 auto visit_members(is<state::task_progress> auto& value, auto&& visit) -> void
@@ -69,6 +70,7 @@
     visit("phase", value.phase);
     visit("done", value.done);
     visit("tasks", value.tasks);
+    visit("any_service", value.any_service);
 }
 
 auto visit_members(is<state::listed_worker> auto& value, auto&& visit) -> void
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -23,6 +23,7 @@
         result.phase = job.phase;
         return result;
     }
+    result.any_service = job.any_service;
     for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
     {
         auto const& task = job.tasks[i];
@@ -100,11 +101,18 @@
             }
             else
             {
-                workers_in_flight.emplace_back(id, worker->info.address);
+                workers_in_flight.push_back(
+                    {id, worker->info.address, worker->info.service});
             }
             auto& stored = batch.workers->emplace_back();
             stored.info = worker->info;
             stored.possible_tasks = std::move(tasks);
+            worker->had_other_service =
+                worker->had_other_service && worker->may_have_hidden_runs();
+            if (worker->had_other_service)
+            {
+                stored.info.service = {};
+            }
             if (auto const left = lease_left(*worker, now))
             {
                 stored.lease_left_ms = to_ms(*left);
@@ -172,10 +180,11 @@
                 worker->stored_with_lease = false;
             }
         }
-        for (auto const& [id, address] : workers_in_flight)
+        for (auto const& it : workers_in_flight)
         {
-            auto* const worker = find_worker(id);
-            if (worker != nullptr && worker->info.address == address)
+            auto* const worker = find_worker(it.worker);
+            if (worker != nullptr && worker->info.address == it.address &&
+                worker->info.service == it.service)
             {
                 worker->in_stored_list = worker->may_have_runs();
                 worker->stored_with_tasks = false;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -129,6 +129,8 @@
     std::uint64_t version = 0;  ///< Incremented at each change of the progress.
     std::uint64_t sent_version = 0;
     std::uint64_t stored_version = 0;
+    bool any_service = false;              ///< plan_progress::any_service.
+    std::uint64_t any_service_version = 0; ///< Progress that first has it.
     /** Callbacks by the progress version that has to be stored first. */
     std::vector<std::pair<std::uint64_t, dispatcher::completion>>
         waiting_callbacks;
@@ -146,6 +148,13 @@
         auto const& it = spec(step_of(task));
         return record.stores_workers && it.long_running && !it.gang;
     }
+    /** Returns true if tasks whose workers are not stored may run on a worker
+     *  of @p service; empty: a service that is not known. */
+    [[nodiscard]] auto may_run_on(core::service_id const& service) const -> bool
+    {
+        return any_service || record.service.empty() || service.empty() ||
+               service == record.service;
+    }
     [[nodiscard]] auto name_of(std::uint32_t task) -> task_name;
     auto fail_callbacks(core::error_kind kind, std::string_view cause) -> void;
     /** Returns the index of a task, or std::nullopt if it does not exist. */
@@ -203,6 +212,14 @@
     std::uint64_t version = 0; ///< Progress that has to be stored first.
 };
 
+/** Where the stored list names a worker. */
+struct stored_place
+{
+    core::worker_id worker;
+    std::string address;
+    core::service_id service;
+};
+
 /** A reported end of a run that is not acknowledged yet. */
 struct pending_end
 {
@@ -249,6 +266,10 @@
     bool retired = false; ///< Draining without runs, so it gets no runs.
     /** Possible tasks of previous owners; unset if they are not known. */
     std::optional<std::vector<task_name>> former_tasks;
+    /** Service that the previous owner stored; empty: not known. */
+    core::service_id former_service;
+    /** May have runs of another service than that in `info`. */
+    bool had_other_service = false;
     /** The store may hold a list of its possible tasks, so it gets no others.
      */
     bool stored_with_tasks = false;
@@ -314,6 +335,13 @@
         return info.capacity - used;
     }
 
+    /** Returns true unless it is known to have no run. */
+    [[nodiscard]] auto may_have_hidden_runs() const -> bool
+    {
+        return contact != contact_state::live || may_have_unknown_runs ||
+               !runs.empty();
+    }
+
     /** Returns true if a new owner has to hear it before it knows all runs. */
     [[nodiscard]] auto may_have_runs() const -> bool
     {
@@ -440,6 +468,11 @@
         -> void;
     [[nodiscard]] auto may_run_unseen(job_entry& job, std::uint32_t task) const
         -> bool;
+    /** Returns true if a new owner finds in the store that tasks of the step
+     *  may run on workers of @p service; else has it stored. */
+    auto is_service_stored(
+        job_pointer const& job, step_entry const& step,
+        core::service_id const& service, core::time_point now) -> bool;
     auto hold_task(job_pointer const& job, std::uint32_t task) -> void;
     auto release_task(
         job_pointer const& job, std::uint32_t task, core::time_point now)
@@ -703,9 +736,8 @@
     std::optional<core::time_point> commit_due_at;
     std::vector<job_pointer> jobs_in_flight;
     std::vector<core::job_id> expired_in_flight;
-    /** Workers of the list in flight that may get starts, with the address that
-     *  the list names. */
-    std::vector<std::pair<core::worker_id, std::string>> workers_in_flight;
+    /** Workers of the list in flight that may get starts. */
+    std::vector<stored_place> workers_in_flight;
     /** Workers without dispatch_worker::stored_with_lease in that list. */
     std::vector<core::worker_id> renewable_in_flight;
     bool batch_in_flight = false;
@@ -713,9 +745,12 @@
     bool worker_list_in_flight = false;
     bool worker_list_known = false;
     bool recovering = false;
-    /** While recovering: only `held_tasks` may run unseen, not all tasks. */
+    /** While recovering: only tasks in `held_tasks` and of jobs that may run on
+     *  `held_services` may run unseen, not all tasks. */
     bool held_tasks_known = false;
     std::set<task_name> held_tasks; ///< Of workers that have not answered.
+    /** Of workers that have not answered and may have any tasks. */
+    std::set<core::service_id> held_services;
     core::time_point recovery_until;
     core::time_point loaded_at;
     core::time_point next_lease_update;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -74,6 +74,7 @@
         auto worker = std::make_unique<dispatch_worker>();
         worker->info = info;
         worker->former_tasks = it.possible_tasks;
+        worker->former_service = info.service;
         worker->stored_with_tasks = it.possible_tasks.has_value();
         worker->stored_with_lease = it.lease_left_ms.has_value();
         worker->in_stored_list = true;
@@ -157,6 +158,7 @@
     job_entry& job, plan_progress const& progress) -> void
 {
     job.phase = progress.phase;
+    job.any_service = progress.any_service;
     for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
     {
         if (is_done(progress, i))
@@ -236,7 +238,10 @@
     }
     if (!job.stores_worker_of(task))
     {
-        return !held_tasks_known || held_tasks.contains(job.name_of(task));
+        return !held_tasks_known || held_tasks.contains(job.name_of(task)) ||
+               std::any_of(
+                   held_services.begin(), held_services.end(),
+                   [&](auto const& it) { return job.may_run_on(it); });
     }
     auto const& stored = job.tasks[task].stored_worker;
     if (stored.empty())
@@ -256,6 +261,23 @@
                 named->end());
 }
 
+auto dispatcher::implementation::is_service_stored(
+    job_pointer const& job, step_entry const& step,
+    core::service_id const& service, core::time_point now) -> bool
+{
+    if (job->stores_worker_of(step.first_task))
+    {
+        return true;
+    }
+    if (!job->may_run_on(service))
+    {
+        job->any_service = true;
+        job->any_service_version = job->version + 1;
+        mark_changed(job, now);
+    }
+    return job->stored_version >= job->any_service_version;
+}
+
 auto dispatcher::implementation::hold_task(
     job_pointer const& job, std::uint32_t task) -> void
 {
@@ -416,14 +438,16 @@
     {
         return on_done(false);
     }
-    if (!queues->queues.contains(plan.queue))
+    auto const queue = queues->queues.find(plan.queue);
+    if (queue == queues->queues.end())
     {
         core::fail(
             core::error_kind::not_found,
             fmt::format("queue {} does not exist", plan.queue.value));
         return on_done(false);
     }
-    auto const job = add_job({std::move(plan), term, hooks.unix_ms(), true});
+    auto const job = add_job(
+        {std::move(plan), term, hooks.unix_ms(), true, queue->second.service});
     job->submitted = true;
     event(
         "Job was submitted.", {{"job", job->record.plan.id.value},
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -205,7 +205,8 @@
         auto const it = ready_steps[i];
         auto const& step = it.job->steps[it.step];
         auto const& spec = it.job->spec(step);
-        if (is_unplaceable(*it.job, step, false, now))
+        if (is_unplaceable(*it.job, step, false, now) ||
+            !is_service_stored(it.job, step, find_queue(*it.job)->service, now))
         {
             continue;
         }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -80,6 +80,14 @@
             worker->in_stored_list = false;
             worker_list_changed = true;
         }
+        // Its runs may be of jobs that the stored service does not show.
+        if (!worker->info.address.empty() &&
+            worker->info.service != info.service)
+        {
+            worker->had_other_service = true;
+            worker->in_stored_list = false;
+            worker_list_changed = true;
+        }
         if (worker->info.capacity != info.capacity)
         {
             worker->estimates_valid = false;
@@ -717,6 +725,7 @@
     }
     auto unheard = std::size_t{0};
     auto held = std::set<task_name>{};
+    auto services = std::set<core::service_id>{};
     for (auto const& [id, worker] : workers)
     {
         if (!worker->may_have_unknown_runs)
@@ -738,19 +747,24 @@
                  {"drains", worker->drain_seen_at.has_value()}});
             continue;
         }
-        if (!worker->former_tasks)
+        if (worker->former_tasks)
         {
-            return;
+            held.insert(
+                worker->former_tasks->begin(), worker->former_tasks->end());
+        }
+        else
+        {
+            services.insert(worker->former_service);
         }
-        held.insert(worker->former_tasks->begin(), worker->former_tasks->end());
     }
-    if (held_tasks_known && held == held_tasks)
+    if (held_tasks_known && held == held_tasks && services == held_services)
     {
         return;
     }
     held_tasks_known = true;
     held_tasks = std::move(held);
-    recovering = !held_tasks.empty();
+    held_services = std::move(services);
+    recovering = !held_tasks.empty() || !held_services.empty();
     release_unknown_tasks(unheard, now);
 }
 
@@ -770,10 +784,15 @@
             }
         }
     }
+    if (released == 0 && recovering)
+    {
+        return;
+    }
     event(
         "The runs of the previous owner are known.",
         {{"workers_not_heard", unheard},
          {"tasks_held", held_tasks.size()},
+         {"services_held", held_services.size()},
          {"tasks_released", released}});
 }
 
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -74,6 +74,8 @@
     /** The worker of a long-running task is stored before its start. Owners
      *  that do not store it leave this unset. */
     bool stores_workers = false;
+    /** Service of its queue at that time; empty: not known. */
+    core::service_id service;
 
     auto operator==(plan_record const&) const -> bool = default;
 };
@@ -99,6 +101,9 @@
     plan_phase phase = plan_phase::queued; ///< Only final phases are stored.
     std::string done; ///< One bit for each task, lowest bit first.
     std::vector<task_progress> tasks;
+    /** Tasks may run on workers of other services than plan_record::service,
+     *  because the queue was moved to another one. */
+    bool any_service = false;
 
     auto operator==(plan_progress const&) const -> bool = default;
 };
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -550,12 +550,53 @@
     world->worker("w3").info.service = core::service_id{"other"};
     world->run_for(200);
     world->drained = {core::data_centre_id{"dc-1"}};
-    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
+    ASSERT_TRUE(world->submit(tests::make_plan("ends", 1, 1000)));
     world->worker("w3").reachable = false;
     world->begin_term();
     world->drained.clear();
     world->run_for(3000);
-    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 1);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 1);
+}
+
+// Guards against a task that runs twice, since a new owner does not expect it
+// on a worker of the service that its queue had for a while.
+TEST(take_over, a_task_of_a_queue_that_was_moved_waits_for_all_services)
+{
+    auto const world = three_workers();
+    world->worker("w3").info.service = core::service_id{"other"};
+    world->drained = {core::data_centre_id{"dc-1"}};
+    ASSERT_TRUE(world->submit(tests::make_plan("ends", 1, 1000)));
+    world->set_service(core::service_id{"other"});
+    world->drained.clear();
+    world->run_for(500);
+    ASSERT_EQ(world->worker("w3").runs.size(), 1U);
+    world->worker("w3").reachable = false;
+    world->set_service(core::service_id{"s"});
+    world->begin_term();
+    world->run_for(3000);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 1);
+    world->run_for(7000);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against the same after a change of the worker's service.
+TEST(take_over, a_worker_that_has_changed_its_service_holds_its_tasks)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w3", tests::make_plan("ends", 1, 1000)));
+    world->run_for(300);
+    ASSERT_EQ(world->worker("w3").runs.size(), 1U);
+    world->worker("w3").info.service = core::service_id{"other"};
+    world->worker("w2").info.labels.insert("w3");
+    world->run_for(300);
+    world->worker("w3").reachable = false;
+    world->begin_term();
+    world->run_for(3000);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 1);
+    world->run_for(7000);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 2);
+    EXPECT_TRUE(world->violations.empty());
 }
 
 // Guards against tasks of a worker that is only silent for a while, which are
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -87,6 +87,13 @@
     set_queues();
 }
 
+auto dispatch_world::set_service(core::service_id service) -> void
+{
+    auto queue = queues_.queues.at(state::queue_id{"q"});
+    queue.service = std::move(service);
+    add_queue(std::move(queue));
+}
+
 auto dispatch_world::set_queues() -> void
 {
     if (owner)
@@ -495,13 +502,36 @@
         [&](auto const& it)
         {
             auto const& names = it.possible_tasks;
-            return it.info.worker == worker.worker &&
-                   it.info.address == worker.address &&
-                   (!names || std::find(names->begin(), names->end(), task) !=
-                                  names->end());
+            auto const shown =
+                names ? std::find(names->begin(), names->end(), task) !=
+                            names->end()
+                      : is_service_stored(task, it.info.service);
+            return shown && it.info.worker == worker.worker &&
+                   it.info.address == worker.address;
         });
 }
 
+auto dispatch_world::is_service_stored(
+    state::task_name const& task, core::service_id const& service) const -> bool
+{
+    auto const record = std::find_if(
+        stored.jobs.begin(), stored.jobs.end(),
+        [&](auto const& it) { return it.plan.id == task.job; });
+    if (record == stored.jobs.end())
+    {
+        return false;
+    }
+    auto const& step = record->plan.steps.at(task.step);
+    auto const progress = std::find_if(
+        stored.progress.begin(), stored.progress.end(),
+        [&](auto const& it) { return it.first == task.job; });
+    auto const any_service =
+        progress != stored.progress.end() && progress->second.any_service;
+    return any_service || service.empty() || record->service.empty() ||
+           service == record->service ||
+           (record->stores_workers && step.long_running && !step.gang);
+}
+
 auto dispatch_world::is_stored_for(
     state::task_name const& task, core::worker_id const& worker) const -> bool
 {
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -82,6 +82,8 @@
         -> fake_dispatch_worker&;
     auto worker(std::string const& id) -> fake_dispatch_worker&;
     auto add_queue(state::queue_config queue) -> void;
+    /** Moves queue "q" to another service. */
+    auto set_service(core::service_id service) -> void;
 
     /** Replaces the dispatcher by one of a new term, loaded from the store. */
     auto begin_term() -> void;
@@ -183,6 +185,11 @@
         fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
+    /** Returns true if the store shows that the task may run on workers of
+     *  @p service. */
+    [[nodiscard]] auto is_service_stored(
+        state::task_name const& task, core::service_id const& service) const
+        -> bool;
     /** Returns true if a new owner would call @p worker and wait for it before
      *  it starts the task. */
     [[nodiscard]] auto is_in_stored_list(
