Store the bound of the lease of a worker whose runs are all to be stopped

Cause: a draining worker's lease was renewed as long as it answered, although all its runs were to be stopped, and a new owner counted the rest of a lease from its own load.

Change: the lease of a worker that drains and whose runs are all to be stopped is not renewed, and its bound is stored at once, as that of a worker without contact. A drain that is withdrawn, or a run that goes on, renews the lease again once the list is stored without the bound.

New: the_lease_of_a_leaving_worker_counts_from_when_it_was_stored, a_draining_worker_keeps_its_lease_for_runs_that_end, a_withdrawn_drain_renews_the_lease_again.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -273,6 +273,10 @@
                 }
                 if (!answer->entries.empty())
                 {
+                    auto const revision =
+                        answer->entries.front().modify_revision;
+                    self.loading.workers_written_by =
+                        self.parts.target.reached_by(revision);
                     auto known =
                         protocol::decode<std::vector<state::stored_worker>>(
                             answer->entries.front().value);
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -335,6 +335,16 @@
         return info.capacity - used;
     }
 
+    /** Returns true if it drains and all its runs are to be stopped, so that
+     *  its lease is not renewed. */
+    [[nodiscard]] auto is_emptied() const -> bool
+    {
+        return drain_seen_at &&
+               std::all_of(
+                   runs.begin(), runs.end(),
+                   [](run_entry const& it) { return it.stop_requested; });
+    }
+
     /** Returns true unless it is known to have no run. */
     [[nodiscard]] auto may_have_hidden_runs() const -> bool
     {
@@ -500,8 +510,8 @@
     auto adapt_poll_pause(core::time_point now) -> void;
     auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
     auto handle_exit(dispatch_worker& worker, core::time_point now) -> void;
-    /** Returns a bound of the rest of the lease of a worker without contact,
-     *  unset if the lease may be renewed. */
+    /** Returns a bound of the rest of the lease of a worker that is without
+     *  contact or emptied; unset if the lease may be renewed. */
     auto lease_left(dispatch_worker const& worker, core::time_point now) const
         -> std::optional<core::duration>;
     /** Stores the bounds of the leases of workers without contact again, as
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -83,7 +83,10 @@
         if (it.lease_left_ms)
         {
             auto const left = std::chrono::milliseconds{*it.lease_left_ms};
-            worker->lease_until = std::min(recovery_until, now + left);
+            auto const until = std::max(
+                stored.workers_written_by.value_or(now) + left,
+                now + std::min<core::duration>(left, min_recovery_time));
+            worker->lease_until = std::min(recovery_until, until);
         }
         worker->next_hold_at = now;
         workers.emplace(info.worker, std::move(worker));
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -41,7 +41,8 @@
      *  while the owner may start others. */
     std::optional<std::vector<task_name>> possible_tasks;
     /** Upper bound of the rest of its lease when this was written, if the owner
-     *  has lost contact with it; unset while the owner may renew the lease. */
+     *  has lost contact with it or stops all its runs before it leaves; unset
+     *  while the owner may renew the lease. */
     std::optional<std::int64_t> lease_left_ms;
 };
 
@@ -209,6 +210,9 @@
     std::vector<std::pair<core::job_id, plan_progress>> progress;
     std::vector<stored_worker> workers;
     bool workers_readable = true; ///< False if `workers` may lack some.
+    /** The list of workers had been written by this time; unset if that is not
+     *  known. */
+    std::optional<core::time_point> workers_written_by;
     /** All writes of former owners were carried out before this time; unset if
      *  that is not known. */
     std::optional<core::time_point> last_write_by;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -183,6 +183,15 @@
         auto const has_left = worker.lost_at && !worker.in_worker_list;
         commit_at(has_left ? now : now + settings.commit_delay);
     }
+    // The earlier its lease is known not to be renewed, the sooner a new owner
+    // starts the tasks elsewhere.
+    if (worker.contact == contact_state::live && worker.may_have_runs() &&
+        worker.is_emptied() != worker.stored_with_lease &&
+        !worker_list_in_flight)
+    {
+        worker_list_changed = true;
+        commit_at(now);
+    }
 }
 
 auto dispatcher::implementation::lease_left(
@@ -193,7 +202,9 @@
         worker.lost_at && now - *worker.lost_at >= min_lost_time;
     auto const never_answered =
         worker.may_have_unknown_runs && now - loaded_at >= first_contact_time;
-    if (worker.contact != contact_state::none || !(is_lost || never_answered))
+    auto const is_silent =
+        worker.contact == contact_state::none && (is_lost || never_answered);
+    if (!is_silent && !worker.is_emptied())
     {
         return std::nullopt;
     }
@@ -213,7 +224,8 @@
         [&](auto const& it)
         {
             auto const left = lease_left(*it.second, now);
-            return it.second->may_have_runs() && left > core::duration{};
+            return it.second->contact == contact_state::none &&
+                   it.second->may_have_runs() && left > core::duration{};
         });
     if (any_left)
     {
@@ -354,7 +366,7 @@
             worker.serving_runs > 0 && worker.best_effort_runs > 0;
         order.wait = is_shared ? std::min(settings.hold_wait, shared_hold_wait)
                                : settings.hold_wait;
-        if (worker.stored_with_lease)
+        if (worker.stored_with_lease && !worker.is_emptied())
         {
             order.wait = core::duration{}; // To renew its lease soon.
         }
@@ -553,7 +565,7 @@
         }
         return;
     }
-    if (worker.stored_with_lease)
+    if (worker.stored_with_lease && !worker.is_emptied())
     {
         worker.next_hold_at = now + unrenewed_pause;
         return;
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -363,6 +363,64 @@
     EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
 }
 
+// Guards against a bound that counts from the last write of the former owner,
+// which may be seconds later.
+TEST(take_over, the_lease_of_a_leaving_worker_counts_from_when_it_was_stored)
+{
+    auto const world = three_workers();
+    world->settings.lease_limit = std::chrono::seconds{10};
+    world->begin_term();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    world->run_for(3000);
+    world->worker("w1").info.draining = true;
+    world->worker("w1").info.drain_left_ms = 2000;
+    world->loses_stop_orders = true;
+    world->run_for(100);
+    ASSERT_TRUE(world->stored.workers.front().lease_left_ms);
+    end_unseen(*world);
+    world->stored.workers_written_by = world->now() - std::chrono::seconds{3};
+    world->begin_term();
+    world->run_for(6100);
+    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 2);
+}
+
+// Guards against runs that lapse on a worker that drains for long.
+TEST(take_over, a_draining_worker_keeps_its_lease_for_runs_that_end)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 1, 1000)));
+    world->run_for(300);
+    world->worker("w1").info.draining = true;
+    world->worker("w1").info.drain_left_ms = 60'000;
+    world->run_for(20'000);
+    EXPECT_EQ(world->worker("w1").runs.size(), 1U);
+    EXPECT_EQ(count_starts(*world, "ends.0.0.0"), 1);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+TEST(take_over, a_withdrawn_drain_renews_the_lease_again)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", make_long_running("j1", 1)));
+    world->run_for(300);
+    auto& worker = world->worker("w1");
+    worker.info.draining = true;
+    worker.info.drain_left_ms = 60'000;
+    world->loses_stop_orders = true;
+    world->run_for(1000);
+    auto const deadline_ms = worker.deadline_ms;
+    world->run_for(1000);
+    ASSERT_EQ(worker.deadline_ms, deadline_ms);
+    worker.info.draining = false;
+    world->loses_stop_orders = false;
+    world->run_for(1000);
+    EXPECT_GT(worker.deadline_ms, deadline_ms);
+    world->run_for(10'000);
+    EXPECT_EQ(world->running(), 1U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // The same, up to the time after which LOST counts the task: 6 s after its last
 // run and 3 s more.
 TEST(take_over, a_worker_that_has_left_holds_its_own_task_for_at_most_9_s)
