Report why a long-running task waits for a worker

Change: while one has waited for 3 s, a line a second has its need, the largest free part of a worker that accepts starts, what would be free there without short tasks, and how many workers with room are suspended, blocked, without contact or not stored.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -627,6 +627,10 @@
         core::time_point now) -> void;
     auto learn_run_time(run_entry const& run, core::time_point now) -> void;
     [[nodiscard]] auto is_mostly_free() const -> bool;
+    /** Reports why a long-running task that has waited long is on no worker. */
+    auto report_waiting_step(
+        ready_step const& it, queue_config const& queue, core::time_point now)
+        -> void;
     auto
     accepts_starts(dispatch_worker const& worker, core::time_point now) const
         -> bool;
@@ -769,6 +773,7 @@
     bool mostly_free = false; ///< Less than mostly_free_percent is reserved.
     bool schedule_due = true;
     core::time_point next_schedule;
+    core::time_point next_waiting_report;
     core::time_point last_pass_at; ///< Time of the last take_orders().
     interference_model interference{tail_model_settings()};
     std::map<queue_id, queue_state> queue_states;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -224,6 +224,7 @@
                 [&](std::uint32_t index)
                 { return !is_backing_off(spec, it.job->tasks[index], now); }));
             auto const& queue = *find_queue(*it.job);
+            report_waiting_step(it, queue, now);
             while (reserved < waiting && reserve_worker(it, queue, now))
             {
                 ++reserved;
@@ -729,6 +730,68 @@
     return order;
 }
 
+auto dispatcher::implementation::report_waiting_step(
+    ready_step const& it, queue_config const& queue, core::time_point now)
+    -> void
+{
+    constexpr auto min_wait = std::chrono::seconds{3};
+    constexpr auto report_interval = std::chrono::seconds{1};
+    auto const& step = it.job->steps[it.step];
+    if (now < next_waiting_report || now - step.ready_since < min_wait)
+    {
+        return;
+    }
+    next_waiting_report = now + report_interval;
+    auto const& spec = it.job->spec(step);
+    auto max_free = std::int64_t{0};
+    auto max_available = std::int64_t{0};
+    auto suspended = 0;
+    auto blocked = 0;
+    auto no_contact = 0;
+    auto not_stored = 0;
+    for (auto const& [id, worker] : workers)
+    {
+        auto const& info = worker->info;
+        if (!worker->in_worker_list || info.draining ||
+            info.service != queue.service ||
+            drained.contains(info.data_centre) ||
+            (!spec.label.empty() && !info.labels.contains(spec.label)))
+        {
+            continue;
+        }
+        auto available = worker->free();
+        for (auto const& run : worker->runs)
+        {
+            available += is_short(run) ? run.need : core::resources{};
+        }
+        if (accepts_starts(*worker, now))
+        {
+            max_free = std::max(max_free, worker->free().cpu_milli);
+            max_available = std::max(max_available, available.cpu_milli);
+        }
+        else if (spec.need.fits_in(available))
+        {
+            no_contact += worker->contact != contact_state::live ? 1 : 0;
+            suspended += now < worker->suspended_until ? 1 : 0;
+            blocked += now < worker->starts_blocked_until ? 1 : 0;
+            not_stored += worker->in_stored_list ? 0 : 1;
+        }
+    }
+    event(
+        "A long-running task waits for a worker.",
+        {{"job", it.job->record.plan.id.value},
+         {"waited_ms", to_ms(now - step.ready_since)},
+         {"cpu_milli", spec.need.cpu_milli},
+         {"memory_mb", spec.need.memory_mb},
+         {"label", spec.label},
+         {"largest_free_milli", max_free},
+         {"largest_without_short_milli", max_available},
+         {"suspended", suspended},
+         {"blocked", blocked},
+         {"no_contact", no_contact},
+         {"not_stored", not_stored}});
+}
+
 // Reserves a worker for a long-running task that fits nowhere: short tasks on
 // it may finish, and those of lower priority are evicted if that frees enough
 // capacity.
