Skip steps that exceed the largest room of any worker

Cause: a long-running task that fits nowhere was tried on each worker in each pass (8 ms), and then each worker with its runs was looked at for a reservation. The limit of looks for steps that fit nowhere exempted long-running, labelled and limited ones.

Change: each pass takes the largest free capacity of any worker of a service, by kind of resource, and, when a reservation is first asked for, the largest one without short tasks. What exceeds a bound is on no worker, so neither scan is made.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -387,6 +387,16 @@
     core::time_point until; ///< When placement is tried again.
 };
 
+/** Upper bounds, by kind of resource, over the workers of a service that accept
+ *  starts in a pass. What exceeds one fits on none of them. */
+struct room_bounds
+{
+    core::resources free;
+    /** Of workers that are not reserved, once their short tasks have ended;
+     *  unset until it is needed. */
+    std::optional<core::resources> without_short;
+};
+
 /** Result of the choice of a worker for a task. */
 struct worker_choice
 {
@@ -603,6 +613,10 @@
     auto take_orders(core::time_point now) -> std::vector<run_order>;
     [[nodiscard]] auto startable_workers_for(queue_config const& queue) const
         -> std::span<dispatch_worker* const>;
+    [[nodiscard]] auto room_of(queue_config const& queue) -> room_bounds&
+    {
+        return rooms[queue.service];
+    }
     [[nodiscard]] auto start_validity(core::time_point now) const
         -> core::duration;
     auto schedule(core::time_point now) -> void;
@@ -649,6 +663,8 @@
         ready_step const& it, queue_config const& queue, core::time_point now)
         -> bool;
     [[nodiscard]] static auto is_short(run_entry const& run) -> bool;
+    [[nodiscard]] static auto without_short_runs(dispatch_worker const& worker)
+        -> core::resources;
     auto evict_for(
         dispatch_worker& worker, plan_step const& spec,
         queue_config const& queue) -> void;
@@ -738,6 +754,7 @@
     std::vector<ready_step> ready_steps;
     /** Workers that accept starts in this pass, by service. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
+    std::map<core::service_id, room_bounds> rooms;
     std::vector<unplaceable_need> unplaceable;
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
     std::size_t starts_left = 0;                ///< That this pass may send.
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -91,6 +91,13 @@
     return {end <= late ? 2U : 3U, queue.priority, not_begun, due};
 }
 
+auto raise(core::resources& bound, core::resources const& value) -> void
+{
+    bound.cpu_milli = std::max(bound.cpu_milli, value.cpu_milli);
+    bound.memory_mb = std::max(bound.memory_mb, value.memory_mb);
+    bound.accelerators = std::max(bound.accelerators, value.accelerators);
+}
+
 } // namespace
 
 auto dispatcher::implementation::take_orders(core::time_point now)
@@ -242,11 +249,13 @@
     {
         found.clear();
     }
+    rooms.clear();
     for (auto const& [id, worker] : workers)
     {
         if (accepts_starts(*worker, now))
         {
             startable_workers[worker->info.service].push_back(worker.get());
+            raise(rooms[worker->info.service].free, worker->free());
         }
     }
 }
@@ -371,6 +380,10 @@
     {
         need.cpu_milli = 0;
     }
+    if (!need.fits_in(room_of(queue).free))
+    {
+        return {};
+    }
     auto const waited_long =
         spec.uses_spare_cpu && has_waited_long(job, step, now);
     // All members of a gang need a worker at the same time.
@@ -759,11 +772,7 @@
         {
             continue;
         }
-        auto available = worker->free();
-        for (auto const& run : worker->runs)
-        {
-            available += is_short(run) ? run.need : core::resources{};
-        }
+        auto const available = without_short_runs(*worker);
         if (accepts_starts(*worker, now))
         {
             max_free = std::max(max_free, worker->free().cpu_milli);
@@ -800,22 +809,36 @@
     -> bool
 {
     auto const& spec = it.job->spec(it.job->steps[it.step]);
+    auto const candidates = startable_workers_for(queue);
+    auto& room = room_of(queue).without_short;
+    if (!room)
+    {
+        totals.workers_considered += candidates.size();
+        room.emplace();
+        for (auto const* const worker : candidates)
+        {
+            if (now >= worker->reserved_until)
+            {
+                raise(*room, without_short_runs(*worker));
+            }
+        }
+    }
+    if (!spec.need.fits_in(*room))
+    {
+        return false;
+    }
+    totals.workers_considered += candidates.size();
     auto* best = static_cast<dispatch_worker*>(nullptr);
     auto max_free = std::int64_t{-1};
-    for (auto* const worker : startable_workers_for(queue))
+    for (auto* const worker : candidates)
     {
         if (now < worker->reserved_until ||
             (!spec.label.empty() && !worker->info.labels.contains(spec.label)))
         {
             continue;
         }
-        auto available = worker->free();
-        for (auto const& run : worker->runs)
-        {
-            available += is_short(run) ? run.need : core::resources{};
-        }
         auto const free = worker->free().cpu_milli;
-        if (spec.need.fits_in(available) && free > max_free)
+        if (free > max_free && spec.need.fits_in(without_short_runs(*worker)))
         {
             best = worker;
             max_free = free;
@@ -826,6 +849,7 @@
         return false;
     }
     best->reserved_until = now + reservation_time;
+    room.reset();
     evict_for(*best, spec, queue);
     event(
         "A worker is reserved for a long-running task.",
@@ -840,6 +864,17 @@
     return run.job && !run.job->spec(run.job->step_of(run.task)).long_running;
 }
 
+auto dispatcher::implementation::without_short_runs(
+    dispatch_worker const& worker) -> core::resources
+{
+    auto result = worker.free();
+    for (auto const& run : worker.runs)
+    {
+        result += is_short(run) ? run.need : core::resources{};
+    }
+    return result;
+}
+
 auto dispatcher::implementation::evict_for(
     dispatch_worker& worker, plan_step const& spec, queue_config const& queue)
     -> void
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -64,6 +64,36 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against an owner whose processor is used up by long-running tasks that
+// fit on no worker, so that it starts the others late.
+TEST(dispatch_load, long_running_tasks_without_room_consider_few_workers)
+{
+    auto const world = make_fleet();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    auto const make_long_running = [](std::string id, std::uint32_t tasks)
+    {
+        auto plan = tests::make_plan(
+            std::move(id), tasks, worker_capacity.cpu_milli * 2 / 3);
+        plan.steps.front().long_running = true;
+        return plan;
+    };
+    ASSERT_TRUE(world->submit(make_long_running("fill", fleet_size)));
+    world->run_for(5000);
+    ASSERT_EQ(world->running(), std::size_t{fleet_size});
+    for (auto i = 0; i < 100; ++i)
+    {
+        ASSERT_TRUE(world->submit(make_long_running(fmt::format("j{}", i), 2)));
+    }
+    auto const before = world->owner->counts(world->now());
+    world->run_for(1000);
+    auto const after = world->owner->counts(world->now());
+    EXPECT_LE(after.workers_considered - before.workers_considered, 180'000U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a backlog whose starts are sent at once: the owner processes
 // nothing else until they are answered, and its copy of the store expires.
 TEST(dispatch_load, at_most_64_starts_wait_for_an_answer)
