End the lease of an owner key that was restored without an answer, and ignore answers for a former lease

Callers saw no owner for up to 3 s and a take-over.

Cause: (1) if the answer to the commit that restores the owner key was lost, the key stood under a lease that nobody knew, and the next try took it for another owner's; (2) an answer for the former lease that came late ended the restored one; (3) a key restored after the owner had left stayed until its lease lapsed. Also, a write that waits for the restoration is bound to its term, and the date of the list of workers is set under the lock.

Change: without a positive answer in the same term, the new lease is ended until the store confirms it, then writes go on and the next renewal tries again. An answer to a renewal counts only for the present lease.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -275,7 +275,7 @@
                 {
                     auto const revision =
                         answer->entries.front().modify_revision;
-                    self.loading.workers_written_by =
+                    auto const written_by =
                         self.parts.target.reached_by(revision);
                     auto known =
                         protocol::decode<std::vector<state::stored_worker>>(
@@ -285,6 +285,7 @@
                         self.log.error("Stored workers cannot be read.");
                     }
                     auto const lock = std::scoped_lock{self.mutex};
+                    self.loading.workers_written_by = written_by;
                     self.loading.workers_readable = known.has_value();
                     self.loading.workers =
                         known.value_or(std::vector<state::stored_worker>{});
--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -138,8 +138,9 @@
     auto give_up(store_lease granted) -> void;
     auto retry_later() -> void;
     auto renew() -> void;
-    auto renewed(std::optional<store_lease> answer, core::time_point sent)
-        -> void;
+    auto renewed(
+        std::optional<store_lease> answer, store_lease held,
+        core::time_point sent) -> void;
     auto take_again() -> void;
     auto read_own_term(
         std::uint64_t in_term, store_lease granted, core::time_point sent,
@@ -147,9 +148,10 @@
     auto restore_owner_key(
         std::uint64_t in_term, store_lease granted, core::time_point sent,
         int tries, std::int64_t revision) -> void;
+    auto end_restored_lease(std::uint64_t in_term, store_lease granted) -> void;
     auto resume_writes(std::uint64_t in_term) -> void;
     auto lose(std::string_view cause) -> void;
-    auto send_write() -> void;
+    auto send_write(std::uint64_t in_term) -> void;
     auto written(std::optional<store_commit> answer, std::uint64_t in_term)
         -> void;
     auto check_written(std::uint64_t in_term) -> void;
@@ -201,6 +203,7 @@
     transport::timer_handle ask_timer;
     transport::timer_handle renew_timer;
     transport::timer_handle write_timer;
+    transport::timer_handle restore_timer;
     watched_range followed;
 };
 
@@ -612,13 +615,21 @@
             later(loop, settings.renew_interval, [](auto& it) { it.renew(); });
     }
     target.keep_alive(
-        held, guarded([sent](auto& it, auto answer)
-                      { it.renewed(std::move(answer), sent); }));
+        held, guarded([held, sent](auto& it, auto answer)
+                      { it.renewed(std::move(answer), held, sent); }));
 }
 
 auto term_keeper::implementation::renewed(
-    std::optional<store_lease> answer, core::time_point sent) -> void
+    std::optional<store_lease> answer, store_lease held, core::time_point sent)
+    -> void
 {
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (held != lease)
+        {
+            return; // The owner key was restored with another lease meanwhile.
+        }
+    }
     if (answer)
     {
         auto const lock = std::scoped_lock{mutex};
@@ -711,20 +722,50 @@
                 {
                     return it.read_own_term(in_term, granted, sent, tries - 1);
                 }
+                auto restored = false;
                 if (answer)
                 {
                     auto const lock = std::scoped_lock{it.mutex};
-                    if (it.state == phase::owning && it.current.term == in_term)
+                    restored =
+                        it.state == phase::owning && it.current.term == in_term;
+                    if (restored)
                     {
                         it.lease = granted;
                         it.valid_until =
                             sent + it.settings.lease - it.settings.margin;
                     }
                 }
+                if (!restored)
+                {
+                    return it.end_restored_lease(in_term, granted);
+                }
                 it.resume_writes(in_term);
             }));
 }
 
+// The owner key may have been written with this lease, or may still be. Nobody
+// could take the jobs until it lapses.
+auto term_keeper::implementation::end_restored_lease(
+    std::uint64_t in_term, store_lease granted) -> void
+{
+    target.revoke(
+        granted, guarded(
+                     [in_term, granted](auto& it, auto answer)
+                     {
+                         auto const ended =
+                             answer || core::last_reason().kind ==
+                                           core::error_kind::not_found;
+                         if (ended)
+                         {
+                             return it.resume_writes(in_term);
+                         }
+                         it.restore_timer = it.later(
+                             it.loop, it.settings.retry_interval,
+                             [in_term, granted](auto& keeper)
+                             { keeper.end_restored_lease(in_term, granted); });
+                     }));
+}
+
 auto term_keeper::implementation::resume_writes(std::uint64_t in_term) -> void
 {
     auto waits = false;
@@ -739,7 +780,7 @@
     }
     if (waits)
     {
-        send_write();
+        send_write(in_term);
     }
 }
 
@@ -762,11 +803,15 @@
         loop, settings.retry_interval, [](auto& it) { it.try_to_take(); });
 }
 
-auto term_keeper::implementation::send_write() -> void
+auto term_keeper::implementation::send_write(std::uint64_t in_term) -> void
 {
     auto transaction = store_transaction{};
     {
         auto const lock = std::scoped_lock{mutex};
+        if (current.term != in_term)
+        {
+            return;
+        }
         if (taking_again)
         {
             write_waits = true;
@@ -779,7 +824,7 @@
     }
     target.commit(
         std::move(transaction),
-        guarded([in_term = current.term](auto& it, auto answer)
+        guarded([in_term](auto& it, auto answer)
                 { it.written(std::move(answer), in_term); }));
 }
 
@@ -817,8 +862,9 @@
     }
     // The write may still happen, so that only the same one may follow.
     maybe_written = maybe_written || !not_done;
-    write_timer =
-        later(loop, settings.write_retry, [](auto& it) { it.send_write(); });
+    write_timer = later(
+        loop, settings.write_retry,
+        [in_term](auto& it) { it.send_write(in_term); });
 }
 
 auto term_keeper::implementation::check_written(std::uint64_t in_term) -> void
@@ -951,14 +997,16 @@
     std::vector<store_write> writes, std::function<void(write_result)> on_done)
     -> void
 {
+    auto in_term = std::uint64_t{0};
     {
         auto const lock = std::scoped_lock{implementation_->mutex};
         implementation_->writes = std::move(writes);
         implementation_->on_written = std::move(on_done);
         implementation_->maybe_written = false;
         implementation_->write_sent = implementation_->clock();
+        in_term = implementation_->current.term;
     }
-    implementation_->send_write();
+    implementation_->send_write(in_term);
 }
 
 } // namespace godwitcleat::coordination
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -103,6 +103,16 @@
             core::fail(core::error_kind::unavailable, "the store is cut off");
             return on_done(std::nullopt);
         }
+        if (hold_renewals > 0)
+        {
+            --hold_renewals;
+            held_renewal = [this, lease, on_done]
+            {
+                target_.keep_alive(lease, on_done);
+            };
+            has_held_renewal = true;
+            return;
+        }
         target_.keep_alive(lease, std::move(on_done));
     }
 
@@ -128,6 +138,9 @@
     bool hold_grants = false;
     bool repeat_commits_late = false;
     int lose_commits = 0;
+    std::atomic<int> hold_renewals = 0;
+    std::function<void()> held_renewal;
+    std::atomic<bool> has_held_renewal = false;
     std::function<void()> held;
     std::vector<coordination::store_transaction> late;
     /** Time from the execution of a range or commit to its answer. */
@@ -367,6 +380,56 @@
     EXPECT_EQ(it.acquired.load(), 1U);
 }
 
+// Guards against a restored owner key under a lease that nobody knows.
+TEST_F(term_fixture, a_restored_key_with_a_lost_answer_keeps_the_term)
+{
+    auto it = keeper{store, loop, "first"};
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    it.store.lose_commits = 1;
+    store.expire(coordination::store_lease{1});
+    ASSERT_TRUE(eventually([&] { return !it.term.is_valid(); }));
+    EXPECT_TRUE(eventually([&] { return it.term.is_valid(); }));
+    EXPECT_EQ(it.acquired.load(), 1U);
+}
+
+// Guards against an owner that gives up because its former lease has lapsed.
+TEST_F(term_fixture, a_late_answer_for_the_former_lease_is_ignored)
+{
+    auto it = keeper{store, loop, "first"};
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    it.store.hold_renewals = 1;
+    ASSERT_TRUE(eventually([&] { return it.store.has_held_renewal.load(); }));
+    store.expire(coordination::store_lease{1});
+    ASSERT_TRUE(
+        eventually([&] { return store.peek("p/live/owner").has_value(); }));
+    ASSERT_TRUE(eventually([&] { return it.term.is_valid(); }));
+    ASSERT_EQ(it.acquired.load(), 1U);
+    loop.post(it.store.held_renewal);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(it.acquired.load(), 1U);
+    EXPECT_TRUE(it.term.is_valid());
+}
+
+// Guards against an owner key that keeps others from the jobs after its owner
+// has left.
+TEST_F(term_fixture, a_key_restored_after_leaving_is_given_up)
+{
+    auto it = keeper{store, loop, "first"};
+    it.term.start();
+    ASSERT_TRUE(eventually([&] { return it.acquired.load() == 1; }));
+    it.store.hold_commits = true;
+    store.expire(coordination::store_lease{1});
+    ASSERT_TRUE(eventually([&] { return it.store.held != nullptr; }));
+    auto const restore = it.store.held;
+    it.store.hold_commits = false;
+    it.term.leave([] {});
+    loop.post(restore);
+    std::this_thread::sleep_for(500ms);
+    EXPECT_FALSE(store.peek("p/live/owner").has_value());
+}
+
 // Guards against an owner that never gets its lease back, as each of its writes
 // moves the revision on which the owner key depends.
 TEST_F(term_fixture, an_owner_with_steady_writes_gets_its_lease_back)
