Bound the lease of a draining worker only if its runs are known

Cause: a worker without known runs counted as one whose runs are all to be stopped, so that it got a bound and no lease; a start on a worker whose lease has lapsed was lost at the next tick, together with the contact.

Change: the bound needs a run, and all runs known; nothing starts on a worker without a lease.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -339,7 +339,7 @@
      *  its lease is not renewed. */
     [[nodiscard]] auto is_emptied() const -> bool
     {
-        return drain_seen_at &&
+        return drain_seen_at && !may_have_unknown_runs && !runs.empty() &&
                std::all_of(
                    runs.begin(), runs.end(),
                    [](run_entry const& it) { return it.stop_requested; });
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -353,7 +353,7 @@
     return worker.in_worker_list && worker.in_stored_list &&
            !worker.stored_with_lease && worker.contact == contact_state::live &&
            !worker.info.draining && now >= worker.starts_blocked_until &&
-           now >= worker.suspended_until &&
+           now >= worker.suspended_until && now <= worker.lease_until &&
            !drained.contains(worker.info.data_centre);
 }
 
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -657,6 +657,62 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a lease that a new owner does not renew before it has heard
+// which runs a draining worker has.
+TEST(take_over, a_draining_worker_keeps_its_lease_after_a_take_over)
+{
+    auto const world = three_workers();
+    ASSERT_TRUE(submit_on(*world, "w1", tests::make_plan("ends", 1, 1000)));
+    world->run_for(300);
+    auto& worker = world->worker("w1");
+    worker.info.draining = true;
+    worker.info.drain_left_ms = 60'000;
+    world->run_for(1000);
+    ASSERT_EQ(worker.runs.size(), 1U);
+    worker.reachable = false;
+    world->add_worker("w4", worker_capacity);
+    world->store_down = true;
+    world->begin_term();
+    world->run_for(50);
+    worker.reachable = true;
+    world->run_for(6000);
+    EXPECT_EQ(worker.runs.size(), 1U);
+}
+
+// Guards against workers that get starts but no lease.
+TEST(take_over, workers_whose_drain_is_withdrawn_get_starts_again)
+{
+    auto world = tests::dispatch_world{};
+    for (auto const* const id : {"w0", "w1", "w2", "w3"})
+    {
+        world.add_worker(id, worker_capacity);
+    }
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    world.begin_term();
+    world.run_for(200);
+    for (auto const* const id : {"w0", "w1", "w2"})
+    {
+        world.worker(id).info.draining = true;
+        world.run_for(300);
+    }
+    ASSERT_TRUE(world.submit(make_long_running("l0", 4)));
+    ASSERT_TRUE(world.submit(make_long_running("l1", 4)));
+    world.run_for(200);
+    ASSERT_EQ(world.running(), 4U);
+    world.begin_term();
+    world.run_for(100);
+    for (auto const* const id : {"w0", "w1", "w2"})
+    {
+        world.worker(id).info.draining = false;
+    }
+    world.run_for(3000);
+    EXPECT_EQ(world.running(), 8U);
+    EXPECT_TRUE(world.violations.empty());
+}
+
 // Guards against tasks of a worker that is only silent for a while, which are
 // started again elsewhere or given up, with one owner and with several.
 TEST(take_over, a_silent_worker_keeps_its_tasks_until_its_lease_has_lapsed)
