Keep the former service of a worker until its ends are stored

Found by a review of: a task was started again although its run had ended as done. The worker had changed its service, the owner had heard the end, and the list with the new service was stored before the job's progress; the next owner did not hold the task for the silent worker.

Change: a worker whose ends are not all stored still counts as one that may have runs of its former service.

Evidence: take_over.an_unstored_end_after_a_change_of_service_holds_its_task counted 2 starts before, 1 after.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -349,7 +349,7 @@
     [[nodiscard]] auto may_have_hidden_runs() const -> bool
     {
         return contact != contact_state::live || may_have_unknown_runs ||
-               !runs.empty();
+               !runs.empty() || !all_ends_stored();
     }
 
     /** Returns true if a new owner has to hear it before it knows all runs. */
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -657,6 +657,37 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a task that is started again although its run has ended as
+// done: the end was heard, not stored, and the worker has changed its service.
+TEST(take_over, an_unstored_end_after_a_change_of_service_holds_its_task)
+{
+    auto const world = three_workers();
+    // The list of workers fills a batch; the end is in the next one.
+    world->settings.max_batch_writes = 2;
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{600, false};
+    };
+    world->begin_term();
+    world->run_for(300);
+    ASSERT_TRUE(submit_on(*world, "w3", tests::make_plan("j1", 1, 1000)));
+    world->run_for(200);
+    auto& worker = world->worker("w3");
+    ASSERT_EQ(worker.runs.size(), 1U);
+    world->store_down = true;
+    worker.info.service = core::service_id{"other"};
+    world->worker("w2").info.labels.insert("w3");
+    world->run_for(1000);
+    ASSERT_EQ(worker.ended.size(), 1U);
+    world->store_down = false;
+    world->run_for(10);
+    ASSERT_EQ(worker.ended.size(), 1U);
+    worker.reachable = false;
+    world->begin_term();
+    world->run_for(2000);
+    EXPECT_EQ(count_starts(*world, "j1.0.0.0"), 1);
+}
+
 // Guards against a lease that a new owner does not renew before it has heard
 // which runs a draining worker has.
 TEST(take_over, a_draining_worker_keeps_its_lease_after_a_take_over)
