Bound the room of labelled steps by the workers with the label

Found by a review of: one free worker without the label made each of 100 labelled long-running steps look at each worker in each pass.

Change: the largest room is kept by service and required label, taken once a pass when a label is first asked for.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -387,8 +387,8 @@
     core::time_point until; ///< When placement is tried again.
 };
 
-/** Upper bounds, by kind of resource, over the workers of a service that accept
- *  starts in a pass. What exceeds one fits on none of them. */
+/** Upper bounds, by kind of resource, over the workers of a service with a
+ * label that accept starts in a pass. What exceeds one fits on none of them. */
 struct room_bounds
 {
     core::resources free;
@@ -613,10 +613,9 @@
     auto take_orders(core::time_point now) -> std::vector<run_order>;
     [[nodiscard]] auto startable_workers_for(queue_config const& queue) const
         -> std::span<dispatch_worker* const>;
-    [[nodiscard]] auto room_of(queue_config const& queue) -> room_bounds&
-    {
-        return rooms[queue.service];
-    }
+    [[nodiscard]] auto
+    room_of(queue_config const& queue, std::string const& label)
+        -> room_bounds&;
     [[nodiscard]] auto start_validity(core::time_point now) const
         -> core::duration;
     auto schedule(core::time_point now) -> void;
@@ -754,7 +753,8 @@
     std::vector<ready_step> ready_steps;
     /** Workers that accept starts in this pass, by service. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
-    std::map<core::service_id, room_bounds> rooms;
+    /** By service and required label; empty: any. */
+    std::map<std::pair<core::service_id, std::string>, room_bounds> rooms;
     std::vector<unplaceable_need> unplaceable;
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
     std::size_t starts_left = 0;                ///< That this pass may send.
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -91,6 +91,11 @@
     return {end <= late ? 2U : 3U, queue.priority, not_begun, due};
 }
 
+auto has_label(dispatch_worker const& worker, std::string const& label) -> bool
+{
+    return label.empty() || worker.info.labels.contains(label);
+}
+
 auto raise(core::resources& bound, core::resources const& value) -> void
 {
     bound.cpu_milli = std::max(bound.cpu_milli, value.cpu_milli);
@@ -255,7 +260,7 @@
         if (accepts_starts(*worker, now))
         {
             startable_workers[worker->info.service].push_back(worker.get());
-            raise(rooms[worker->info.service].free, worker->free());
+            raise(rooms[{worker->info.service, {}}].free, worker->free());
         }
     }
 }
@@ -268,6 +273,25 @@
                                          : std::span{it->second};
 }
 
+auto dispatcher::implementation::room_of(
+    queue_config const& queue, std::string const& label) -> room_bounds&
+{
+    auto const [it, inserted] = rooms.try_emplace({queue.service, label});
+    if (inserted)
+    {
+        auto const candidates = startable_workers_for(queue);
+        totals.workers_considered += candidates.size();
+        for (auto const* const worker : candidates)
+        {
+            if (has_label(*worker, label))
+            {
+                raise(it->second.free, worker->free());
+            }
+        }
+    }
+    return it->second;
+}
+
 // Such a step is placed regardless of the expected interference, so that its
 // job does not wait indefinitely.
 auto dispatcher::implementation::has_waited_long(
@@ -380,7 +404,7 @@
     {
         need.cpu_milli = 0;
     }
-    if (!need.fits_in(room_of(queue).free))
+    if (!need.fits_in(room_of(queue, spec.label).free))
     {
         return {};
     }
@@ -396,8 +420,7 @@
     {
         auto const& info = worker->info;
         auto const free = worker->free();
-        if (!need.fits_in(free) ||
-            (!spec.label.empty() && !info.labels.contains(spec.label)))
+        if (!need.fits_in(free) || !has_label(*worker, spec.label))
         {
             continue;
         }
@@ -768,7 +791,7 @@
         if (!worker->in_worker_list || info.draining ||
             info.service != queue.service ||
             drained.contains(info.data_centre) ||
-            (!spec.label.empty() && !info.labels.contains(spec.label)))
+            !has_label(*worker, spec.label))
         {
             continue;
         }
@@ -810,14 +833,14 @@
 {
     auto const& spec = it.job->spec(it.job->steps[it.step]);
     auto const candidates = startable_workers_for(queue);
-    auto& room = room_of(queue).without_short;
+    auto& room = room_of(queue, spec.label).without_short;
     if (!room)
     {
         totals.workers_considered += candidates.size();
         room.emplace();
         for (auto const* const worker : candidates)
         {
-            if (now >= worker->reserved_until)
+            if (now >= worker->reserved_until && has_label(*worker, spec.label))
             {
                 raise(*room, without_short_runs(*worker));
             }
@@ -832,8 +855,7 @@
     auto max_free = std::int64_t{-1};
     for (auto* const worker : candidates)
     {
-        if (now < worker->reserved_until ||
-            (!spec.label.empty() && !worker->info.labels.contains(spec.label)))
+        if (now < worker->reserved_until || !has_label(*worker, spec.label))
         {
             continue;
         }
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -40,6 +40,15 @@
     return plan;
 }
 
+// Only one such task fits on a worker.
+auto make_long_running(std::string id, std::uint32_t tasks) -> state::job_plan
+{
+    auto plan = tests::make_plan(
+        std::move(id), tasks, worker_capacity.cpu_milli * 2 / 3);
+    plan.steps.front().long_running = true;
+    return plan;
+}
+
 } // namespace
 
 // Guards against high CPU use by trying to place steps that fit nowhere.
@@ -73,13 +82,6 @@
     {
         return tests::task_behaviour{-1, false};
     };
-    auto const make_long_running = [](std::string id, std::uint32_t tasks)
-    {
-        auto plan = tests::make_plan(
-            std::move(id), tasks, worker_capacity.cpu_milli * 2 / 3);
-        plan.steps.front().long_running = true;
-        return plan;
-    };
     ASSERT_TRUE(world->submit(make_long_running("fill", fleet_size)));
     world->run_for(5000);
     ASSERT_EQ(world->running(), std::size_t{fleet_size});
@@ -94,6 +96,34 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// The same for tasks that need a label which no worker with room has.
+TEST(
+    dispatch_load,
+    labelled_long_running_tasks_without_room_consider_few_workers)
+{
+    auto const world = make_fleet();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    ASSERT_TRUE(world->submit(make_long_running("fill", fleet_size - 1)));
+    world->run_for(5000);
+    ASSERT_EQ(world->running(), std::size_t{fleet_size - 1});
+    auto const& start = world->starts.front();
+    world->worker(start.substr(start.find('@') + 1)).info.labels.insert("x");
+    for (auto i = 0; i < 100; ++i)
+    {
+        auto plan = make_long_running(fmt::format("j{}", i), 2);
+        plan.steps.front().label = "x";
+        ASSERT_TRUE(world->submit(std::move(plan)));
+    }
+    auto const before = world->owner->counts(world->now());
+    world->run_for(1000);
+    auto const after = world->owner->counts(world->now());
+    EXPECT_LE(after.workers_considered - before.workers_considered, 180'000U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a backlog whose starts are sent at once: the owner processes
 // nothing else until they are answered, and its copy of the store expires.
 TEST(dispatch_load, at_most_64_starts_wait_for_an_answer)
