Log the waiting tasks and starts of each queue by urgency

The line Sizes. has no queues, so it could not tell which class waits and why. The rank of a step moves to dispatch_order.cpp; the order is the same.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -104,6 +104,7 @@
     auto write(state::dispatch_batch const& batch) -> void;
     auto written(core::epoch number, write_result result) -> void;
     auto report_counts(core::time_point now) -> void;
+    auto report_queues() -> void;
     auto submit(protocol::job_call call, reply on_answer) -> void;
     auto finish_leaving() -> void;
     /**
@@ -646,6 +647,26 @@
                    {"evicted", it.evictions},
                    {"loop_delay_ms", loop_delay_ms},
                    {"start_time_ms", start_time_ms}});
+    report_queues();
+}
+
+auto dispatch_host::implementation::report_queues() -> void
+{
+    using state::step_urgency;
+    for (auto const& [queue, it] : dispatcher->queue_counts())
+    {
+        log.info(
+            "Tasks of a queue.",
+            {{"queue", queue.value},
+             {"ready_in_time", it.ready[step_urgency::in_time]},
+             {"ready_late", it.ready[step_urgency::late]},
+             {"ready_expired", it.ready[step_urgency::expired]},
+             {"ready_long_running", it.ready[step_urgency::long_running]},
+             {"starts_in_time", it.starts[step_urgency::in_time]},
+             {"starts_late", it.starts[step_urgency::late]},
+             {"starts_expired", it.starts[step_urgency::expired]},
+             {"starts_long_running", it.starts[step_urgency::long_running]}});
+    }
 }
 
 auto dispatch_host::implementation::submit(
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -241,4 +241,9 @@
     return result;
 }
 
+auto dispatcher::queue_counts() const -> std::map<queue_id, queue_task_counts>
+{
+    return implementation_->queue_counts();
+}
+
 } // namespace godwitcleat::state
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -7,6 +7,7 @@
 #include "state/plan_type.hpp"
 #include "state/queue_type.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -66,6 +67,37 @@
     std::size_t workers_without_contact = 0;
 };
 
+/** Whether the job of a step can still end in time. */
+enum class step_urgency
+{
+    long_running, ///< Ends only when it is cancelled; placed first.
+    in_time,      ///< Can end within its time objective.
+    late,         ///< Can end while it has partial value.
+    expired       ///< Cannot end while it has any value.
+};
+
+/** Numbers of tasks by urgency of their step. */
+struct task_counts
+{
+    std::array<std::uint64_t, 4> tasks{};
+
+    auto operator[](step_urgency urgency) -> std::uint64_t&
+    {
+        return tasks.at(static_cast<std::size_t>(urgency));
+    }
+    auto operator[](step_urgency urgency) const -> std::uint64_t
+    {
+        return tasks.at(static_cast<std::size_t>(urgency));
+    }
+};
+
+/** Tasks of a queue. */
+struct queue_task_counts
+{
+    task_counts ready;  ///< Wait for a start.
+    task_counts starts; ///< Starts since construction.
+};
+
 /**
  * Queues the tasks of jobs, places them on workers and tracks their runs.
  *
@@ -187,6 +219,10 @@
 
     [[nodiscard]] auto counts(core::time_point now) const -> dispatch_counts;
 
+    /** Returns the tasks of the queues that have jobs. */
+    [[nodiscard]] auto queue_counts() const
+        -> std::map<queue_id, queue_task_counts>;
+
 private:
     struct implementation;
     std::unique_ptr<implementation> implementation_;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -96,11 +96,23 @@
     core::time_point ready_since; ///< When `ready_tasks` last became non-empty.
 };
 
+/** Order in which steps are placed; lower first. */
+struct step_rank
+{
+    step_urgency urgency = step_urgency::long_running;
+    std::uint32_t priority = 0;
+    std::uint32_t not_begun = 1; ///< 0 if the job has started.
+    std::int64_t order_ms = 0;
+
+    auto operator<=>(step_rank const&) const = default; // NOLINT
+};
+
 /** State of a queue. */
 struct queue_state
 {
     queue_config const* config = nullptr; ///< Null if it is not configured.
     double run_time_factor = 1.0; ///< Mean of actual to declared run time.
+    task_counts starts;           ///< Starts that were ordered, in total.
 };
 
 /** A job. */
@@ -609,6 +621,16 @@
     auto move_stalled_runs(dispatch_worker& worker, core::time_point now)
         -> void;
 
+    // Order of the steps (dispatch_order.cpp)
+    /** Returns true if tasks of the step may start now. */
+    [[nodiscard]] static auto
+    is_schedulable(ready_step const& it, std::int64_t now_ms) -> bool;
+    /** @pre is_schedulable(it, now_ms) */
+    [[nodiscard]] static auto rank_of(ready_step const& it, std::int64_t now_ms)
+        -> step_rank;
+    [[nodiscard]] auto queue_counts() const
+        -> std::map<queue_id, queue_task_counts>;
+
     // Placement (dispatch_schedule.cpp)
     auto take_orders(core::time_point now) -> std::vector<run_order>;
     [[nodiscard]] auto startable_workers_for(queue_config const& queue) const
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -31,8 +31,6 @@
 // How long a worker stays reserved for a long-running task.
 constexpr auto reservation_time = std::chrono::milliseconds{2500};
 constexpr auto runs_per_term = std::uint64_t{1000};
-// A job that ends within this multiple of its time objective has partial value.
-constexpr auto late_factor = 3;
 
 // While less than this share of all processors is reserved, a best-effort task
 // that has waited for this long is placed regardless of the expected
@@ -51,46 +49,6 @@
 // task beside other runs; either exceeds the costs of packing and spreading.
 constexpr auto beside_suspect_cost = 5.0;
 
-/** Order in which steps are placed; lower first. */
-struct step_rank
-{
-    /** 0: long-running, 1: in time, 2: late with partial value, 3: later. */
-    std::uint32_t group = 0;
-    std::uint32_t priority = 0;
-    std::uint32_t not_begun = 1; ///< 0 if the job has started.
-    std::int64_t order_ms = 0;
-
-    auto operator<=>(step_rank const&) const = default; // NOLINT
-};
-
-auto rank_of(
-    job_entry const& job, step_entry const& step, queue_config const& queue,
-    double run_time_factor, std::int64_t now_ms) -> step_rank
-{
-    auto const& spec = job.spec(step);
-    auto const begin = std::max(job.record.accepted_ms, step.not_before_ms);
-    if (spec.long_running)
-    {
-        return {0, queue.priority, 0, begin};
-    }
-    auto const objective =
-        static_cast<std::int64_t>(
-            queue.stretch * static_cast<double>(job.critical_path_ms)) +
-        queue.allowance_ms;
-    auto const end =
-        now_ms + static_cast<std::int64_t>(
-                     run_time_factor *
-                     static_cast<double>(job.remaining_path_ms[step.step]));
-    auto const due = begin + objective;
-    auto const not_begun = job.start_ordered || job.started ? 0U : 1U;
-    if (end <= due)
-    {
-        return {1, queue.priority, not_begun, due};
-    }
-    auto const late = begin + late_factor * objective;
-    return {end <= late ? 2U : 3U, queue.priority, not_begun, due};
-}
-
 auto has_label(dispatch_worker const& worker, std::string const& label) -> bool
 {
     return label.empty() || worker.info.labels.contains(label);
@@ -186,17 +144,9 @@
     ranked.reserve(ready_steps.size());
     for (auto i = std::size_t{0}; i < ready_steps.size(); ++i)
     {
-        auto const& it = ready_steps[i];
-        auto const& step = it.job->steps[it.step];
-        auto const* const queue = find_queue(*it.job);
-        if (queue != nullptr && step.not_before_ms <= now_ms &&
-            !queue->needs_advice)
+        if (is_schedulable(ready_steps[i], now_ms))
         {
-            ranked.emplace_back(
-                rank_of(
-                    *it.job, step, *queue, it.job->queue->run_time_factor,
-                    now_ms),
-                i);
+            ranked.emplace_back(rank_of(ready_steps[i], now_ms), i);
         }
     }
     std::sort(ranked.begin(), ranked.end());
@@ -222,8 +172,11 @@
         {
             continue;
         }
+        auto const waiting = step.ready_tasks.size();
         auto const placed =
             spec.gang ? place_gang(it, now) : place_step(it, now);
+        it.job->queue->starts[rank.urgency] +=
+            waiting - step.ready_tasks.size();
         if (placed)
         {
             continue;
