--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -694,10 +694,8 @@
 auto dispatch_world::submit(state::job_plan plan) -> bool
 {
     auto stored_now = std::make_shared<std::optional<bool>>();
-    plans_[plan.id.value] = plan;
-    owner->submit(
-        std::move(plan), now(),
-        [stored_now](bool result) { *stored_now = result; });
+    submit(
+        std::move(plan), [stored_now](bool result) { *stored_now = result; });
     for (auto i = 0; i < 10 && !*stored_now; ++i)
     {
         step();
@@ -705,6 +703,13 @@
     return stored_now->value_or(false);
 }
 
+auto dispatch_world::submit(
+    state::job_plan plan, state::dispatcher::completion on_done) -> void
+{
+    plans_[plan.id.value] = plan;
+    owner->submit(std::move(plan), now(), std::move(on_done));
+}
+
 auto dispatch_world::cancel(std::string const& id) -> bool
 {
     auto stored_now = std::make_shared<std::optional<bool>>();
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -106,6 +106,9 @@
 
     /** Submits a job; returns true if it was stored within 100 ms. */
     auto submit(state::job_plan plan) -> bool;
+    /** Submits a job; @p on_done is called by a later run_for(), or at once. */
+    auto submit(state::job_plan plan, state::dispatcher::completion on_done)
+        -> void;
     auto cancel(std::string const& id) -> bool;
     [[nodiscard]] auto phase(std::string const& id) const
         -> std::optional<state::plan_phase>;
