Guarantee each queue half of its share of the starts, and place by priority before lateness

Callers saw one class hardly served while the owner could start fewer tasks than were asked for.

Half of the starts now go to the queues in proportion to the tasks that were submitted to them, the others by rank: priority, then steps in time, then late ones. Steps whose job has lost its value come last, the oldest first, with 5% of the starts. Each class so gets at least half of the share of its tasks that the starts allow, whatever the priorities.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -96,15 +96,34 @@
     core::time_point ready_since; ///< When `ready_tasks` last became non-empty.
 };
 
+/** Groups of steps in the order in which they are placed. */
+enum class step_group
+{
+    long_running, ///< Ends only when it is cancelled.
+    valuable,     ///< Can end while its job has value.
+    expired       ///< Cannot.
+};
+
 /** Order in which steps are placed; lower first. */
 struct step_rank
 {
-    step_urgency urgency = step_urgency::long_running;
-    std::uint32_t priority = 0;
+    step_group group = step_group::long_running;
+    std::uint32_t priority = 0;  ///< Of its queue; 0 if the step is expired.
+    std::uint32_t late = 0;      ///< 1 if it cannot end in time.
     std::uint32_t not_begun = 1; ///< 0 if the job has started.
     std::int64_t order_ms = 0;
 
     auto operator<=>(step_rank const&) const = default; // NOLINT
+
+    [[nodiscard]] auto urgency() const -> step_urgency
+    {
+        if (group == step_group::valuable)
+        {
+            return late == 0 ? step_urgency::in_time : step_urgency::late;
+        }
+        return group == step_group::expired ? step_urgency::expired
+                                            : step_urgency::long_running;
+    }
 };
 
 /** State of a queue. */
@@ -113,6 +132,25 @@
     queue_config const* config = nullptr; ///< Null if it is not configured.
     double run_time_factor = 1.0; ///< Mean of actual to declared run time.
     task_counts starts;           ///< Starts that were ordered, in total.
+    /** Tasks that were submitted, with an exponentially decaying weight. */
+    double offered_tasks = 0.0;
+    /** Starts of its guaranteed share that it has not had yet. */
+    double owed_starts = 0.0;
+};
+
+/** The steps of a queue that wait, or the expired ones of all queues. */
+struct step_flow
+{
+    queue_state* queue = nullptr; ///< Null: expired steps of all queues.
+    std::vector<std::pair<step_rank, std::size_t>> steps; ///< By rank.
+    std::size_t next = 0; ///< The first one that was not tried in this pass.
+    double share = 0.0;   ///< Guaranteed share of all starts.
+    double* owed_starts = nullptr;
+
+    [[nodiscard]] auto is_empty() const -> bool
+    {
+        return next == steps.size();
+    }
 };
 
 /** A job. */
@@ -630,6 +668,18 @@
         -> step_rank;
     [[nodiscard]] auto queue_counts() const
         -> std::map<queue_id, queue_task_counts>;
+    /** Counts the tasks of a job that was submitted or loaded. */
+    static auto count_offered(queue_state& queue, job_plan const& plan) -> void;
+    auto decay_offered(core::time_point now) -> void;
+    /** Returns the steps that may be placed, by queue. Long-running ones form
+     *  a flow of their own, as do expired ones. */
+    auto make_flows(std::int64_t now_ms) -> std::vector<step_flow>;
+    /** Returns the flow whose next step is placed, or null. */
+    static auto next_flow(std::vector<step_flow>& flows) -> step_flow*;
+    /** Charges @p starts to the guaranteed share of @p flow. */
+    static auto charge_starts(
+        std::vector<step_flow>& flows, step_flow& flow, std::size_t starts)
+        -> void;
 
     // Placement (dispatch_schedule.cpp)
     auto take_orders(core::time_point now) -> std::vector<run_order>;
@@ -816,6 +866,8 @@
     core::time_point last_pass_at; ///< Time of the last take_orders().
     interference_model interference{tail_model_settings()};
     std::map<queue_id, queue_state> queue_states;
+    core::time_point offered_decayed_at;
+    double expired_owed_starts = 0.0; ///< As queue_state::owed_starts.
     std::unordered_map<std::string, task_class_id> task_class_ids;
     std::vector<std::string> task_class_names{{}};     ///< By task_class_id.
     std::map<task_class_id, double> undisturbed_tails; ///< In ms.
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -53,6 +53,7 @@
 {
     recovering = true;
     loaded_at = now;
+    offered_decayed_at = now;
     stored_list_readable = stored.workers_readable;
     recovery_until = now + settings.previous_owner_validity +
                      with_drift(settings.lease_limit) + lease_margin;
@@ -106,6 +107,7 @@
         job->final_at = now;
         if (!is_final(job->phase))
         {
+            count_offered(*job->queue, record.plan);
             release_runnable_steps(job);
         }
     }
@@ -452,6 +454,7 @@
     auto const job = add_job(
         {std::move(plan), term, hooks.unix_ms(), true, queue->second.service});
     job->submitted = true;
+    count_offered(*job->queue, job->record.plan);
     event(
         "Job was submitted.", {{"job", job->record.plan.id.value},
                                {"queue", job->record.plan.queue.value},
--- a/state/dispatch_order.cpp
+++ b/state/dispatch_order.cpp
@@ -2,6 +2,8 @@
 #include "state/dispatch_internal.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace godwitcleat::state
 {
@@ -9,6 +11,14 @@
 namespace
 {
 
+// Half of the starts are divided among the queues in proportion to what was
+// submitted, so that no class is starved; the others go by rank.
+constexpr auto guaranteed_percent = 50;
+// Share of expired steps, so that the oldest job always makes progress.
+constexpr auto expired_percent = 5;
+// Bounds what a queue catches up on after its tasks have found no room.
+constexpr auto max_owed_starts = 64.0;
+constexpr auto offered_decay_time = std::chrono::seconds{10};
 // A job that ends within this multiple of its time objective has partial value.
 constexpr auto late_factor = 3;
 
@@ -39,7 +49,7 @@
     auto const begin = std::max(job.record.accepted_ms, step.not_before_ms);
     if (job.spec(step).long_running)
     {
-        return {step_urgency::long_running, queue.priority, 0, begin};
+        return {step_group::long_running, queue.priority, 0, 0, begin};
     }
     auto const objective = objective_ms(job, queue);
     auto const end =
@@ -48,11 +58,140 @@
                      static_cast<double>(job.remaining_path_ms[step.step]));
     auto const due = begin + objective;
     auto const late = begin + late_factor * objective;
-    auto const urgency = end <= due    ? step_urgency::in_time
-                         : end <= late ? step_urgency::late
-                                       : step_urgency::expired;
+    if (end > late)
+    {
+        return {step_group::expired, 0, 0, 0, due};
+    }
     auto const not_begun = job.start_ordered || job.started ? 0U : 1U;
-    return {urgency, queue.priority, not_begun, due};
+    return {
+        step_group::valuable, queue.priority, end > due ? 1U : 0U, not_begun,
+        due};
+}
+
+auto dispatcher::implementation::count_offered(
+    queue_state& queue, job_plan const& plan) -> void
+{
+    for (auto const& step : plan.steps)
+    {
+        queue.offered_tasks += step.long_running ? 0 : step.tasks;
+    }
+}
+
+auto dispatcher::implementation::decay_offered(core::time_point now) -> void
+{
+    auto const elapsed = std::chrono::duration<double>{
+        now - std::exchange(offered_decayed_at, now)};
+    auto const factor =
+        std::exp(-elapsed / std::chrono::duration<double>{offered_decay_time});
+    for (auto& [id, queue] : queue_states)
+    {
+        queue.offered_tasks *= factor;
+    }
+}
+
+auto dispatcher::implementation::make_flows(std::int64_t now_ms)
+    -> std::vector<step_flow>
+{
+    auto long_running = step_flow{};
+    auto expired = step_flow{};
+    auto flows = std::vector<step_flow>{};
+    auto flow_of = std::unordered_map<queue_state*, std::size_t>{};
+    auto offered = 0.0;
+    for (auto i = std::size_t{0}; i < ready_steps.size(); ++i)
+    {
+        auto const& it = ready_steps[i];
+        if (!is_schedulable(it, now_ms))
+        {
+            continue;
+        }
+        auto const rank = rank_of(it, now_ms);
+        if (rank.group != step_group::valuable)
+        {
+            auto& flow =
+                rank.group == step_group::expired ? expired : long_running;
+            flow.steps.emplace_back(rank, i);
+            continue;
+        }
+        auto* const queue = it.job->queue;
+        auto const [found, inserted] = flow_of.try_emplace(queue, flows.size());
+        if (inserted)
+        {
+            flows.push_back({queue, {}, 0, 0.0, &queue->owed_starts});
+            offered += queue->offered_tasks;
+        }
+        flows[found->second].steps.emplace_back(rank, i);
+    }
+    for (auto& it : flows)
+    {
+        auto const part = offered > 0.0
+                              ? it.queue->offered_tasks / offered
+                              : 1.0 / static_cast<double>(flows.size());
+        it.share = part * guaranteed_percent / 100;
+    }
+    if (!expired.steps.empty())
+    {
+        expired.share = static_cast<double>(expired_percent) / 100;
+        expired.owed_starts = &expired_owed_starts;
+        flows.push_back(std::move(expired));
+    }
+    if (!long_running.steps.empty())
+    {
+        flows.push_back(std::move(long_running));
+    }
+    for (auto& it : flows)
+    {
+        std::sort(it.steps.begin(), it.steps.end());
+    }
+    return flows;
+}
+
+auto dispatcher::implementation::next_flow(std::vector<step_flow>& flows)
+    -> step_flow*
+{
+    auto* best = static_cast<step_flow*>(nullptr);
+    auto const owed = [](step_flow const& it)
+    {
+        return it.owed_starts != nullptr && *it.owed_starts >= 1.0
+                   ? *it.owed_starts
+                   : 0.0;
+    };
+    for (auto& it : flows)
+    {
+        if (it.is_empty())
+        {
+            continue;
+        }
+        if (it.steps[it.next].first.group == step_group::long_running)
+        {
+            return &it;
+        }
+        if (best == nullptr || owed(it) > owed(*best) ||
+            (owed(it) == owed(*best) &&
+             it.steps[it.next] < best->steps[best->next]))
+        {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+auto dispatcher::implementation::charge_starts(
+    std::vector<step_flow>& flows, step_flow& flow, std::size_t starts) -> void
+{
+    auto const n = static_cast<double>(starts);
+    if (flow.owed_starts != nullptr)
+    {
+        auto& owed = *flow.owed_starts;
+        owed = owed >= 1.0 ? owed - n : std::max(owed - n, 0.0);
+    }
+    for (auto& it : flows)
+    {
+        if (it.owed_starts != nullptr && (!it.is_empty() || &it == &flow))
+        {
+            *it.owed_starts =
+                std::min(*it.owed_starts + n * it.share, max_owed_starts);
+        }
+    }
 }
 
 auto dispatcher::implementation::queue_counts() const
@@ -69,7 +208,7 @@
         if (is_schedulable(it, now_ms))
         {
             result[it.job->record.plan.queue]
-                .ready[rank_of(it, now_ms).urgency] +=
+                .ready[rank_of(it, now_ms).urgency()] +=
                 it.job->steps[it.step].ready_tasks.size();
         }
     }
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -139,17 +139,7 @@
             step.in_ready_steps = !step.ready_tasks.empty();
             return !step.in_ready_steps;
         });
-    auto const now_ms = hooks.unix_ms();
-    auto ranked = std::vector<std::pair<step_rank, std::size_t>>{};
-    ranked.reserve(ready_steps.size());
-    for (auto i = std::size_t{0}; i < ready_steps.size(); ++i)
-    {
-        if (is_schedulable(ready_steps[i], now_ms))
-        {
-            ranked.emplace_back(rank_of(ready_steps[i], now_ms), i);
-        }
-    }
-    std::sort(ranked.begin(), ranked.end());
+    auto flows = make_flows(hooks.unix_ms());
     mostly_free = is_mostly_free();
     update_startable_workers(now);
     previous_unplaceable_count = unplaceable.size();
@@ -158,12 +148,14 @@
     auto reserved = static_cast<std::size_t>(std::count_if(
         workers.begin(), workers.end(),
         [now](auto const& it) { return now < it.second->reserved_until; }));
-    for (auto const& [rank, i] : ranked)
+    while (starts_left > 0)
     {
-        if (starts_left == 0)
+        auto* const flow = next_flow(flows);
+        if (flow == nullptr)
         {
             break;
         }
+        auto const& [rank, i] = flow->steps[flow->next++];
         auto const it = ready_steps[i];
         auto const& step = it.job->steps[it.step];
         auto const& spec = it.job->spec(step);
@@ -175,8 +167,9 @@
         auto const waiting = step.ready_tasks.size();
         auto const placed =
             spec.gang ? place_gang(it, now) : place_step(it, now);
-        it.job->queue->starts[rank.urgency] +=
-            waiting - step.ready_tasks.size();
+        auto const started = waiting - step.ready_tasks.size();
+        it.job->queue->starts[rank.urgency()] += started;
+        charge_starts(flows, *flow, started);
         if (placed)
         {
             continue;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -676,6 +676,7 @@
 
 auto dispatcher::implementation::tick(core::time_point now) -> void
 {
+    decay_offered(now);
     for (auto& [id, worker] : workers)
     {
         if (!worker->runs.empty() && now > worker->lease_until)
