Refuse jobs that cannot end in time while starts are scarce

While a pass has no starts left for steps that wait in time, a new job of their queue is refused with no_capacity (429, Retry-After) if its first tasks would start too late for its objective. It is not stored. An instance answers unknown_outcome in place of that refusal if an earlier try of the same call may still reach the owner.

dispatch_overload.a_job_that_cannot_end_in_time_is_refused fails without it (nothing refused).

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -43,6 +43,7 @@
     auto answer = protocol::job_answer{};
     answer.error = reason.kind;
     answer.message = reason.message;
+    answer.retry_after_s = reason.retry_after_s;
     return answer;
 }
 
@@ -645,6 +646,7 @@
                    {"other", it.ends_other},
                    {"lost", it.runs_lost},
                    {"evicted", it.evictions},
+                   {"refused", it.jobs_refused},
                    {"loop_delay_ms", loop_delay_ms},
                    {"start_time_ms", start_time_ms}});
     report_queues();
--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -27,6 +27,19 @@
 
 } // namespace
 
+auto settled_answer(protocol::job_answer answer, bool maybe_done)
+    -> protocol::job_answer
+{
+    auto const refused = answer.error == core::error_kind::unavailable ||
+                         answer.error == core::error_kind::no_capacity;
+    if (refused && maybe_done)
+    {
+        answer.error = core::error_kind::unknown_outcome;
+        answer.retry_after_s = 0;
+    }
+    return answer;
+}
+
 /** One call until it has an answer. */
 struct job_router::attempt
 {
@@ -219,11 +232,7 @@
         it->maybe_done = true;
         return retry(it);
     }
-    if (answer.error == core::error_kind::unavailable && it->maybe_done)
-    {
-        answer.error = core::error_kind::unknown_outcome;
-    }
-    finish(it, std::move(answer));
+    finish(it, settled_answer(std::move(answer), it->maybe_done));
 }
 
 auto job_router::retry(std::shared_ptr<attempt> const& it) -> void
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -36,6 +36,14 @@
     core::duration refuse_after = std::chrono::milliseconds{600};
 };
 
+/**
+ * Returns the answer to a caller whose call the owner has answered. A refusal
+ * is not passed on as such if an earlier try of the call may still reach the
+ * owner, which might accept that one.
+ */
+auto settled_answer(protocol::job_answer answer, bool maybe_done)
+    -> protocol::job_answer;
+
 /**
  * Answers calls about jobs on any instance: here if it owns the jobs, else
  * through the owner's peer port, or through another instance that knows the
--- a/core/error_type.hpp
+++ b/core/error_type.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_CORE_ERROR_TYPE_HPP
 #define GODWITCLEAT_CORE_ERROR_TYPE_HPP
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,7 @@
 {
     error_kind kind = error_kind::none; ///< What went wrong.
     std::string message;                ///< One sentence with the remedy.
+    std::int64_t retry_after_s = 0;     ///< When to retry; 0: not known.
 };
 
 /**
--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -117,6 +117,7 @@
     visit("message", value.message);
     visit("phase", value.phase);
     visit("waiting", value.waiting);
+    visit("retry_after_s", value.retry_after_s);
 }
 
 auto visit_members(is<owner_record> auto& value, auto&& visit) -> void
--- a/protocol/plan_message_type.hpp
+++ b/protocol/plan_message_type.hpp
@@ -38,6 +38,7 @@
     std::string message; ///< Set with an error; names the remedy.
     state::plan_phase phase = state::plan_phase::queued;
     std::uint64_t waiting = 0;
+    std::int64_t retry_after_s = 0; ///< When to submit again; 0: not known.
 };
 
 /** The owner of the jobs, as the store names it. */
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -38,6 +38,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/** A job that ends within this multiple of its time objective has partial
+ * value.
+ */
+constexpr auto late_factor = 3;
+
+/** Returns the time objective of a job with this critical path. */
+auto objective_ms(std::int64_t path_ms, queue_config const& queue)
+    -> std::int64_t;
+
 /** State of a task. */
 enum class task_state
 {
@@ -126,6 +135,22 @@
     }
 };
 
+/** How long the first tasks of new jobs of a queue wait for their starts. */
+struct start_backlog
+{
+    /** Tasks of first steps for which the last pass had no starts left, and
+     *  those that were submitted since. */
+    std::uint64_t waiting_tasks = 0;
+    double waited_s = 0.0;    ///< Time in which tasks waited; decays.
+    double starts = 0.0;      ///< Starts of first steps in that time; decays.
+    double mean_wait_s = 0.0; ///< Of the tasks that were started last.
+
+    /** Returns the time until @p tasks more have been started after those that
+     *  wait; 0 if new tasks do not wait. */
+    [[nodiscard]] auto expected_wait(std::uint64_t tasks) const
+        -> core::duration;
+};
+
 /** State of a queue. */
 struct queue_state
 {
@@ -136,6 +161,7 @@
     double offered_tasks = 0.0;
     /** Starts of its guaranteed share that it has not had yet. */
     double owed_starts = 0.0;
+    start_backlog backlog;
 };
 
 /** The steps of a queue that wait, or the expired ones of all queues. */
@@ -681,6 +707,26 @@
         std::vector<step_flow>& flows, step_flow& flow, std::size_t starts)
         -> void;
 
+    // Admission of jobs (dispatch_admission.cpp)
+    /**
+     * Returns true if a new job is accepted. Else core::last_reason() is set:
+     * no_capacity, and when to retry. While tasks of the queue wait, a job is
+     * accepted only if it is expected to end within its time objective, counted
+     * from its first submit.
+     */
+    auto
+    admit(job_plan const& plan, queue_config const& config, queue_state& queue)
+        -> bool;
+    /** Adds the time since the last pass to the backlogs. */
+    auto measure_backlogs(core::time_point now) -> void;
+    /** Counts the tasks that a pass has started. */
+    auto count_first_starts(
+        ready_step const& it, step_rank const& rank, std::size_t starts,
+        core::time_point now) -> void;
+    /** Counts the tasks that a pass has left waiting. */
+    auto count_waiting(std::vector<step_flow> const& flows) -> void;
+    auto forget_refused_jobs() -> void;
+
     // Placement (dispatch_schedule.cpp)
     auto take_orders(core::time_point now) -> std::vector<run_order>;
     [[nodiscard]] auto startable_workers_for(queue_config const& queue) const
@@ -867,6 +913,9 @@
     interference_model interference{tail_model_settings()};
     std::map<queue_id, queue_state> queue_states;
     core::time_point offered_decayed_at;
+    core::time_point backlogs_measured_at;
+    /** When jobs that were refused were first submitted, in Unix time. */
+    std::unordered_map<std::string, std::int64_t> refused_jobs;
     double expired_owed_starts = 0.0; ///< As queue_state::owed_starts.
     std::unordered_map<std::string, task_class_id> task_class_ids;
     std::vector<std::string> task_class_names{{}};     ///< By task_class_id.
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -54,6 +54,7 @@
     recovering = true;
     loaded_at = now;
     offered_decayed_at = now;
+    backlogs_measured_at = now;
     stored_list_readable = stored.workers_readable;
     recovery_until = now + settings.previous_owner_validity +
                      with_drift(settings.lease_limit) + lease_margin;
@@ -451,10 +452,18 @@
             fmt::format("queue {} does not exist", plan.queue.value));
         return on_done(false);
     }
+    auto& state = queue_state_of(plan.queue);
+    if (!refused_jobs.contains(plan.id.value))
+    {
+        count_offered(state, plan);
+    }
+    if (!admit(plan, queue->second, state))
+    {
+        return on_done(false);
+    }
     auto const job = add_job(
         {std::move(plan), term, hooks.unix_ms(), true, queue->second.service});
     job->submitted = true;
-    count_offered(*job->queue, job->record.plan);
     event(
         "Job was submitted.", {{"job", job->record.plan.id.value},
                                {"queue", job->record.plan.queue.value},
--- a/state/dispatch_order.cpp
+++ b/state/dispatch_order.cpp
@@ -19,19 +19,16 @@
 // Bounds what a queue catches up on after its tasks have found no room.
 constexpr auto max_owed_starts = 64.0;
 constexpr auto offered_decay_time = std::chrono::seconds{10};
-// A job that ends within this multiple of its time objective has partial value.
-constexpr auto late_factor = 3;
+} // namespace
 
-auto objective_ms(job_entry const& job, queue_config const& queue)
+auto objective_ms(std::int64_t path_ms, queue_config const& queue)
     -> std::int64_t
 {
     return static_cast<std::int64_t>(
-               queue.stretch * static_cast<double>(job.critical_path_ms)) +
+               queue.stretch * static_cast<double>(path_ms)) +
            queue.allowance_ms;
 }
 
-} // namespace
-
 auto dispatcher::implementation::is_schedulable(
     ready_step const& it, std::int64_t now_ms) -> bool
 {
@@ -51,7 +48,7 @@
     {
         return {step_group::long_running, queue.priority, 0, 0, begin};
     }
-    auto const objective = objective_ms(job, queue);
+    auto const objective = objective_ms(job.critical_path_ms, queue);
     auto const end =
         now_ms + static_cast<std::int64_t>(
                      job.queue->run_time_factor *
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -76,6 +76,10 @@
         {
             schedule(now);
         }
+        else
+        {
+            backlogs_measured_at = now; // The wait is not for other tasks.
+        }
         add_stop_orders(now);
     }
     return std::exchange(orders, {});
@@ -139,6 +143,7 @@
             step.in_ready_steps = !step.ready_tasks.empty();
             return !step.in_ready_steps;
         });
+    measure_backlogs(now);
     auto flows = make_flows(hooks.unix_ms());
     mostly_free = is_mostly_free();
     update_startable_workers(now);
@@ -170,6 +175,7 @@
         auto const started = waiting - step.ready_tasks.size();
         it.job->queue->starts[rank.urgency()] += started;
         charge_starts(flows, *flow, started);
+        count_first_starts(it, rank, started, now);
         if (placed)
         {
             continue;
@@ -190,6 +196,7 @@
             reserved -= std::min(reserved, waiting);
         }
     }
+    count_waiting(flows);
     schedule_due = schedule_due || starts_left == 0;
 }
 
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -677,6 +677,7 @@
 auto dispatcher::implementation::tick(core::time_point now) -> void
 {
     decay_offered(now);
+    forget_refused_jobs();
     for (auto& [id, worker] : workers)
     {
         if (!worker->runs.empty() && now > worker->lease_until)
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -92,3 +92,102 @@
         EXPECT_TRUE(world->violations.empty());
     }
 }
+
+// Guards against a queue of low priority that gets nothing while one of higher
+// priority has more tasks than can be started.
+TEST(dispatch_overload, a_queue_of_low_priority_keeps_a_part_of_its_share)
+{
+    auto const world = make_world(40, 200'000, 120);
+    auto checks = quick_checks();
+    checks.jobs_per_s = 80;
+    auto load = tests::played_load{*world, {checks, large_reservations()}};
+    load.run_for(warm_up_ms + play_ms);
+    load.finish(finish_ms);
+    EXPECT_GE(load.result_of("reserve").credit(), load.whole() / 3)
+        << load.whole();
+    EXPECT_GE(load.result_of("check").credit(), load.whole() / 3)
+        << load.whole();
+}
+
+// Guards against jobs that are accepted although they cannot end in time: they
+// use starts that others need, and their callers wait for nothing.
+TEST(dispatch_overload, a_job_that_cannot_end_in_time_is_refused)
+{
+    auto const world = make_world(40, 200'000, 120);
+    auto load =
+        tests::played_load{*world, {quick_checks(), large_reservations()}};
+    load.run_for(warm_up_ms);
+    auto const before = world->owner->counts(world->now()).starts;
+    load.run_for(play_ms);
+    auto const started = world->owner->counts(world->now()).starts - before;
+    load.finish(finish_ms);
+    constexpr auto offered_per_s = 1225;
+    constexpr auto ms_per_s = 1000;
+    auto const bound =
+        static_cast<double>(started) / (offered_per_s * play_ms / ms_per_s);
+    EXPECT_GE(load.whole(), bound * 3 / 4) << bound;
+    auto const& result = load.result_of("reserve");
+    EXPECT_GT(result.refused, result.jobs / 3);
+    EXPECT_GE((result.in_time + result.late) * 10, result.accepted * 7);
+    EXPECT_EQ(result.refused + result.accepted, result.jobs);
+    EXPECT_TRUE(world->violations.empty());
+}
+
+// Guards against refusals on days that can be served.
+TEST(dispatch_overload, nothing_is_refused_while_tasks_start_at_once)
+{
+    auto const world = make_world(40, 200'000, 30);
+    auto load =
+        tests::played_load{*world, {quick_checks(), large_reservations()}};
+    load.run_for(warm_up_ms);
+    load.run_for(2000, 2.0);
+    load.run_for(play_ms);
+    load.finish(finish_ms);
+    for (auto const* const queue : {"check", "reserve"})
+    {
+        EXPECT_EQ(load.result_of(queue).refused, 0) << queue;
+        EXPECT_GE(load.result_of(queue).credit(), 0.95) << queue;
+    }
+}
+
+// Guards against jobs that fit on no worker and have others refused.
+TEST(dispatch_overload, jobs_that_fit_nowhere_refuse_no_others)
+{
+    auto const world = make_world(40, 200'000, 30);
+    auto hopeless = large_reservations();
+    hopeless.queue.queue = state::queue_id{"hopeless"};
+    hopeless.need = {1'000'000, 100, 0};
+    auto checks = quick_checks();
+    auto mixed = hopeless;
+    mixed.queue = checks.queue;
+    mixed.jobs_per_s = 12;
+    auto load = tests::played_load{*world, {checks, hopeless, mixed}};
+    load.run_for(warm_up_ms + play_ms);
+    EXPECT_EQ(load.result_of("check").refused, 0);
+    EXPECT_EQ(load.result_of("hopeless").refused, 0);
+}
+
+// Guards against a refused job that runs, and against one that is still refused
+// once there is room.
+TEST(dispatch_overload, a_refused_job_runs_only_if_it_is_submitted_again)
+{
+    auto const world = make_world(40, 200'000, 120);
+    auto load =
+        tests::played_load{*world, {quick_checks(), large_reservations()}};
+    load.run_for(warm_up_ms + play_ms, 2.0);
+    auto plan = tests::make_plan("1-refused", 20, 1000);
+    plan.queue = state::queue_id{"reserve"};
+    plan.steps.front().expected_run_ms = 1700;
+    ASSERT_FALSE(world->submit(plan));
+    EXPECT_EQ(core::last_reason().kind, core::error_kind::no_capacity);
+    EXPECT_GE(core::last_reason().retry_after_s, 1);
+    EXPECT_EQ(world->phase("1-refused"), std::nullopt);
+    load.finish(finish_ms);
+    for (auto const& it : world->starts)
+    {
+        EXPECT_FALSE(it.starts_with("1-refused.")) << it;
+    }
+    EXPECT_TRUE(world->submit(plan));
+    world->run_for(5000);
+    EXPECT_EQ(world->phase("1-refused"), state::plan_phase::completed);
+}
