Shrink the number of starts in flight while the owner's link is full

A start without an answer for 200 ms did not count as pending, so an owner whose link was full sent up to 64 more each 200 ms; renewals of leases and looks timed out behind them, leases lapsed, and tasks that had ended were started again.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -4,6 +4,7 @@
 
 #include "state/dispatch_base.hpp"
 #include "state/interference_base.hpp"
+#include "state/start_window_base.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -739,6 +740,8 @@
     auto schedule(core::time_point now) -> void;
     [[nodiscard]] auto count_pending_starts(core::time_point now) const
         -> std::size_t;
+    /** Adapts the window to the ages of the starts without an answer. */
+    auto adapt_window(core::time_point now) -> void;
     [[nodiscard]] auto count_pending_stops(core::time_point now) const
         -> std::size_t;
     auto place_step(ready_step const& it, core::time_point now) -> bool;
@@ -876,6 +879,7 @@
     std::vector<unplaceable_need> unplaceable;
     std::size_t previous_unplaceable_count = 0; ///< Entries before this pass.
     std::size_t starts_left = 0;                ///< That this pass may send.
+    start_window window;
     std::vector<run_order> orders;
     std::vector<stored_start> stored_starts;
     /** Tasks in task_state::unknown that wait for their stored worker only. */
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -101,9 +101,11 @@
     {
         result += std::count_if(
             worker->runs.begin(), worker->runs.end(),
-            [now](run_entry const& it) {
+            [&](run_entry const& it)
+            {
                 return it.start_pending &&
-                       now - it.ordered_at < max_answer_time;
+                       (window.is_congested() ||
+                        now - it.ordered_at < max_answer_time);
             });
     }
     return result;
@@ -125,11 +127,37 @@
     return result;
 }
 
+auto dispatcher::implementation::adapt_window(core::time_point now) -> void
+{
+    constexpr auto min_pending = std::size_t{4};
+    auto ages = std::vector<core::duration>{};
+    for (auto const& [id, worker] : workers)
+    {
+        for (auto const& run : worker->runs)
+        {
+            if (run.start_pending)
+            {
+                ages.push_back(now - run.ordered_at);
+            }
+        }
+    }
+    auto median = std::optional<core::duration>{};
+    if (ages.size() >= min_pending)
+    {
+        auto const middle =
+            ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
+        std::nth_element(ages.begin(), middle, ages.end());
+        median = *middle;
+    }
+    window.adapt(now, median);
+}
+
 auto dispatcher::implementation::schedule(core::time_point now) -> void
 {
+    adapt_window(now);
     auto const pending = count_pending_starts(now);
-    starts_left = settings.max_pending_starts -
-                  std::min(settings.max_pending_starts, pending);
+    auto const allowed = window.size(settings.max_pending_starts);
+    starts_left = allowed - std::min(allowed, pending);
     if (starts_left == 0)
     {
         schedule_due = true;
@@ -666,7 +694,7 @@
                 retry_run(*worker, *i, now);
                 return true;
             }
-            if (pending >= settings.max_pending_starts)
+            if (pending >= window.size(settings.max_pending_starts))
             {
                 return false;
             }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -28,6 +28,8 @@
 constexpr auto poll_pause_step = core::duration{std::chrono::milliseconds{40}};
 constexpr auto max_extra_poll_pause =
     core::duration{std::chrono::milliseconds{600}};
+// Part of a lease in which the next hold is sent, but for late answers.
+constexpr auto max_cycle_percent = 50;
 // Contact is often regained sooner; naming the tasks of a worker in the store
 // costs a write, and another one before its next start.
 constexpr auto min_lost_time = std::chrono::milliseconds{500};
@@ -366,6 +368,10 @@
             worker.serving_runs > 0 && worker.best_effort_runs > 0;
         order.wait = is_shared ? std::min(settings.hold_wait, shared_hold_wait)
                                : settings.hold_wait;
+        // The next hold renews the lease; answers may be late as well.
+        auto const max_wait =
+            settings.lease_limit * max_cycle_percent / 100 - extra_poll_pause;
+        order.wait = std::max(core::duration{}, std::min(order.wait, max_wait));
         if (worker.stored_with_lease && !worker.is_emptied())
         {
             order.wait = core::duration{}; // To renew its lease soon.
@@ -633,6 +639,7 @@
     {
     case order_result::accepted:
         run.start_confirmed_at = now;
+        window.answered(now - run.ordered_at);
         min_answer_time = std::min(
             min_answer_time.value_or(core::duration::max()),
             now - run.ordered_at);
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -191,3 +191,32 @@
     world->run_for(5000);
     EXPECT_EQ(world->phase("1-refused"), state::plan_phase::completed);
 }
+
+// Guards against an owner that fills its own link with starts: its calls time
+// out, leases lapse, and tasks that have ended run again.
+TEST(dispatch_overload, a_full_link_loses_no_calls)
+{
+    constexpr auto starts_per_s = 100;
+    constexpr auto ms_per_s = 1000;
+    auto const world = make_world(160, 20'000, 5);
+    world->holds_wait = true;
+    auto load =
+        tests::played_load{*world, {quick_checks(), large_reservations()}};
+    load.run_for(warm_up_ms, 0.05);
+    world->link_ms_per_start = ms_per_s / starts_per_s;
+    load.run_for(warm_up_ms);
+    world->orders_given_up = 0;
+    world->holds_given_up = 0;
+    auto const before = world->owner->counts(world->now());
+    load.run_for(play_ms);
+    auto const after = world->owner->counts(world->now());
+    EXPECT_EQ(world->orders_given_up, 0U);
+    EXPECT_EQ(world->holds_given_up, 0U);
+    EXPECT_EQ(after.runs_lost, 0U);
+    EXPECT_GE(
+        after.ends_done - before.ends_done,
+        starts_per_s * play_ms / ms_per_s * 7 / 10);
+    EXPECT_GE(
+        load.result_of("reserve").refused, load.result_of("reserve").jobs / 2);
+    EXPECT_TRUE(world->violations.empty());
+}
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -15,6 +15,7 @@
 
 constexpr auto step_ms = std::int64_t{10};
 constexpr auto idle_write_interval_ms = std::int64_t{600};
+constexpr auto call_timeout_ms = std::int64_t{700};
 
 auto is_same_run(fake_run const& run, state::run_order const& order) -> bool
 {
@@ -223,6 +224,13 @@
     {
         ++holds;
         auto& worker = workers_.at(order.worker.value);
+        if (send_over_link(0) > call_timeout_ms)
+        {
+            ++holds_given_up;
+            owner->hold_answered(
+                order, state::order_result::unknown, std::nullopt, now());
+            continue;
+        }
         if (!worker.reachable)
         {
             owner->hold_answered(
@@ -335,6 +343,16 @@
 {
     auto& worker = workers_.at(order.worker.value);
     auto result = worker.unreachable_result;
+    auto const link_ms = send_over_link(
+        order.kind == state::run_order_kind::start ? link_ms_per_start : 0);
+    if (link_ms > call_timeout_ms)
+    {
+        ++orders_given_up;
+        late_answers_.push_back(
+            {now_ms_ + call_timeout_ms, term, order,
+             state::order_result::unknown});
+        return;
+    }
     if (worker.reachable && worker.delays_starts &&
         order.kind == state::run_order_kind::start)
     {
@@ -355,10 +373,17 @@
             result = state::order_result::unknown;
         }
     }
-    late_answers_.push_back({now_ms_ + answer_delay_ms, term, order, result});
+    late_answers_.push_back(
+        {now_ms_ + answer_delay_ms + link_ms, term, order, result});
     pass_on_answers();
 }
 
+auto dispatch_world::send_over_link(std::int64_t ms) -> std::int64_t
+{
+    link_free_at_ms_ = std::max(link_free_at_ms_, now_ms_) + ms;
+    return link_free_at_ms_ - now_ms_;
+}
+
 auto dispatch_world::pass_on_answers() -> void
 {
     while (!late_answers_.empty() && late_answers_.front().due_ms <= now_ms_)
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -136,6 +136,11 @@
     bool loses_stop_orders = false; ///< Stop orders are lost.
     /** Order answers reach the dispatcher this much later. */
     std::int64_t answer_delay_ms = 0;
+    /** Time that a start takes of the owner's link, which orders and holds pass
+     *  one after the other. What takes over 700 ms is given up. */
+    std::int64_t link_ms_per_start = 0;
+    std::size_t orders_given_up = 0; ///< By a full link.
+    std::size_t holds_given_up = 0;  ///< By a full link.
     core::epoch term;
     std::unique_ptr<state::dispatcher> owner;
     state::dispatch_snapshot stored;
@@ -153,6 +158,9 @@
     auto advance_worker(fake_dispatch_worker& worker) -> void;
     auto answer_holds() -> void;
     auto carry_out(state::run_order const& order) -> void;
+    /** Returns the time until the link has sent a message that takes @p ms of
+     *  it; over call_timeout_ms: it is given up. */
+    auto send_over_link(std::int64_t ms) -> std::int64_t;
     auto pass_on_answers() -> void;
     auto
     apply_order(fake_dispatch_worker& worker, state::run_order const& order)
@@ -215,6 +223,7 @@
     };
 
     std::int64_t now_ms_ = 1'000'000;
+    std::int64_t link_free_at_ms_ = 0;
     std::deque<late_answer> late_answers_;
     std::map<std::string, fake_dispatch_worker> workers_;
     /** The list that `owner` has; it is passed on only when it changes. */
