--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -93,6 +93,26 @@
     }
 }
 
+// The same while the workers have too little room.
+TEST(dispatch_overload, no_class_is_starved_while_workers_are_scarce)
+{
+    // Both classes together need 1,880 processors.
+    for (auto const cpu_milli : {35'000, 24'000, 12'000})
+    {
+        auto const world = make_world(40, cpu_milli, 10);
+        auto load =
+            tests::played_load{*world, {quick_checks(), large_reservations()}};
+        load.run_for(warm_up_ms + play_ms);
+        load.finish(finish_ms);
+        for (auto const* const queue : {"check", "reserve"})
+        {
+            EXPECT_GE(load.result_of(queue).credit(), load.whole() / 3)
+                << queue << " with " << cpu_milli << " of " << load.whole();
+        }
+        EXPECT_TRUE(world->violations.empty());
+    }
+}
+
 // Guards against a queue of low priority that gets nothing while one of higher
 // priority has more tasks than can be started.
 TEST(dispatch_overload, a_queue_of_low_priority_keeps_a_part_of_its_share)
