--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -130,6 +130,10 @@
 auto dispatcher::implementation::adapt_window(core::time_point now) -> void
 {
     constexpr auto min_pending = std::size_t{4};
+    if (!window.is_due(now))
+    {
+        return;
+    }
     auto ages = std::vector<core::duration>{};
     for (auto const& [id, worker] : workers)
     {
--- a/state/start_window_base.cpp
+++ b/state/start_window_base.cpp
@@ -34,7 +34,7 @@
 auto start_window::adapt(
     core::time_point now, std::optional<core::duration> pending_age) -> void
 {
-    if (now < next_adaptation_)
+    if (!is_due(now))
     {
         return;
     }
--- a/state/start_window_base.hpp
+++ b/state/start_window_base.hpp
@@ -22,6 +22,12 @@
     /** Counts an answer that came @p answer_time after its start. */
     auto answered(core::duration answer_time) -> void;
 
+    /** Returns true if adapt() is due. */
+    [[nodiscard]] auto is_due(core::time_point now) const -> bool
+    {
+        return now >= next_adaptation_;
+    }
+
     /**
      * Adapts the window, if it is due.
      * @param pending_age median age of the starts without an answer; unset if
