Let the rate of starts of an earlier overload fade

The figures behind a refusal were kept while nothing waited, so that the first tasks that wait much later were judged by them. They decay now in any case. dispatch_overload.an_earlier_overload_refuses_nothing_later passes with and without this change: there the wait of the last starts already prevents it. Found by reading.

--- a/state/dispatch_admission.cpp
+++ b/state/dispatch_admission.cpp
@@ -139,11 +139,10 @@
     for (auto& [id, queue] : queue_states)
     {
         auto& backlog = queue.backlog;
-        if (backlog.waiting_tasks > 0)
-        {
-            backlog.waited_s = backlog.waited_s * factor + elapsed;
-            backlog.starts *= factor;
-        }
+        auto const waits = backlog.waiting_tasks > 0;
+        backlog.waited_s = backlog.waited_s * factor + (waits ? elapsed : 0.0);
+        backlog.starts *= factor;
+        backlog.mean_wait_s *= waits ? 1.0 : factor;
     }
 }
 
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -170,6 +170,27 @@
     }
 }
 
+// Guards against refusals by the rate of starts of an earlier overload.
+TEST(dispatch_overload, an_earlier_overload_refuses_nothing_later)
+{
+    auto const world = make_world(40, 200'000, 180);
+    auto load =
+        tests::played_load{*world, {quick_checks(), large_reservations()}};
+    load.run_for(warm_up_ms + play_ms);
+    load.finish(finish_ms);
+    world->answer_delay_ms = 30;
+    load.run_for(10'000, 0.2);
+    auto const refused = [&load]
+    {
+        return load.result_of("check").refused +
+               load.result_of("reserve").refused;
+    };
+    auto const before = refused();
+    load.run_for(2000, 2.0);
+    load.run_for(play_ms);
+    EXPECT_EQ(refused(), before);
+}
+
 // Guards against jobs that fit on no worker and have others refused.
 TEST(dispatch_overload, jobs_that_fit_nowhere_refuse_no_others)
 {
