--- a/standins/soak/soak_link.hpp
+++ b/standins/soak/soak_link.hpp
@@ -29,11 +29,13 @@
     bool mutes_open = false;        ///< Open ones pass nothing any more.
     std::array<bool, 2> mutes = {}; ///< All, what the side sends.
     milliseconds delay = {};        ///< Of each piece.
+    std::int64_t bytes_per_s = 0;   ///< Of each connection; 0: no limit.
 };
 
 constexpr auto passing = link_trouble{};
-constexpr auto link_troubles = std::array<link_trouble, 9>{
-    {{"delayed", false, false, false, {}, milliseconds{150}},
+constexpr auto link_troubles = std::array<link_trouble, 10>{
+    {{"slow", false, false, false, {}, {}, 20'000},
+     {"delayed", false, false, false, {}, milliseconds{150}},
      {"much delayed", false, false, false, {}, milliseconds{1500}},
      {"refusing", true, true},
      {"reset", true},
@@ -79,6 +81,7 @@
         muted_[0] = muted_[0] || all || trouble.mutes[0];
         muted_[1] = muted_[1] || all || trouble.mutes[1];
         delay_ = trouble.delay;
+        bytes_per_s_ = trouble.bytes_per_s;
     }
 
     auto reset() -> void
@@ -109,13 +112,21 @@
             asio::buffer(chunks_.at(from)),
             [self = shared_from_this(), from](error_code ec, std::size_t n)
             {
-                self->timers_.at(from).expires_after(self->delay_);
+                self->timers_.at(from).expires_after(self->time_of(n));
                 self->timers_.at(from).async_wait(
                     [self, from, ec, n](error_code)
                     { self->pass(from, ec, n); });
             });
     }
 
+    [[nodiscard]] auto time_of(std::size_t bytes) const -> milliseconds
+    {
+        constexpr auto ms_per_s = std::int64_t{1000};
+        auto const n = static_cast<std::int64_t>(bytes);
+        return delay_ +
+               milliseconds{bytes_per_s_ > 0 ? n * ms_per_s / bytes_per_s_ : 0};
+    }
+
     auto pass(std::size_t from, error_code ec, std::size_t n) -> void
     {
         if (muted_.at(from) || !is_open())
@@ -137,6 +148,7 @@
     std::array<std::array<char, 16384>, 2> chunks_{};
     std::array<bool, 2> muted_{};
     milliseconds delay_{};
+    std::int64_t bytes_per_s_ = 0;
 };
 
 /** Passes connections on to another address. Thread-safe. */
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -141,7 +141,7 @@
     load.run_for(play_ms);
     auto const started = world->owner->counts(world->now()).starts - before;
     load.finish(finish_ms);
-    constexpr auto offered_per_s = 1225;
+    constexpr auto offered_per_s = 1225.0;
     constexpr auto ms_per_s = 1000;
     auto const bound =
         static_cast<double>(started) / (offered_per_s * play_ms / ms_per_s);
