--- a/tests/support/played_load_base.cpp
+++ b/tests/support/played_load_base.cpp
@@ -30,6 +30,19 @@
     return plan;
 }
 
+auto make_queue(std::string name, std::uint32_t priority, double stretch)
+    -> state::queue_config
+{
+    auto queue = state::queue_config{};
+    queue.queue = state::queue_id{std::move(name)};
+    queue.service = core::service_id{"s"};
+    queue.priority = priority;
+    queue.max_failures = 3;
+    queue.stretch = stretch;
+    queue.allowance_ms = priority == 0 ? 300 : 1000;
+    return queue;
+}
+
 } // namespace
 
 played_load::played_load(dispatch_world& world, std::vector<load_class> classes)
@@ -149,4 +162,42 @@
         .count();
 }
 
+auto quick_checks() -> load_class
+{
+    auto load = load_class{};
+    load.queue = make_queue("check", 0, 1.5);
+    load.jobs_per_s = 12.5;
+    load.steps = 2;
+    load.tasks = 9;
+    load.run_ms = 800;
+    load.declared_run_ms = 700;
+    return load;
+}
+
+auto large_reservations() -> load_class
+{
+    auto load = load_class{};
+    load.queue = make_queue("reserve", 2, 2.0);
+    load.jobs_per_s = 25;
+    load.steps = 2;
+    load.tasks = 20;
+    load.run_ms = 1700;
+    load.declared_run_ms = 1700;
+    return load;
+}
+
+auto make_world(int workers, std::int64_t cpu_milli, std::int64_t answer_ms)
+    -> std::unique_ptr<dispatch_world>
+{
+    auto world = std::make_unique<dispatch_world>();
+    for (auto i = 0; i < workers; ++i)
+    {
+        world->add_worker(fmt::format("w{:02}", i), {cpu_milli, 10'000'000, 0});
+    }
+    world->begin_term();
+    world->run_for(300);
+    world->answer_delay_ms = answer_ms;
+    return world;
+}
+
 } // namespace godwitcleat::tests
--- a/tests/support/played_load_base.hpp
+++ b/tests/support/played_load_base.hpp
@@ -5,6 +5,7 @@
 #include "tests/support/dispatch_world_base.hpp"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,17 @@
     int submitted_ = 0;
 };
 
+/** Small jobs with a tight time objective; 225 tasks a second. */
+auto quick_checks() -> load_class;
+
+/** Large jobs with more time; 1,000 tasks a second. */
+auto large_reservations() -> load_class;
+
+/** Returns a world of @p workers whose starts are answered after @p answer_ms,
+ *  which with 64 starts at a time limits how many there are in a second. */
+auto make_world(int workers, std::int64_t cpu_milli, std::int64_t answer_ms)
+    -> std::unique_ptr<dispatch_world>;
+
 } // namespace godwitcleat::tests
 
 #endif
