Say why the clock of the backlogs is set, and share the times of the overload tests

Two comments did not tell their reason. The durations that both overload tests use stand once, in played_load_base.hpp; an unused include goes. No behaviour, bound or assertion changes.

--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -78,7 +78,8 @@
         }
         else
         {
-            backlogs_measured_at = now; // The wait is not for other tasks.
+            // No start is allowed, which tells nothing about their rate.
+            backlogs_measured_at = now;
         }
         add_stop_orders(now);
     }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -28,7 +28,8 @@
 constexpr auto poll_pause_step = core::duration{std::chrono::milliseconds{40}};
 constexpr auto max_extra_poll_pause =
     core::duration{std::chrono::milliseconds{600}};
-// Part of a lease in which the next hold is sent, but for late answers.
+// The wait of a hold and the pause after it take at most this part of a lease,
+// so that the next hold renews it even if the answer is late.
 constexpr auto max_cycle_percent = 50;
 // Contact is often regained sooner; naming the tasks of a worker in the store
 // costs a write, and another one before its next start.
--- a/tests/dispatch_admission_test.cpp
+++ b/tests/dispatch_admission_test.cpp
@@ -6,14 +6,9 @@
 namespace state = godwitcleat::state;
 namespace tests = godwitcleat::tests;
 
-namespace
-{
-
-constexpr auto warm_up_ms = 3000;
-constexpr auto play_ms = 20'000;
-constexpr auto finish_ms = 60'000;
-
-} // namespace
+using tests::finish_ms;
+using tests::play_ms;
+using tests::warm_up_ms;
 
 // Guards against refusals on days that can be served.
 TEST(dispatch_admission, nothing_is_refused_while_tasks_start_at_once)
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -1,21 +1,15 @@
 /** @file dispatch_overload_test.cpp More work than can be started or run. */
 #include "tests/support/played_load_base.hpp"
 
-#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace core = godwitcleat::core;
 namespace state = godwitcleat::state;
 namespace tests = godwitcleat::tests;
 
-namespace
-{
-
-constexpr auto warm_up_ms = 3000;
-constexpr auto play_ms = 20'000;
-constexpr auto finish_ms = 60'000;
-
-} // namespace
+using tests::finish_ms;
+using tests::play_ms;
+using tests::warm_up_ms;
 
 // Guards against a class that gets next to nothing because its steps are late
 // and wait behind those of another class.
--- a/tests/support/played_load_base.hpp
+++ b/tests/support/played_load_base.hpp
@@ -12,6 +12,10 @@
 namespace godwitcleat::tests
 {
 
+constexpr auto warm_up_ms = 3000;
+constexpr auto play_ms = 20'000;
+constexpr auto finish_ms = 60'000; ///< Maximum wait for the last job.
+
 /** Jobs of one queue that arrive at a steady rate. */
 struct load_class
 {
