Log on which clock an order was answered, and both clocks of a restarted worker

'An order was answered on another clock.' has the deadline that was sent with the clock that the owner expected and the one of the answer; 'A worker has been restarted.' has start times, clocks and what is left of the lease by the owner's count. The restart is handled before the clock is taken over, so that the former one can be shown; no decision reads the clock in between.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -2,6 +2,7 @@
 #include "state/dispatch_internal.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace godwitcleat::state
 {
@@ -48,6 +49,8 @@
 // Added to a run number that a worker has rejected as old, so that the next run
 // exceeds all earlier ones there.
 constexpr auto run_number_jump = std::uint64_t{10};
+// Readings of one clock differ by less: answers take time, and it may drift.
+constexpr auto max_clock_deviation_ms = std::int64_t{3000};
 
 } // namespace
 
@@ -498,7 +501,13 @@
 {
     event(
         "A worker has been restarted.",
-        {{"worker", worker.info.worker.value}, {"runs", worker.runs.size()}});
+        {{"worker", worker.info.worker.value},
+         {"runs", worker.runs.size()},
+         {"started_ms", lists.started_ms},
+         {"former_started_ms", worker.started_ms},
+         {"clock_ms", lists.clock_ms},
+         {"former_clock_ms", clock_of(worker, now)},
+         {"lease_left_ms", to_ms(worker.lease_until - now)}});
     // The higher token fences orders that were sent before the restart.
     ++worker.restarts;
     ++worker.session;
@@ -520,11 +529,16 @@
     dispatch_worker& worker, hold_order const& order, worker_lists const& lists,
     core::time_point now) -> void
 {
+    auto const restarted =
+        worker.started_ms_known && worker.started_ms != lists.started_ms;
+    if (restarted)
+    {
+        handle_restart(worker, lists, now);
+    }
     worker.clock_ms = lists.clock_ms;
     worker.clock_at = now;
-    if (worker.started_ms_known && worker.started_ms != lists.started_ms)
+    if (restarted)
     {
-        handle_restart(worker, lists, now);
         return;
     }
     worker.started_ms_known = true;
@@ -601,6 +615,21 @@
     }
     if (clock_ms && worker->contact == contact_state::live)
     {
+        auto const expected = clock_of(*worker, now);
+        if (std::abs(*clock_ms - expected) > max_clock_deviation_ms)
+        {
+            event(
+                "An order was answered on another clock.",
+                {{"worker", order.worker.value},
+                 {"job", order.task.job.value},
+                 {"step", order.task.step},
+                 {"task", order.task.index},
+                 {"run", order.run.value},
+                 {"result", to_string(result)},
+                 {"deadline_ms", order.deadline_ms},
+                 {"expected_clock_ms", expected},
+                 {"clock_ms", *clock_ms}});
+        }
         worker->clock_ms = *clock_ms;
         worker->clock_at = now;
     }
