Send each call to a worker only to the process that it is meant for

Cause: the id and the address of a worker outlive its process. A start, renewal or acknowledgement on a connection that was opened after the restart reached the new process, which knows no fencing token yet and reads the deadline on its own clock: a lease of up to 10 s where the owner counts 8.4 s from its last write.

A connection leads to one process until it is closed. The HTTP client can now tie a request to a process: on a new connection it first sends a query (a hold without deadline and acknowledgement, which any process may take), and the request only if the answer has the expected start time. Orders and renewals name the process whose clock and runs the owner knows. So a call for a former process is never carried out by another one, whether the restart is seen or not, and the bounds of this owner and of a new one hold again.

The test world shortens leases as workers do, and answers no hold of a former process or of a silent worker; the older tests pass in it unchanged. term_test has the new text of lease-limit and two more values that give no date.

--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -46,6 +46,11 @@
     return result;
 }
 
+// Version of the rules by which an owner grants leases: they end with its
+// writes (1), and only a process of a worker that the owner knows gets them
+// (2).
+constexpr auto lease_rules = 2;
+
 } // namespace
 
 struct term_keeper::implementation : guarded_base<term_keeper::implementation>
@@ -124,7 +129,7 @@
     {
         auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(
             settings.lease_after_write);
-        return fmt::format("{}.{}", number, ms.count());
+        return fmt::format("{}.{}.{}", number, ms.count(), lease_rules);
     }
     auto taken(
         std::optional<store_commit> answer, store_lease granted,
@@ -455,7 +460,8 @@
         // The owner key may have been written since the lease was asked for.
         taken_meanwhile = !is_free();
         self.term = core::epoch{next.term};
-        // An owner of an earlier release grants leases without writing.
+        // An owner of an earlier release grants leases without writing, or by
+        // calls that another process of the worker may take.
         former_write_by.reset();
         if (!lease_limit.entries.empty() && lease_limit.entries.front().value ==
                                                 lease_limit_text(next.term - 1))
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -34,6 +34,7 @@
     case order_result::refused: return "refused";
     case order_result::unhealthy: return "unhealthy";
     case order_result::other_worker: return "other_worker";
+    case order_result::other_process: return "other_process";
     case order_result::not_sent: return "not_sent";
     case order_result::connection_refused: return "connection_refused";
     case order_result::unknown: return "unknown";
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -579,6 +579,13 @@
         job_pointer const& job, std::uint32_t task, core::worker_id worker,
         core::time_point commit_by) -> void;
     auto token_of(dispatch_worker const& worker) const -> fencing_token;
+    /** Returns the process of the worker that an order is meant for. */
+    [[nodiscard]] static auto process_of(dispatch_worker const& worker)
+        -> std::optional<std::int64_t>
+    {
+        auto const known = worker.started_ms_known && worker.started_ms != 0;
+        return known ? std::optional{worker.started_ms} : std::nullopt;
+    }
     auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
     auto take_holds(core::time_point now) -> std::vector<hold_order>;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -746,6 +746,7 @@
     order.kind = kind;
     order.worker = worker.info.worker;
     order.address = worker.info.address;
+    order.process = process_of(worker);
     order.token = token_of(worker);
     order.task = run.name;
     order.run = run.run;
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -104,6 +104,9 @@
 {
     core::worker_id worker;
     std::string address;
+    /** Process of the worker that may get the order, by
+     *  worker_lists::started_ms; unset: any. */
+    std::optional<std::int64_t> process;
     fencing_token token;
     std::optional<std::int64_t> deadline_ms; ///< On the worker's clock.
     std::uint64_t acknowledged = 0; ///< The worker may drop ends up to this.
@@ -126,6 +129,7 @@
     run_order_kind kind = run_order_kind::start;
     core::worker_id worker;
     std::string address;
+    std::optional<std::int64_t> process; ///< As hold_order::process.
     fencing_token token;
     task_name task;
     run_number run;
@@ -146,6 +150,7 @@
     refused,            ///< Refused for another reason; not carried out.
     unhealthy,          ///< Not carried out; the worker is unhealthy.
     other_worker,       ///< Not carried out; another worker has the address.
+    other_process,      ///< Not sent; the worker has been restarted.
     not_sent,           ///< The order was not sent.
     connection_refused, ///< Not sent; the address refused the connection.
     unknown             ///< No answer; it may still be carried out.
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -348,6 +348,7 @@
     {
         return order;
     }
+    order.process = process_of(worker);
     auto const length = lease_length(now);
     if (!worker.stored_with_lease && length > core::duration{})
     {
@@ -613,6 +614,15 @@
     {
         return false;
     }
+    auto const was_restarted = result == order_result::other_process &&
+                               order.process == process_of(*worker);
+    if (was_restarted && worker->contact != contact_state::none)
+    {
+        event(
+            "An order has found a worker restarted.",
+            {{"worker", order.worker.value}, {"runs", worker->runs.size()}});
+        lose_contact(*worker, now);
+    }
     if (clock_ms && worker->contact == contact_state::live)
     {
         auto const expected = clock_of(*worker, now);
--- /dev/null
+++ b/tests/dispatch_restart_test.cpp
@@ -0,0 +1,201 @@
+/** @file dispatch_restart_test.cpp Calls to workers that were restarted. */
+#include "tests/support/dispatch_world_base.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace core = godwitcleat::core;
+namespace state = godwitcleat::state;
+namespace tests = godwitcleat::tests;
+
+namespace
+{
+
+constexpr auto worker_capacity = core::resources{4000, 8000, 0};
+// After this time on a worker's clock, its deadlines are far ahead on that of a
+// process that has just begun.
+constexpr auto former_clock_ms = std::int64_t{1'000'000};
+// Longer than any lease.
+constexpr auto long_absence_ms = std::int64_t{15'000};
+
+// A long-running task on w1; w2 is listed later. Holds wait for ends, so that a
+// restart is seen when the one that waits has timed out.
+auto world_with_serving_task() -> std::unique_ptr<tests::dispatch_world>
+{
+    auto world = std::make_unique<tests::dispatch_world>();
+    world->settings.lease_limit = std::chrono::seconds{10};
+    world->holds_wait = true;
+    world->add_worker("w1", worker_capacity).clock_ms = former_clock_ms;
+    world->add_worker("w2", worker_capacity).listed = false;
+    world->behaviour_of = [](state::task_name const& task, auto)
+    {
+        return tests::task_behaviour{
+            task.job.value == "serve" ? -1 : 300, false};
+    };
+    world->begin_term();
+    world->run_for(200);
+    auto plan = tests::make_plan("serve", 1, 1000);
+    plan.steps.front().long_running = true;
+    EXPECT_TRUE(world->submit(std::move(plan)));
+    world->run_for(1000);
+    EXPECT_EQ(world->running(), 1U);
+    return world;
+}
+
+// Cuts w1 off, which works on, while w2 may take over its tasks.
+auto cut_off(tests::dispatch_world& world) -> void
+{
+    world.worker("w1").reachable = false;
+    world.worker("w2").listed = true;
+}
+
+} // namespace
+
+// Guards against two runs after a start for the former process of a worker has
+// given its new one a longer lease than the owner counts.
+TEST(restarted_worker, a_start_for_its_former_process_prolongs_no_lease)
+{
+    for (auto const delay_ms : {50, 300, 600, 900, 1200, 1500})
+    {
+        auto const world = world_with_serving_task();
+        world->restart_worker("w1");
+        world->run_for(delay_ms);
+        ASSERT_TRUE(world->submit(tests::make_plan("short", 1, 500)));
+        auto const serves = [&world]
+        {
+            auto const& runs = world->worker("w1").runs;
+            return std::any_of(
+                runs.begin(), runs.end(),
+                [](tests::fake_run const& it)
+                { return it.task.job.value == "serve"; });
+        };
+        for (auto i = 0; i < 300 && !serves(); ++i)
+        {
+            world->run_for(10);
+        }
+        ASSERT_TRUE(serves()) << "no run after the restart";
+        world->run_for(100);
+        cut_off(*world);
+        world->run_for(long_absence_ms);
+        EXPECT_EQ(world->violations, std::vector<std::string>{}) << delay_ms;
+        EXPECT_EQ(world->worker("w2").runs.size(), 1U) << delay_ms;
+    }
+}
+
+// Guards against two runs after the new process of a worker has taken a start
+// that no answer told of, and is never heard again.
+TEST(restarted_worker, a_restart_that_is_never_seen_causes_no_second_run)
+{
+    auto const world = world_with_serving_task();
+    world->worker("w1").loses_answers = true;
+    world->restart_worker("w1");
+    world->run_for(50);
+    auto plan = tests::make_plan("serve", 1, 500);
+    plan.id = core::job_id{"later"};
+    plan.steps.front().long_running = true;
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    ASSERT_TRUE(world->submit(std::move(plan)));
+    world->run_for(500);
+    cut_off(*world);
+    world->run_for(long_absence_ms);
+    EXPECT_EQ(world->violations, std::vector<std::string>{});
+    EXPECT_EQ(world->worker("w2").runs.size(), 2U);
+}
+
+// Guards against two runs after the owner that has sent a start to the former
+// process of a worker was replaced.
+TEST(restarted_worker, a_new_owner_waits_for_no_start_of_the_former_one)
+{
+    auto const world = world_with_serving_task();
+    world->restart_worker("w1");
+    world->run_for(50);
+    auto plan = tests::make_plan("later", 1, 500);
+    plan.steps.front().long_running = true;
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{-1, false};
+    };
+    ASSERT_TRUE(world->submit(std::move(plan)));
+    world->run_for(50);
+    cut_off(*world);
+    world->begin_term();
+    world->run_for(long_absence_ms);
+    EXPECT_EQ(world->violations, std::vector<std::string>{});
+    EXPECT_EQ(world->worker("w2").runs.size(), 2U);
+}
+
+// Guards against done tasks that are started again because their ends were
+// forgotten for an acknowledgement of ends of the worker's former process.
+TEST(restarted_worker, an_acknowledgement_for_its_former_process_forgets_no_end)
+{
+    constexpr auto offsets = 20;
+    auto world = tests::dispatch_world{};
+    world.settings.poll_pause = std::chrono::milliseconds{100};
+    world.add_worker("w1", worker_capacity).clock_ms = former_clock_ms;
+    world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{10, false};
+    };
+    world.begin_term();
+    world.run_for(200);
+    for (auto i = 0; i < offsets; ++i)
+    {
+        ASSERT_TRUE(world.submit(
+            tests::make_plan(fmt::format("before-{}", i), 4, 100)));
+        world.run_for(500);
+        ASSERT_TRUE(
+            world.submit(tests::make_plan(fmt::format("at-{}", i), 4, 100)));
+        world.run_for(std::int64_t{10} * i);
+        auto const starts = world.starts.size();
+        world.restart_worker("w1");
+        ASSERT_TRUE(
+            world.submit(tests::make_plan(fmt::format("after-{}", i), 4, 100)));
+        world.run_for(3000);
+        auto ran = std::multiset<std::string>{
+            world.starts.begin() + static_cast<std::ptrdiff_t>(starts),
+            world.starts.end()};
+        for (auto const& it : ran)
+        {
+            auto const is_new = it.starts_with("after-");
+            EXPECT_TRUE(!is_new || ran.count(it) == 1)
+                << it << " restart after " << 10 * i << " ms";
+        }
+    }
+    EXPECT_EQ(world.violations, std::vector<std::string>{});
+}
+
+// Guards against orders and renewals that may reach another process than the
+// one whose clock and runs the owner knows.
+TEST(restarted_worker, every_order_names_the_process_that_it_is_meant_for)
+{
+    auto owner =
+        state::dispatcher{core::epoch{1}, {}, {}, {}, core::time_point{}};
+    auto info = state::listed_worker{};
+    info.worker = core::worker_id{"w1"};
+    info.address = "127.0.0.1:1";
+    owner.set_workers(std::vector{info}, core::time_point{});
+    auto const first = owner.take_holds(core::time_point{});
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first.front().process, std::nullopt);
+    EXPECT_EQ(first.front().deadline_ms, std::nullopt);
+    EXPECT_EQ(first.front().acknowledged, 0U);
+    auto lists = state::worker_lists{};
+    lists.started_ms = 77;
+    owner.hold_answered(
+        first.front(), state::order_result::accepted, lists,
+        core::time_point{});
+    auto const second = owner.take_holds(core::time_point{});
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second.front().process, 77);
+    EXPECT_TRUE(second.front().deadline_ms);
+}
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -17,6 +17,14 @@
 constexpr auto idle_write_interval_ms = std::int64_t{600};
 constexpr auto call_timeout_ms = std::int64_t{700};
 
+// Orders for another process are not sent; see transport::server_identity.
+auto may_be_sent(
+    std::optional<std::int64_t> process, fake_dispatch_worker const& worker)
+    -> bool
+{
+    return !process || *process == worker.info.started_ms;
+}
+
 auto is_same_run(fake_run const& run, state::run_order const& order) -> bool
 {
     return run.task == order.task && run.run == order.run;
@@ -237,6 +245,12 @@
                 order, worker.unreachable_result, std::nullopt, now());
             continue;
         }
+        if (!may_be_sent(order.process, worker))
+        {
+            owner->hold_answered(
+                order, state::order_result::other_process, std::nullopt, now());
+            continue;
+        }
         if (order.token < worker.token)
         {
             if (!owner->hold_answered(
@@ -251,8 +265,7 @@
         worker.token = order.token;
         if (order.deadline_ms)
         {
-            worker.deadline_ms =
-                std::max(worker.deadline_ms, *order.deadline_ms);
+            prolong_lease(worker, *order.deadline_ms);
         }
         worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
         std::erase_if(
@@ -273,7 +286,7 @@
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          order.wait)
                          .count(),
-                 term, order, std::nullopt});
+                 term, order, worker.info.started_ms, std::nullopt});
             continue;
         }
         answer_hold(order);
@@ -288,6 +301,19 @@
             continue;
         }
         auto const& worker = workers_.at(it.order.worker.value);
+        if (!worker.reachable || it.process != worker.info.started_ms)
+        {
+            // Nothing tells the owner, so that it waits for its time-out.
+            if (now_ms_ >= it.due_ms + call_timeout_ms)
+            {
+                auto const order = it.order;
+                waiting_holds_.erase(
+                    waiting_holds_.begin() + static_cast<std::ptrdiff_t>(i));
+                owner->hold_answered(
+                    order, state::order_result::unknown, std::nullopt, now());
+            }
+            continue;
+        }
         if (!it.lists && (now_ms_ >= it.due_ms || !worker.ended.empty()))
         {
             it.lists = lists_of(worker);
@@ -365,6 +391,10 @@
     {
         result = state::order_result::unknown;
     }
+    else if (worker.reachable && !may_be_sent(order.process, worker))
+    {
+        result = state::order_result::other_process;
+    }
     else if (worker.reachable)
     {
         result = apply_order(worker, order);
@@ -426,7 +456,7 @@
     {
         return state::order_result::late;
     }
-    worker.deadline_ms = std::max(worker.deadline_ms, order.deadline_ms);
+    prolong_lease(worker, order.deadline_ms);
     for (auto const& row : worker.ended)
     {
         if (row.task == order.task && row.run >= order.run)
@@ -454,6 +484,16 @@
     return state::order_result::accepted;
 }
 
+auto dispatch_world::prolong_lease(
+    fake_dispatch_worker& worker, std::int64_t deadline_ms) const -> void
+{
+    auto const limit_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        settings.lease_limit);
+    worker.deadline_ms = std::max(
+        worker.deadline_ms,
+        std::min(deadline_ms, worker.clock_ms + limit_ms.count()));
+}
+
 auto dispatch_world::stop_run(
     fake_dispatch_worker& worker, state::run_order const& order) -> void
 {
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -165,6 +165,10 @@
     auto
     apply_order(fake_dispatch_worker& worker, state::run_order const& order)
         -> state::order_result;
+    /** Workers shorten a longer lease to dispatch_settings::lease_limit. */
+    auto
+    prolong_lease(fake_dispatch_worker& worker, std::int64_t deadline_ms) const
+        -> void;
     auto stop_run(fake_dispatch_worker& worker, state::run_order const& order)
         -> void;
     auto end_run(
@@ -180,6 +184,7 @@
         std::int64_t due_ms = 0;
         core::epoch term;
         state::hold_order order;
+        std::int64_t process = 0; ///< That has received it.
         std::optional<state::worker_lists> lists;
     };
     std::vector<waiting_hold> waiting_holds_;
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -487,10 +487,11 @@
 }
 
 // Guards against a short wait for the leases of an owner of an earlier release,
-// which grants them without writing.
+// which grants them without writing, or to any process of a worker.
 TEST_F(term_fixture, a_former_owner_without_the_lease_limit_gives_no_date)
 {
-    constexpr auto limits = std::array{"", "1.9000", "0.8400", "x"};
+    constexpr auto limits =
+        std::array{"", "1.8400", "1.9000.2", "0.8400.2", "1.8400.1", "x"};
     for (auto const* const limit : limits)
     {
         auto fresh = standins::memory_store{core::suspend_aware_clock()};
@@ -501,12 +502,12 @@
             ASSERT_TRUE(eventually([&] { return first.acquired.load() == 1; }));
             first.term.leave([] {});
         }
-        ASSERT_EQ(fresh.peek("p/lease-limit")->value, "1.8400");
+        ASSERT_EQ(fresh.peek("p/lease-limit")->value, "1.8400.2");
         fresh.commit({{}, {{"p/lease-limit", limit, "", {}}}}, [](auto) {});
         second.term.start();
         ASSERT_TRUE(eventually([&] { return second.acquired.load() == 2; }));
         EXPECT_FALSE(second.dated) << limit;
-        EXPECT_EQ(fresh.peek("p/lease-limit")->value, "2.8400");
+        EXPECT_EQ(fresh.peek("p/lease-limit")->value, "2.8400.2");
     }
 }
 
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -102,6 +102,26 @@
     send_progress progress = send_progress::nothing_written;
     /** The host answered that no process listens at the address. */
     bool connection_refused = false;
+    /** The request was not sent, because another process answers there;
+     *  `response` is its answer to server_identity::query. */
+    bool other_server = false;
+};
+
+/**
+ * Ties a request to one server process. A connection leads to the same process
+ * until it is closed, while an address may have another one at any time.
+ */
+struct server_identity
+{
+    /** The process that may get the request; unset: any. */
+    std::optional<std::int64_t> expected;
+    /** Makes the request that is sent first on a connection whose process is
+     *  not known, if `expected` is set. Any process may get it, so it must not
+     *  change anything. Called, as `identify`, on a thread of the reactor. */
+    std::function<http_request()> query;
+    /** Returns the process that gave a response, or std::nullopt if that does
+     *  not tell. */
+    std::function<std::optional<std::int64_t>(http_response const&)> identify;
 };
 
 /** Limits of one HTTP client. */
@@ -135,11 +155,14 @@
      * of failure: invalid_input, no_capacity (too many requests wait),
      * unavailable (nothing was written), unknown_outcome, timeout, protocol
      * (the response cannot be used) and shutting_down. A response must carry
-     * its length; one that ends with its connection is a failure.
+     * its length; one that ends with its connection is a failure. With
+     * @p server, the request is sent only to the process that it names; a query
+     * on a new connection takes part of the timeout.
      */
     auto send(
         endpoint const& where, http_request request, core::duration timeout,
-        std::function<void(http_result)> on_done) -> void;
+        std::function<void(http_result)> on_done,
+        std::optional<server_identity> server = std::nullopt) -> void;
 
     /** Returns the number of connections open to @p where. */
     [[nodiscard]] auto connections(endpoint const& where) const -> std::size_t;
--- a/transport/http_client_base.cpp
+++ b/transport/http_client_base.cpp
@@ -23,14 +23,13 @@
         return;
     }
     auto& pool = pools[where];
-    if (!pool.idle.empty())
+    auto const may_open = pool.all.size() < limits.connections_per_endpoint;
+    if (auto const connection = pool.take_idle(*request, may_open))
     {
-        auto const connection = pool.idle.back().connection;
-        pool.idle.pop_back();
         connection->run(request);
         return;
     }
-    if (pool.all.size() < limits.connections_per_endpoint)
+    if (may_open)
     {
         open(where, pool)->run(request);
         return;
@@ -38,6 +37,28 @@
     enqueue(where, pool, request);
 }
 
+auto endpoint_pool::take_idle(exchange const& request, bool may_open)
+    -> connection_pointer
+{
+    auto const suits = [&request](idle_connection const& it)
+    {
+        auto const& expected = request.server.expected;
+        return !expected || it.server == expected;
+    };
+    auto it = std::find_if(idle.rbegin(), idle.rend(), suits);
+    if (it == idle.rend())
+    {
+        if (may_open || idle.empty())
+        {
+            return nullptr;
+        }
+        it = idle.rbegin(); // Is replaced by a new connection.
+    }
+    auto const result = it->connection;
+    idle.erase(std::next(it).base());
+    return result;
+}
+
 auto http_client_state::enqueue(
     endpoint const& where, endpoint_pool& pool, exchange_pointer const& request)
     -> void
@@ -96,7 +117,8 @@
 }
 
 auto http_client_state::release(
-    connection_pointer const& connection, bool reusable) -> void
+    connection_pointer const& connection, bool reusable,
+    std::optional<std::int64_t> server) -> void
 {
     auto const lock = std::scoped_lock{mutex};
     auto const it = pools.find(connection->where());
@@ -123,7 +145,7 @@
     }
     if (next)
     {
-        pool.idle.push_back({next, now()});
+        pool.idle.push_back({next, now(), server});
         next->watch();
         return;
     }
@@ -230,7 +252,8 @@
 
 auto http_client::send(
     endpoint const& where, http_request request, core::duration timeout,
-    std::function<void(http_result)> on_done) -> void
+    std::function<void(http_result)> on_done,
+    std::optional<server_identity> server) -> void
 {
     auto state = std::make_shared<exchange>(implementation_->context);
     state->to_head = request.method == "HEAD";
@@ -245,6 +268,7 @@
         return;
     }
     state->message = std::move(*message);
+    state->server = std::move(server).value_or(server_identity{});
     implementation_->send(where, state);
 }
 
--- a/transport/http_client_connection.cpp
+++ b/transport/http_client_connection.cpp
@@ -127,6 +127,7 @@
     request_ = std::move(request);
     progress_ = send_progress::nothing_written;
     connection_refused_ = false;
+    querying_ = false;
     interim_ = 0;
     begun_ = now();
     stop_watch();
@@ -141,7 +142,8 @@
         return;
     }
     stream_.expires_at(request_->deadline);
-    if (stream_.socket().is_open() && is_quiet(stream_.socket()))
+    if (leads_to_expected_server() && stream_.socket().is_open() &&
+        is_quiet(stream_.socket()))
     {
         write();
         return;
@@ -153,6 +155,7 @@
 {
     stream_.close();
     buffer_.clear();
+    server_.reset();
     auto const address = to_tcp(where_);
     if (!address)
     {
@@ -174,20 +177,38 @@
         return;
     }
     stream_.socket().set_option(tcp::no_delay{true}, ec);
+    if (leads_to_expected_server())
+    {
+        return write();
+    }
+    send_query();
+}
+
+auto client_connection::send_query() -> void
+{
+    auto query = to_beast(request_->server.query(), where_);
+    if (!query)
+    {
+        auto const& reason = core::last_reason();
+        return fail(reason.kind, reason.message);
+    }
+    query_ = std::move(*query);
+    querying_ = true;
     write();
 }
 
 auto client_connection::write() -> void
 {
     http::async_write(
-        stream_, request_->message,
+        stream_, querying_ ? query_ : request_->message,
         [self = shared_from_this()](error_code ec, std::size_t n)
         { self->on_write(ec, n); });
 }
 
 auto client_connection::on_write(error_code ec, std::size_t n) -> void
 {
-    if (n > 0)
+    auto const may_be_written = n > 0 && !querying_;
+    if (may_be_written)
     {
         progress_ = send_progress::maybe_written;
     }
@@ -195,8 +216,8 @@
     {
         fail(
             ec,
-            n > 0 ? core::error_kind::unknown_outcome
-                  : core::error_kind::unavailable,
+            may_be_written ? core::error_kind::unknown_outcome
+                           : core::error_kind::unavailable,
             "the connection failed while the request was sent");
         return;
     }
@@ -265,12 +286,47 @@
     auto message = parser_->release();
     // Bytes beyond the response answer no request.
     auto const reusable = message.keep_alive() && buffer_.size() == 0;
+    auto response = from_beast(std::move(message));
+    if (request_->server.identify && !server_)
+    {
+        server_ = request_->server.identify(response);
+    }
+    if (querying_)
+    {
+        return identified(std::move(response), reusable);
+    }
     auto result = http_result{};
-    result.response = from_beast(std::move(message));
+    result.response = std::move(response);
     result.progress = send_progress::maybe_written;
     finish(std::move(result), reusable);
 }
 
+auto client_connection::identified(http_response response, bool reusable)
+    -> void
+{
+    if (leads_to_expected_server() && reusable)
+    {
+        querying_ = false;
+        interim_ = 0;
+        parser_.reset();
+        return write();
+    }
+    if (leads_to_expected_server())
+    {
+        return fail(
+            core::error_kind::unavailable,
+            "the server closes each connection after one response");
+    }
+    auto result = http_result{};
+    result.reason = core::failure{
+        core::error_kind::unavailable,
+        fmt::format(
+            "{}: another process answers at this address", to_string(where_))};
+    result.response = std::move(response);
+    result.other_server = true;
+    finish(std::move(result), reusable);
+}
+
 auto client_connection::fail_read(error_code ec) -> void
 {
     if (ec == http::error::body_limit)
@@ -282,7 +338,9 @@
         return;
     }
     fail(
-        ec, core::error_kind::unknown_outcome,
+        ec,
+        querying_ ? core::error_kind::unavailable
+                  : core::error_kind::unknown_outcome,
         "the connection failed before the whole response arrived");
 }
 
@@ -305,7 +363,8 @@
 auto client_connection::is_silent() const -> bool
 {
     auto const heard = interim_ > 0 || (parser_ && parser_->got_some());
-    return progress_ == send_progress::maybe_written && !heard;
+    auto const written = querying_ || progress_ == send_progress::maybe_written;
+    return written && !heard;
 }
 
 auto client_connection::fail_timeout() -> void
@@ -341,7 +400,7 @@
     }
     // The pool comes first, so that a request sent from on_done can use
     // this connection.
-    client_->release(shared_from_this(), reusable);
+    client_->release(shared_from_this(), reusable, server_);
     client_->complete(request, std::move(result));
 }
 
--- a/transport/http_client_internal.hpp
+++ b/transport/http_client_internal.hpp
@@ -43,6 +43,7 @@
     core::time_point deadline;
     std::function<void(http_result)> on_done;
     boost::asio::steady_timer waiting_timer; ///< Guarded by the client's mutex.
+    server_identity server;
 };
 
 using exchange_pointer = std::shared_ptr<exchange>;
@@ -52,7 +53,8 @@
 struct idle_connection
 {
     connection_pointer connection;
-    core::time_point since; ///< Time of its last response.
+    core::time_point since;             ///< Time of its last response.
+    std::optional<std::int64_t> server; ///< As client_connection::server_.
 };
 
 /** Connections and waiting requests of one endpoint. */
@@ -61,6 +63,11 @@
     std::set<connection_pointer> all;
     std::vector<idle_connection> idle; ///< Last used at the back.
     std::deque<exchange_pointer> waiting;
+
+    /** Removes and returns the idle connection that suits @p request best, or
+     *  null if a new one suits it better and may be opened. */
+    auto take_idle(exchange const& request, bool may_open)
+        -> connection_pointer;
 };
 
 /** All pools of one client. */
@@ -78,7 +85,9 @@
         exchange_pointer const& request) -> void;
     auto expire(endpoint const& where, exchange_pointer const& request) -> void;
     auto open(endpoint const& where, endpoint_pool& pool) -> connection_pointer;
-    auto release(connection_pointer const& connection, bool reusable) -> void;
+    auto release(
+        connection_pointer const& connection, bool reusable,
+        std::optional<std::int64_t> server) -> void;
     auto drop_idle(connection_pointer const& connection) -> void;
     /** Closes the idle connections without a response after @p time. */
     auto drop_idle_before(endpoint const& where, core::time_point time) -> void;
@@ -132,18 +141,28 @@
     auto begin(exchange_pointer request) -> void;
     auto connect() -> void;
     auto on_connect(boost::beast::error_code ec) -> void;
+    /** Makes sure that the connection leads to the expected process. */
+    auto send_query() -> void;
     auto write() -> void;
     auto on_write(boost::beast::error_code ec, std::size_t n) -> void;
     auto read_header() -> void;
     auto on_header(boost::beast::error_code ec) -> void;
     auto skip_interim() -> void;
     auto succeed() -> void;
+    /** Handles the response to the query. */
+    auto identified(http_response response, bool reusable) -> void;
     auto fail_read(boost::beast::error_code ec) -> void;
     auto fail(
         boost::beast::error_code ec, core::error_kind kind,
         std::string_view what) -> void;
     auto fail_timeout() -> void;
     [[nodiscard]] auto is_silent() const -> bool;
+    /** Returns true if the request may be sent on this connection now. */
+    [[nodiscard]] auto leads_to_expected_server() const -> bool
+    {
+        auto const& expected = request_->server.expected;
+        return !expected || server_ == expected;
+    }
     auto fail(core::error_kind kind, std::string_view message) -> void;
     auto finish(http_result result, bool reusable) -> void;
 
@@ -158,6 +177,10 @@
     exchange_pointer request_; ///< Null while idle.
     send_progress progress_ = send_progress::nothing_written;
     bool connection_refused_ = false;
+    /** Process that it leads to; unset: not known. */
+    std::optional<std::int64_t> server_;
+    bool querying_ = false; ///< `query_` is on its way.
+    beast_request query_;
     int interim_ = 0;
     core::time_point begun_; ///< When the request was given to the connection.
     std::uint64_t watch_round_ = 0; ///< Makes events of old watches void.
