--- a/standins/soak/soak_faults.hpp
+++ b/standins/soak/soak_faults.hpp
@@ -281,9 +281,11 @@
     auto crash_worker() -> void
     {
         auto& it = draw_worker();
-        it.crash();
+        auto const in_silence = random_.below(2) == 0;
+        it.crash(in_silence);
         spell(
-            it.settings.id + " is down", draw_ms(0, 4000),
+            it.settings.id + (in_silence ? " is down in silence" : " is down"),
+            draw_ms(0, 4000),
             [this, id = it.settings.id]
             { with_worker(id, [](auto& one) { one->start(); }); });
     }
--- a/standins/soak/soak_worker.hpp
+++ b/standins/soak/soak_worker.hpp
@@ -79,13 +79,14 @@
         }
     }
 
-    /** Ends its life with all that runs; its address refuses connections. */
-    auto crash() -> void
+    /** Ends its life with all that runs. Its address refuses connections, or
+     *  nothing tells its peers if @p in_silence is set. */
+    auto crash(bool in_silence = false) -> void
     {
         // Closed without the lock, because its handlers take that.
         auto server = std::optional<transport::http_server>{};
         auto const lock = std::scoped_lock{mutex_};
-        link_.set(refusing);
+        link_.set(in_silence && !is_cut_ ? silent : refusing);
         std::swap(server, server_);
         for (auto const& it : life_.running)
         {
@@ -159,6 +160,8 @@
     };
 
     static constexpr auto refusing = link_trouble{"refusing", true, true};
+    static constexpr auto silent =
+        link_trouble{"silent", false, false, true, {true, true}};
     static constexpr auto beat_interval = milliseconds{500};
     static constexpr auto notice_ms = 2000; ///< Between drain and exit.
 
