Start nothing on a restarted worker before its new entry is listed

A new process of a worker may be of another kind at the same address. After the owner had heard it, tasks were placed by the capacity and labels of the entry that its former process had written, which may exceed its room (LIMIT) or lack its label (ROUTE). Entries without a start time block nothing.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -412,6 +412,14 @@
         return info.capacity - used;
     }
 
+    /** Returns true if the listed capacity and labels are of an earlier
+     *  process. */
+    [[nodiscard]] auto is_listed_as_former_process() const -> bool
+    {
+        return info.started_ms != 0 && started_ms_known &&
+               info.started_ms < started_ms;
+    }
+
     /** Returns true if it drains and all its runs are to be stopped, so that
      *  its lease is not renewed. */
     [[nodiscard]] auto is_emptied() const -> bool
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -364,6 +364,7 @@
            !worker.stored_with_lease && worker.contact == contact_state::live &&
            !worker.info.draining && now >= worker.starts_blocked_until &&
            now >= worker.suspended_until && now <= worker.lease_until &&
+           !worker.is_listed_as_former_process() &&
            !drained.contains(worker.info.data_centre);
 }
 
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -3,12 +3,14 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <chrono>
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace core = godwitcleat::core;
@@ -174,6 +176,83 @@
     EXPECT_EQ(world.violations, std::vector<std::string>{});
 }
 
+// Guards against starts that exceed the capacity of a new process, of which
+// only the entry of the former one is known.
+TEST(restarted_worker, gets_no_start_while_its_former_process_is_listed)
+{
+    auto world = tests::dispatch_world{};
+    world.add_worker("w1", worker_capacity);
+    world.begin_term();
+    world.run_for(200);
+    world.restart_worker("w1");
+    world.worker("w1").listed_started_ms = 1;
+    ASSERT_TRUE(world.submit(tests::make_plan("short", 1, 500)));
+    world.run_for(1000);
+    EXPECT_EQ(world.starts, std::vector<std::string>{});
+    world.worker("w1").listed_started_ms.reset();
+    world.run_for(1000);
+    EXPECT_EQ(world.starts.size(), 1U);
+}
+
+// Random silent restarts and cuts of workers and changes of the owner: no task
+// runs in two places, and none is started again after its end was noted.
+RC_GTEST_PROP(restarted_worker, silent_restarts_keep_the_rules, ())
+{
+    constexpr auto workers = 3;
+    auto world = tests::dispatch_world{};
+    world.settings.lease_limit = std::chrono::seconds{10};
+    world.holds_wait = true;
+    for (auto i = 0; i < workers; ++i)
+    {
+        world.add_worker(fmt::format("w{}", i), worker_capacity).clock_ms =
+            former_clock_ms * (1 + i);
+    }
+    world.behaviour_of = [](state::task_name const& task, auto)
+    {
+        return tests::task_behaviour{
+            task.job.value.starts_with("serve") ? -1 : 150, false};
+    };
+    world.begin_term();
+    world.run_for(200);
+    auto jobs = 0;
+    auto const events =
+        *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            rc::gen::tuple(
+                rc::gen::inRange(0, 10), rc::gen::inRange(0, workers),
+                rc::gen::inRange(1, 200)));
+    for (auto const& [kind, which, pause] : events)
+    {
+        auto const id = fmt::format("w{}", which);
+        auto& worker = world.worker(id);
+        switch (kind)
+        {
+        case 0:
+        case 1: world.restart_worker(id); break;
+        case 2: worker.reachable = !worker.reachable; break;
+        case 3: worker.loses_answers = !worker.loses_answers; break;
+        case 4: world.begin_term(); break;
+        case 5:
+        {
+            auto plan =
+                tests::make_plan(fmt::format("serve{}", jobs++), 2, 500);
+            plan.steps.front().long_running = true;
+            world.submit(std::move(plan));
+            break;
+        }
+        default:
+            world.submit(
+                tests::make_plan(fmt::format("short{}", jobs++), 2, 500));
+            break;
+        }
+        world.run_for(std::int64_t{10} * pause);
+    }
+    world.run_for(long_absence_ms);
+    if (!world.violations.empty())
+    {
+        RC_FAIL(world.violations.front());
+    }
+}
+
 // Guards against orders and renewals that may reach another process than the
 // one whose clock and runs the owner knows.
 TEST(restarted_worker, every_order_names_the_process_that_it_is_meant_for)
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -158,6 +158,8 @@
         if (worker.listed)
         {
             listed.push_back(worker.info);
+            listed.back().started_ms =
+                worker.listed_started_ms.value_or(worker.info.started_ms);
         }
     }
     if (last_listed_ != listed)
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -37,7 +37,9 @@
 struct fake_dispatch_worker
 {
     state::listed_worker info;
-    bool listed = true;    ///< In the list of workers.
+    bool listed = true; ///< In the list of workers.
+    /** Start time in that list; unset: of the present process. */
+    std::optional<std::int64_t> listed_started_ms;
     bool reachable = true; ///< Orders and holds reach it.
     /** Result of orders and holds that do not reach it. */
     state::order_result unreachable_result = state::order_result::unknown;
