Take the clock of a worker from answers of its present process only

restarted_worker.a_late_answer_of_its_former_process_sets_no_clock failed before (a deadline of 1,006,000 ms where the worker's clock reads 0) and passes now.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -614,16 +614,17 @@
     {
         return false;
     }
-    auto const was_restarted = result == order_result::other_process &&
-                               order.process == process_of(*worker);
-    if (was_restarted && worker->contact != contact_state::none)
+    auto const is_known_process = order.process == process_of(*worker);
+    if (result == order_result::other_process && is_known_process &&
+        worker->contact != contact_state::none)
     {
         event(
             "An order has found a worker restarted.",
             {{"worker", order.worker.value}, {"runs", worker->runs.size()}});
         lose_contact(*worker, now);
     }
-    if (clock_ms && worker->contact == contact_state::live)
+    // A late answer of a former process tells another clock.
+    if (clock_ms && is_known_process && worker->contact == contact_state::live)
     {
         auto const expected = clock_of(*worker, now);
         if (std::abs(*clock_ms - expected) > max_clock_deviation_ms)
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -253,28 +253,66 @@
     }
 }
 
+// A dispatcher that is in contact with the first process of w1.
+struct owner_of_one_worker
+{
+    static constexpr auto now = core::time_point{};
+
+    owner_of_one_worker()
+    {
+        auto info = state::listed_worker{};
+        info.worker = core::worker_id{"w1"};
+        info.address = "127.0.0.1:1";
+        owner.set_workers(std::vector{info}, now);
+    }
+
+    auto next_hold() -> state::hold_order
+    {
+        auto const holds = owner.take_holds(now);
+        EXPECT_EQ(holds.size(), 1U);
+        return holds.empty() ? state::hold_order{} : holds.front();
+    }
+
+    auto answer(state::hold_order const& hold, std::int64_t process) -> void
+    {
+        auto lists = state::worker_lists{};
+        lists.started_ms = process;
+        owner.hold_answered(hold, state::order_result::accepted, lists, now);
+    }
+
+    state::dispatcher owner{core::epoch{1}, {}, {}, {}, now};
+};
+
 // Guards against orders and renewals that may reach another process than the
 // one whose clock and runs the owner knows.
 TEST(restarted_worker, every_order_names_the_process_that_it_is_meant_for)
 {
-    auto owner =
-        state::dispatcher{core::epoch{1}, {}, {}, {}, core::time_point{}};
-    auto info = state::listed_worker{};
-    info.worker = core::worker_id{"w1"};
-    info.address = "127.0.0.1:1";
-    owner.set_workers(std::vector{info}, core::time_point{});
-    auto const first = owner.take_holds(core::time_point{});
-    ASSERT_EQ(first.size(), 1U);
-    EXPECT_EQ(first.front().process, std::nullopt);
-    EXPECT_EQ(first.front().deadline_ms, std::nullopt);
-    EXPECT_EQ(first.front().acknowledged, 0U);
-    auto lists = state::worker_lists{};
-    lists.started_ms = 77;
-    owner.hold_answered(
-        first.front(), state::order_result::accepted, lists,
-        core::time_point{});
-    auto const second = owner.take_holds(core::time_point{});
-    ASSERT_EQ(second.size(), 1U);
-    EXPECT_EQ(second.front().process, 77);
-    EXPECT_TRUE(second.front().deadline_ms);
+    auto it = owner_of_one_worker{};
+    auto const first = it.next_hold();
+    EXPECT_EQ(first.process, std::nullopt);
+    EXPECT_EQ(first.deadline_ms, std::nullopt);
+    EXPECT_EQ(first.acknowledged, 0U);
+    it.answer(first, 77);
+    auto const second = it.next_hold();
+    EXPECT_EQ(second.process, 77);
+    EXPECT_TRUE(second.deadline_ms);
+}
+
+// Guards against a lease on the clock of the former process, which an answer
+// has told that arrives after the new one was heard.
+TEST(restarted_worker, a_late_answer_of_its_former_process_sets_no_clock)
+{
+    auto it = owner_of_one_worker{};
+    it.answer(it.next_hold(), 77);
+    auto start = state::run_order{};
+    start.worker = core::worker_id{"w1"};
+    start.process = 77;
+    it.answer(it.next_hold(), 88);
+    it.answer(it.next_hold(), 88);
+    it.owner.order_answered(
+        start, state::order_result::accepted, former_clock_ms, it.now);
+    auto const hold = it.next_hold();
+    EXPECT_EQ(hold.process, 88);
+    ASSERT_TRUE(hold.deadline_ms);
+    EXPECT_LT(*hold.deadline_ms, former_clock_ms);
 }
