Ignore stored bounds of leases of an owner of an earlier release

Found by a review, by reading; dispatch_take_over_test (39) and dispatch_restart_test (9) pass, no test plays a stored bound of an earlier release.

--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -82,7 +82,8 @@
         worker->in_stored_list = true;
         worker->may_have_unknown_runs = true;
         worker->lease_until = recovery_until;
-        if (it.lease_left_ms)
+        // An owner of an earlier release stores bounds that are too early.
+        if (it.lease_left_ms && stored.last_write_by)
         {
             auto const left = std::chrono::milliseconds{*it.lease_left_ms};
             auto const until = std::max(
