Count a crash for a start only if it may have reached the process

A start that still waited for its connection when the restart of its worker was seen counted as a crash of the worker under its task. Three of these give up a task that is not long-running, and its job is shown as failed (LOST). The run now waits for the answer: not sent or another process counts nothing, no answer to a start for the former process counts.

--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -167,6 +167,11 @@
             run.start_confirmed_at && *run.start_confirmed_at < sent_at;
         auto const stopped =
             run.stop_confirmed_at && *run.stop_confirmed_at < sent_at;
+        // Its answer tells whether it was sent to the former process.
+        if (worker.restarted && run.start_pending)
+        {
+            continue;
+        }
         if (worker.restarted)
         {
             count_crash(worker, run, now);
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -652,6 +652,12 @@
     auto& run = worker->runs[*i];
     if (order.kind == run_order_kind::start)
     {
+        if (result == order_result::unknown && !is_known_process)
+        {
+            count_crash(*worker, run, now);
+            retry_run(*worker, *i, now);
+            return true;
+        }
         start_answered(*worker, *i, result, now);
     }
     else if (order.kind == run_order_kind::stop)
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -256,13 +256,26 @@
 // A dispatcher that is in contact with the first process of w1.
 struct owner_of_one_worker
 {
-    static constexpr auto now = core::time_point{};
-
-    owner_of_one_worker()
+    explicit owner_of_one_worker(
+        state::dispatch_hooks hooks = {}, core::time_point begun = {})
+        : now(begun)
+        , owner(core::epoch{1}, {}, {}, std::move(hooks), begun)
     {
+        auto queue = state::queue_config{};
+        queue.queue = state::queue_id{"q"};
+        queue.service = core::service_id{"s"};
+        queue.max_failures = 3;
+        queue.stretch = 2.0;
+        queue.allowance_ms = 1000;
+        auto queues = state::queue_table{};
+        queues.version = 1;
+        queues.queues.insert_or_assign(queue.queue, queue);
+        owner.set_queues(std::make_shared<state::queue_table const>(queues));
         auto info = state::listed_worker{};
         info.worker = core::worker_id{"w1"};
         info.address = "127.0.0.1:1";
+        info.service = core::service_id{"s"};
+        info.capacity = worker_capacity;
         owner.set_workers(std::vector{info}, now);
     }
 
@@ -280,7 +293,8 @@
         owner.hold_answered(hold, state::order_result::accepted, lists, now);
     }
 
-    state::dispatcher owner{core::epoch{1}, {}, {}, {}, now};
+    core::time_point now;
+    state::dispatcher owner;
 };
 
 // Guards against orders and renewals that may reach another process than the
@@ -316,3 +330,53 @@
     ASSERT_TRUE(hold.deadline_ms);
     EXPECT_LT(*hold.deadline_ms, former_clock_ms);
 }
+
+// Guards against an innocent task that is given up: a start that waited for its
+// connection while the restart was seen counted as a crash.
+TEST(restarted_worker, only_a_start_that_may_have_been_sent_counts_as_a_crash)
+{
+    using state::order_result;
+    for (auto const result :
+         {order_result::other_process, order_result::not_sent,
+          order_result::unknown})
+    {
+        auto now = core::time_point{std::chrono::seconds{100}};
+        auto crashes = 0;
+        auto hooks = state::dispatch_hooks{};
+        hooks.unix_ms = []
+        {
+            return std::int64_t{1'000'000};
+        };
+        hooks.on_event = [&crashes](auto message, auto const&)
+        {
+            crashes += message == "A worker crashed under a task." ? 1 : 0;
+        };
+        auto it = owner_of_one_worker{hooks, now};
+        it.answer(it.next_hold(), 77);
+        it.answer(it.next_hold(), 77);
+        it.owner.submit(tests::make_plan("j", 1, 1000), now, [](bool) {});
+        auto orders = std::vector<state::run_order>{};
+        for (auto i = 0; i < 50 && orders.empty(); ++i)
+        {
+            it.now += std::chrono::milliseconds{10};
+            it.owner.limit_leases(it.now);
+            it.owner.tick(it.now);
+            orders = it.owner.take_orders(it.now);
+            if (it.owner.take_batch(it.now))
+            {
+                it.owner.batch_committed(it.now);
+            }
+        }
+        ASSERT_EQ(orders.size(), 1U);
+        it.answer(it.next_hold(), 88);
+        it.answer(it.next_hold(), 88);
+        EXPECT_EQ(crashes, 0);
+        it.owner.order_answered(orders.front(), result, std::nullopt, it.now);
+        EXPECT_EQ(crashes, result == order_result::unknown ? 1 : 0)
+            << state::to_string(result);
+        it.now += std::chrono::seconds{1};
+        it.owner.limit_leases(it.now);
+        it.owner.tick(it.now);
+        EXPECT_EQ(it.owner.take_orders(it.now).size(), 1U) << "not tried again";
+    }
+}
