--- a/transport/http_client_base.cpp
+++ b/transport/http_client_base.cpp
@@ -54,7 +54,7 @@
         }
         it = idle.rbegin(); // Is replaced by a new connection.
     }
-    auto const result = it->connection;
+    auto result = it->connection;
     idle.erase(std::next(it).base());
     return result;
 }
