Count no crash for a start that was sent after the worker's last sign of life

Two starts of one task were sent to workers that had been silent for 0.3 s and 0.9 s; both were restarted, each counted as a crash under the task, and a third, real crash gave it up.

A run that was neither confirmed nor seen counts only if the former process has answered anything since its start was sent. A task that crashes its worker before any answer is not counted by this.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -364,7 +364,8 @@
     bool restarted = false;    ///< Runs from before its restart have ended.
     std::int64_t clock_ms = 0; ///< Its clock at `clock_at`.
     core::time_point clock_at;
-    core::time_point lease_until; ///< Upper bound of the end of its lease.
+    core::time_point former_heard_at; ///< Last answer before its restart.
+    core::time_point lease_until;     ///< Upper bound of the end of its lease.
     std::uint64_t last_processed_end = 0;
     std::uint64_t acknowledged = 0; ///< Highest end that was acknowledged.
     std::deque<pending_end> unacknowledged_ends;
@@ -420,6 +421,15 @@
                info.started_ms < started_ms;
     }
 
+    /** Returns false for a run whose start was sent after the last sign of life
+     *  of the former process, which was likely gone already. */
+    [[nodiscard]] auto may_have_begun_before_restart(run_entry const& run) const
+        -> bool
+    {
+        return run.seen_running || run.start_confirmed_at ||
+               run.ordered_at <= former_heard_at;
+    }
+
     /** Returns true if it drains and all its runs are to be stopped, so that
      *  its lease is not renewed. */
     [[nodiscard]] auto is_emptied() const -> bool
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -172,7 +172,7 @@
         {
             continue;
         }
-        if (worker.restarted)
+        if (worker.restarted && worker.may_have_begun_before_restart(run))
         {
             count_crash(worker, run, now);
         }
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -513,6 +513,7 @@
     ++worker.restarts;
     ++worker.session;
     worker.restarted = true;
+    worker.former_heard_at = worker.clock_at;
     worker.started_ms = lists.started_ms;
     for (auto const& run : std::exchange(worker.lapsed_runs, {}))
     {
@@ -654,7 +655,10 @@
     {
         if (result == order_result::unknown && !is_known_process)
         {
-            count_crash(*worker, run, now);
+            if (worker->may_have_begun_before_restart(run))
+            {
+                count_crash(*worker, run, now);
+            }
             retry_run(*worker, *i, now);
             return true;
         }
