Shards: the list's absence of a former process does not show that an owner has stopped

A new owner takes a silent worker's lease as lapsed only when each former owner has stopped, and one proof of that is the platform's list without the instance. The list names instances, not processes, and is up to 30 s late. An instance that started again, or joined, a moment ago is not listed yet; if it owned the shard and is cut off from the store only, it still renews leases while the next owner takes it as stopped, so that tasks could run twice. A list that could not be read since had the same effect for any length of time.

Change: the absence counts for a process that is known for at least the lag before the instance vanished (the time of its first peer update, else the take-over); for a later one, a list that was asked for the lag after that time has to lack it. The time of a list is that of its request.

Ordinary failovers, where the owner was heard for longer than the lag, wait as before. No run of daemons has shown two runs of one task by this; found by reading.

--- a/coordination/instance_list_base.cpp
+++ b/coordination/instance_list_base.cpp
@@ -81,6 +81,7 @@
 {
     auto const lock = std::scoped_lock{mutex_};
     first_update_ = first_update_.value_or(now);
+    last_update_ = now;
     for (auto const& it : current_)
     {
         vanished_.emplace(it.id, now);
@@ -98,8 +99,9 @@
     return current_;
 }
 
-auto instance_history::gone_since(std::string const& id, core::time_point now)
-    const -> std::optional<core::time_point>
+auto instance_history::gone_since(
+    std::string const& id, core::time_point known_since,
+    core::time_point now) const -> std::optional<core::time_point>
 {
     auto const lock = std::scoped_lock{mutex_};
     auto const listed = std::any_of(
@@ -114,7 +116,20 @@
             "the instance is listed or vanished too recently; wait for the "
             "list's lag to pass");
     }
-    return *vanished + lag_;
+    // A list shows nothing of a process that has started within its lag.
+    auto const shows_it_from = known_since + lag_;
+    if (*vanished >= shows_it_from)
+    {
+        return *vanished + lag_;
+    }
+    if (last_update_ < shows_it_from)
+    {
+        return core::fail(
+            core::error_kind::not_found,
+            "the list may not show this process yet; read it again when its "
+            "lag has passed");
+    }
+    return std::max(*vanished + lag_, shows_it_from);
 }
 
 } // namespace godwitcleat::coordination
--- a/coordination/instance_list_base.hpp
+++ b/coordination/instance_list_base.hpp
@@ -51,26 +51,29 @@
     {
     }
 
-    /** Takes over the list read at @p now. */
+    /** Takes over the list that was asked for at @p now. */
     auto update(std::vector<listed_instance> instances, core::time_point now)
         -> void;
 
     [[nodiscard]] auto current() const -> std::vector<listed_instance>;
 
     /**
-     * Returns the time since when @p id is certainly gone; std::nullopt with
-     * not_found if it is listed or vanished too recently. An instance that
-     * was never listed counts as vanished at the first reading of the list.
+     * Returns the time since when a process of @p id that ran at or before
+     * @p known_since is certainly gone; std::nullopt with not_found if it is
+     * listed, vanished too recently, or may be a later process than the one
+     * that vanished. An instance that was never listed counts as vanished at
+     * the first reading of the list.
      */
-    [[nodiscard]] auto
-    gone_since(std::string const& id, core::time_point now) const
-        -> std::optional<core::time_point>;
+    [[nodiscard]] auto gone_since(
+        std::string const& id, core::time_point known_since,
+        core::time_point now) const -> std::optional<core::time_point>;
 
 private:
     mutable std::mutex mutex_;
     core::duration lag_;
     std::vector<listed_instance> current_;
     std::optional<core::time_point> first_update_;
+    core::time_point last_update_; ///< Of `current_`.
     std::map<std::string, core::time_point> vanished_;
 };
 
--- a/coordination/peers_base.cpp
+++ b/coordination/peers_base.cpp
@@ -261,6 +261,10 @@
 {
     take_tables(update.tables);
     auto& peer = peers_[update.instance];
+    if (peer.update.boot_id != update.boot_id)
+    {
+        peer.process_seen = now;
+    }
     if (!peer.update.boot_id.empty() && peer.update.boot_id != update.boot_id)
     {
         log_.info("Peer has restarted.", {{"peer", update.instance.value}});
@@ -414,6 +418,22 @@
            (update.boot_id != boot_id || !owns_below(update, shard, current));
 }
 
+auto peer_set::first_heard(
+    core::instance_id const& instance, std::string const& boot_id) const
+    -> std::optional<core::time_point>
+{
+    auto const lock = std::scoped_lock{mutex_};
+    auto const it = peers_.find(instance);
+    if (it == peers_.end() || it->second.update.boot_id != boot_id)
+    {
+        return core::fail(
+            core::error_kind::not_found,
+            "this process of the instance has not been heard; wait for its "
+            "update");
+    }
+    return it->second.process_seen;
+}
+
 auto peer_set::seen_epochs(protocol::peer_update const& own) const
     -> std::vector<protocol::owned_shard>
 {
--- a/coordination/peers_base.hpp
+++ b/coordination/peers_base.hpp
@@ -37,6 +37,7 @@
     protocol::peer_update update; ///< The latest, without endpoint tables.
     transport::endpoint address;  ///< Of its peer port.
     core::time_point last_seen;
+    core::time_point process_seen; ///< When its process was first heard.
     bool suspect = false; ///< Silent for too long; skipped, not removed.
 };
 
@@ -117,6 +118,11 @@
         core::instance_id const& instance, std::string const& boot_id,
         core::shard_id shard, core::epoch current) const -> bool;
 
+    /** Returns when process @p boot_id of @p instance was first heard. */
+    [[nodiscard]] auto first_heard(
+        core::instance_id const& instance, std::string const& boot_id) const
+        -> std::optional<core::time_point>;
+
 private:
     using table_versions =
         std::map<core::shard_id, std::pair<core::epoch, std::uint64_t>>;
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -262,7 +262,7 @@
 auto entry_daemon::read_instances() -> void
 {
     fetch_instances_(
-        [this](auto instances)
+        [this, asked = now_()](auto instances)
         {
             if (!instances)
             {
@@ -281,7 +281,7 @@
                 }
             }
             peers_.add_addresses(addresses);
-            instances_.update(std::move(*instances), now_());
+            instances_.update(std::move(*instances), asked);
         });
 }
 
@@ -370,7 +370,7 @@
     }
     {
         auto const lock = std::scoped_lock{former_holders_mutex_};
-        former_holders_[change.shard] = change.former;
+        former_holders_[change.shard] = {change.former, now_()};
     }
     host_.release(change.shard);
     logs_.open(change.shard, change.epoch_revision);
@@ -380,20 +380,23 @@
 auto entry_daemon::former_owner_stopped(
     core::shard_id shard, core::epoch owner_epoch) -> bool
 {
-    auto former_holders = std::vector<coordination::shard_holder>{};
+    auto former = former_holders{};
     {
         auto const lock = std::scoped_lock{former_holders_mutex_};
-        former_holders = former_holders_[shard];
+        former = former_holders_[shard];
     }
     auto const now = now_();
     return std::all_of(
-        former_holders.begin(), former_holders.end(),
+        former.list.begin(), former.list.end(),
         [&](auto const& it)
         {
+            auto const known_since = peers_.first_heard(it.instance, it.boot_id)
+                                         .value_or(former.known_since);
             return it.instance == settings_.name ||
                    peers_.has_stepped_down(
                        it.instance, it.boot_id, shard, owner_epoch) ||
-                   instances_.gone_since(it.instance.value, now).has_value();
+                   instances_.gone_since(it.instance.value, known_since, now)
+                       .has_value();
         });
 }
 
--- a/programs/godwitcleatd/daemon_base.hpp
+++ b/programs/godwitcleatd/daemon_base.hpp
@@ -66,6 +66,13 @@
     }
 
 private:
+    /** Earlier owners of a shard of this instance. */
+    struct former_holders
+    {
+        std::vector<coordination::shard_holder> list;
+        core::time_point known_since;
+    };
+
     auto peer_hooks() -> coordination::peer_hooks;
     auto host_hooks() -> coordination::shard_host_hooks;
     auto control_hooks() -> coordination::control_hooks;
@@ -96,8 +103,7 @@
     core::random_source random_;
     coordination::instance_history instances_;
     std::mutex former_holders_mutex_;
-    std::map<core::shard_id, std::vector<coordination::shard_holder>>
-        former_holders_;
+    std::map<core::shard_id, former_holders> former_holders_;
 
     transport::reactor loop_;
     transport::http_client platform_client_;
