Requests: name the backend server that is meant

A request of a caller went to an address from the endpoint table, which outlives the backend server: with a table that is old, for example while its shard's owner cannot be heard, another runner, even of another service, may have the address. It ran the request, and its answer went to the caller.

Change: the gateway sends X-Backend-Server with the id that the table names, which is that of one attempt. A runner refuses another id with 421, which counts as not run (RFC 9110, 15.5.20), so that the request goes elsewhere. Servers that do not know the field take requests as before.

Measured, on with the tests alone: gateway. a_request_for_a_former_backend_server_goes_to_another and history_holds_on_any_schedule (, after 96 cases) failed, since 421 reached the caller, and runner. refuses_requests_for_another_runner failed, since the request ran. No run of processes has shown it.

--- a/coordination/gateway_base.cpp
+++ b/coordination/gateway_base.cpp
@@ -279,6 +279,8 @@
         auto request = it->request;
         request.headers.set(
             deadline_header, fmt::format("{}", to_ms(remaining)));
+        request.headers.set(
+            backend_server_header, choice->backend_server.value);
         auto const began = parts.now();
         auto done = std::make_shared<std::atomic<bool>>(false);
         auto const where = choice->where;
--- a/coordination/request_policy_func.cpp
+++ b/coordination/request_policy_func.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t longest_request_id = 128;
 constexpr std::int64_t longest_deadline_ms = 600'000;
 constexpr int service_unavailable = 503;
+constexpr int misdirected_request = 421;
 
 constexpr std::array<std::string_view, 5> idempotent_methods{
     "GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
@@ -128,8 +129,10 @@
     {
         return attempt_outcome::mismatch;
     }
-    auto const refused = result.response->status == service_unavailable &&
-                         headers.get(outcome_header) == outcome_not_run;
+    auto const status = result.response->status;
+    auto const refused = status == misdirected_request ||
+                         (status == service_unavailable &&
+                          headers.get(outcome_header) == outcome_not_run);
     return refused ? attempt_outcome::not_run : attempt_outcome::answered;
 }
 
--- a/coordination/request_policy_func.hpp
+++ b/coordination/request_policy_func.hpp
@@ -16,6 +16,8 @@
 constexpr std::string_view request_id_header = "X-Request-Id";
 constexpr std::string_view deadline_header = "X-Deadline-Ms";
 constexpr std::string_view outcome_header = "X-Outcome";
+/// Id of the backend server that is meant; another one refuses with 421.
+constexpr std::string_view backend_server_header = "X-Backend-Server";
 
 /// Values of the header X-Outcome.
 constexpr std::string_view outcome_not_run = "not-run";
--- a/standins/support/process_base.cpp
+++ b/standins/support/process_base.cpp
@@ -267,6 +267,7 @@
     auto settings = runner_settings{};
     settings.listen.address = settings_.address;
     settings.worker = event.worker.value;
+    settings.backend_server = state::backend_server_of(event.key).value;
     settings.serve_time = std::chrono::milliseconds{script->serve_ms};
     auto opened = runner::listen(loop_, settings, clock_, record_);
     if (!opened)
--- a/standins/support/runner_base.cpp
+++ b/standins/support/runner_base.cpp
@@ -60,6 +60,14 @@
     auto take(transport::http_request request, transport::http_reply reply)
         -> void
     {
+        auto const meant = request.headers.get("X-Backend-Server");
+        if (!meant.empty() && !settings.backend_server.empty() &&
+            meant != settings.backend_server)
+        {
+            auto refusal = transport::http_response{};
+            refusal.status = 421;
+            return reply(std::move(refusal));
+        }
         auto const lock = std::scoped_lock{mutex};
         if (closed)
         {
--- a/standins/support/runner_base.hpp
+++ b/standins/support/runner_base.hpp
@@ -22,12 +22,14 @@
     std::size_t slots = 8;        ///< Requests that run at once.
     std::size_t connections = 64; ///< Connections that are accepted.
     core::duration serve_time{0}; ///< Duration of one request.
+    std::string backend_server;   ///< Its id; empty: not known.
 };
 
 /**
  * Answers each request with status 200 and a JSON body that repeats the
- * request id, method, target and body. Requests beyond the slots wait in the
- * order of their arrival. Destroying the runner closes all connections.
+ * request id, method, target and body; one that names another backend server
+ * in `X-Backend-Server` is refused with 421. Requests beyond the slots wait in
+ * the order of their arrival. Destroying the runner closes all connections.
  */
 class runner
 {
--- a/state/engine_views.cpp
+++ b/state/engine_views.cpp
@@ -118,8 +118,7 @@
             auto const entry = task_entries_.find(key);
             auto value = service_endpoint{};
             value.service = task->spec.service;
-            value.backend_server = core::backend_server_id{
-                key.job.value + "#" + std::to_string(key.attempt.value)};
+            value.backend_server = backend_server_of(key);
             value.address = report.endpoint;
             value.data_centre = worker.info.data_centre;
             value.leaving = is_drained_worker(id) || has_pending_change(key) ||
--- a/state/job_func.cpp
+++ b/state/job_func.cpp
@@ -6,6 +6,12 @@
 namespace godwitcleat::state
 {
 
+auto backend_server_of(attempt_key const& key) -> core::backend_server_id
+{
+    return core::backend_server_id{
+        fmt::format("{}#{}", key.job.value, key.attempt.value)};
+}
+
 auto to_string(job_kind value) -> std::string_view
 {
     switch (value)
--- a/state/job_type.hpp
+++ b/state/job_type.hpp
@@ -138,6 +138,9 @@
     }
 };
 
+/** Returns the id of the backend server that the attempt runs. */
+auto backend_server_of(attempt_key const& key) -> core::backend_server_id;
+
 } // namespace godwitcleat::state
 
 #endif
--- a/tests/daemon_stop_test.cpp
+++ b/tests/daemon_stop_test.cpp
@@ -111,12 +111,14 @@
         {
             settings.drain_delay = drain_delay;
         }};
-    auto runner =
-        standins::runner::listen(
-            fixture.loop(),
-            {{"127.0.0.1", 0}, "w1", requests_in_flight, 64, serve_time},
-            core::system_clock(), history)
-            .value();
+    auto server_settings = standins::runner_settings{};
+    server_settings.worker = "w1";
+    server_settings.slots = requests_in_flight;
+    server_settings.serve_time = serve_time;
+    auto runner = standins::runner::listen(
+                      fixture.loop(), std::move(server_settings),
+                      core::system_clock(), history)
+                      .value();
     fixture.send_endpoint(runner.local());
     EXPECT_TRUE(tests::within(
         [&fixture] { return fixture.is_ready(); }, tests::event_timeout));
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -35,7 +35,8 @@
     cut_before, ///< The connection is cut before the request is read.
     refused,    ///< No connection; nothing is written.
     not_run,    ///< The server itself says not-run.
-    swapped     ///< Runs; the answer to another request arrives.
+    swapped,    ///< Runs; the answer to another request arrives.
+    misdirected ///< Another backend server has the address now, and says so.
 };
 
 struct attempt_plan
@@ -180,6 +181,11 @@
         return sent_;
     }
 
+    auto asked() const -> std::vector<int> const&
+    {
+        return asked_;
+    }
+
     auto counter(std::string const& name) const -> double
     {
         for (auto const& it : counters_.samples())
@@ -271,6 +277,7 @@
                               : attempt_plan{};
         auto const id = std::string{request.headers.get("X-Request-Id")};
         sent_.push_back(std::move(request));
+        asked_.push_back(where.port);
         auto const delay =
             core::duration{std::chrono::milliseconds{plan.delay_ms}};
         act(plan.what, id, delay, timeout, std::move(done));
@@ -289,7 +296,7 @@
         };
         auto const runs = what != fate::lost_early &&
                           what != fate::cut_before && what != fate::refused &&
-                          what != fate::not_run;
+                          what != fate::not_run && what != fate::misdirected;
         if (runs)
         {
             later(
@@ -336,6 +343,10 @@
             result.response->status = 503;
             result.response->headers.set("X-Outcome", "not-run");
         }
+        if (what == fate::misdirected)
+        {
+            result.response->status = 421;
+        }
         later(delay, [=] { done(result); });
         if (what == fate::duplicate)
         {
@@ -355,6 +366,7 @@
     std::uint64_t version_ = 0;
     unsigned leaving_ = 0;
     std::vector<transport::http_request> sent_;
+    std::vector<int> asked_; ///< Ports, which name the servers, as `sent_`.
     coordination::router router_;
     coordination::gateway gateway_;
 };
@@ -368,7 +380,7 @@
         rc::gen::set(
             &attempt_plan::what,
             rc::gen::map(
-                rc::gen::inRange(0, static_cast<int>(fate::swapped) + 1),
+                rc::gen::inRange(0, static_cast<int>(fate::misdirected) + 1),
                 [](int it) { return static_cast<fate>(it); })),
         rc::gen::set(&attempt_plan::delay_ms, rc::gen::inRange(0, 130)));
     auto const table = rc::gen::build<table_plan>(
@@ -521,6 +533,22 @@
     EXPECT_EQ(sent.headers.get("X-Deadline-Ms"), "100");
 }
 
+// Guards against a request that a later backend server at the address runs.
+TEST(gateway, a_request_for_a_former_backend_server_goes_to_another)
+{
+    auto network = fake_network{{{}, {{fate::misdirected, 5}}, {}}};
+    auto request = get("/s/desk/a");
+    request.method = "POST";
+    request.headers.set("X-Backend-Server", "mine");
+    EXPECT_EQ(network.handle(request).status, 200);
+    ASSERT_EQ(network.sent().size(), 2U);
+    auto const first = network.sent()[0].headers.get("X-Backend-Server");
+    auto const second = network.sent()[1].headers.get("X-Backend-Server");
+    EXPECT_EQ(first, std::to_string(network.asked()[0]));
+    EXPECT_EQ(second, std::to_string(network.asked()[1]));
+    EXPECT_NE(first, second);
+}
+
 // Guards against ids that could be used to forge header fields.
 TEST(gateway, replaces_invalid_request_ids)
 {
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -49,13 +49,17 @@
 
 auto start(
     transport::http_client& client, transport::endpoint const& where,
-    std::string const& id, std::string body = "text")
-    -> std::future<transport::http_result>
+    std::string const& id, std::string body = "text",
+    std::string_view backend_server = {}) -> std::future<transport::http_result>
 {
     auto request = transport::http_request{};
     request.method = "POST";
     request.target = "/book?x=1";
     request.headers.set("X-Request-Id", id);
+    if (!backend_server.empty())
+    {
+        request.headers.set("X-Backend-Server", backend_server);
+    }
     request.body = std::move(body);
     auto promise = std::make_shared<std::promise<transport::http_result>>();
     auto future = promise->get_future();
@@ -121,6 +125,30 @@
     EXPECT_LE(lines[0].at("at_us"), lines[1].at("at_us"));
 }
 
+// Guards against a request for the runner that had the address before.
+TEST(runner, refuses_requests_for_another_runner)
+{
+    auto file = temporary_file{};
+    auto record = standins::history::open(file.path);
+    ASSERT_TRUE(record);
+    auto loop = transport::reactor{2};
+    auto client = transport::http_client{loop, {}};
+    auto settings = standins::runner_settings{};
+    settings.backend_server = "stock#2";
+    auto const runner =
+        standins::runner::listen(loop, settings, core::system_clock(), *record);
+    ASSERT_TRUE(runner);
+    auto const former =
+        start(client, runner->local(), "1", "text", "desk#1").get();
+    ASSERT_TRUE(former.response);
+    EXPECT_EQ(former.response->status, 421);
+    EXPECT_TRUE(file.lines().empty());
+    auto const own =
+        start(client, runner->local(), "2", "text", "stock#2").get();
+    ASSERT_TRUE(own.response);
+    EXPECT_EQ(own.response->status, 200);
+}
+
 // Guards against a body that is no UTF-8 and ends the stand-in.
 TEST(runner, answers_bodies_that_are_no_text)
 {
