--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -114,23 +114,36 @@
     std::deque<sent_request> on_the_way;
     std::vector<protocol::peer_request> delivered;
 
-    coordination::peer_set sender{
-        core::instance_id{"entry-1"},
-        {},
-        {[this](auto const&, auto request, auto, auto on_done) {
-             on_the_way.push_back({std::move(request), std::move(on_done)});
-         },
-         [this] { return own; },
-         [](auto const&) {
-         }},
-        core::null_logger()};
+    std::optional<coordination::peer_set> sender;
     std::optional<coordination::peer_set> receiver;
+    int process = 0; ///< Of the sender.
 
     link_fixture()
     {
         restart_receiver();
+        restart_sender();
+    }
+
+    auto restart_sender() -> void
+    {
+        ++process;
+        sender.emplace(
+            core::instance_id{"entry-1"}, coordination::peer_settings{},
+            coordination::peer_hooks{
+                [this](auto const&, auto request, auto, auto on_done) {
+                    on_the_way.push_back(
+                        {std::move(request), std::move(on_done)});
+                },
+                [this]
+                {
+                    own.boot_id = fmt::format("boot {}", process);
+                    return own;
+                },
+                [](auto const&) {
+                }},
+            core::null_logger());
         auto const where = std::vector{transport::endpoint{"127.0.0.1", 2}};
-        sender.add_addresses(where);
+        sender->add_addresses(where);
     }
 
     auto restart_receiver() -> void
@@ -161,7 +174,7 @@
     /** Sends a state, which arrives and is answered. */
     auto exchange() -> void
     {
-        sender.tick(now);
+        sender->tick(now);
         auto const it = std::move(on_the_way.front());
         on_the_way.pop_front();
         it.on_done(receive(it.request));
@@ -188,8 +201,8 @@
 }
 
 // Guards against a peer that holds a mixture of states after lost, repeated or
-// late requests, lost replies or a restart. Once requests and replies arrive
-// again, two exchanges must bring it up to date.
+// late requests, lost replies or a restart of either. Once requests and replies
+// arrive again, two exchanges must bring it up to date.
 RC_GTEST_PROP(peer_set, recovers_from_any_schedule, ())
 {
     enum step
@@ -199,6 +212,7 @@
         lose_reply,
         repeat_request,
         restart,
+        restart_sender,
         step_count
     };
     auto it = link_fixture{};
@@ -212,13 +226,17 @@
         {
             it.restart_receiver();
         }
+        else if (next == restart_sender)
+        {
+            it.restart_sender();
+        }
         else if (next == repeat_request && !it.delivered.empty())
         {
             it.receive(it.delivered.front());
         }
         else if (next == lose_request || next == lose_reply)
         {
-            it.sender.tick(it.now);
+            it.sender->tick(it.now);
             auto const sent = std::move(it.on_the_way.front());
             it.on_the_way.pop_front();
             if (next == lose_reply)
@@ -257,6 +275,40 @@
     EXPECT_TRUE(it.held().shards.empty());
 }
 
+// Guards against a late state of a former process that lets the present one
+// count as stopped, and against a present one that counts as heard before.
+TEST(peer_set, a_late_state_of_a_former_process_stops_no_owner)
+{
+    auto it = link_fixture{};
+    auto const shard = core::shard_id{0};
+    auto const name = core::instance_id{"entry-1"};
+    auto const has_stopped = [&]
+    {
+        return it.receiver->has_stepped_down(
+            name, "boot 2", shard, core::epoch{3});
+    };
+    it.own.instance = name;
+    it.exchange();
+    it.restart_sender();
+    it.own.shards = shards_from({2});
+    it.now += 1s;
+    it.exchange();
+    EXPECT_EQ(it.receiver->first_heard(name, "boot 2"), it.now);
+    EXPECT_FALSE(it.receiver->first_heard(name, "boot 1"));
+    it.receive(it.delivered.front());
+    EXPECT_FALSE(has_stopped());
+    auto next_owner = protocol::peer_update{};
+    next_owner.instance = core::instance_id{"entry-3"};
+    next_owner.shards = shards_from({3});
+    it.sender->received(next_owner, it.now);
+    it.exchange();
+    it.exchange();
+    EXPECT_FALSE(has_stopped()) << "still owns the shard";
+    it.own.shards = {};
+    it.exchange();
+    EXPECT_TRUE(has_stopped());
+}
+
 // Guards against whole states on each exchange, which exceed the byte budget
 // of an instance with many backend servers and teams.
 TEST(peer_set, sends_changes_only)
