--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -92,22 +92,36 @@
     return result;
 }
 
+/** A runner with a record and a client. */
+struct recorded_runner
+{
+    explicit recorded_runner(standins::runner_settings const& settings)
+        : record(standins::history::open(file.path))
+    {
+        if (record)
+        {
+            runner = standins::runner::listen(
+                loop, settings, core::system_clock(), *record);
+        }
+    }
+
+    temporary_file file;
+    std::optional<standins::history> record;
+    transport::reactor loop{2};
+    transport::http_client client{loop, {}};
+    std::optional<standins::runner> runner;
+};
+
 } // namespace
 
 // Guards against an answer to another request than the one that was sent.
 TEST(runner, echoes_the_request)
 {
-    auto file = temporary_file{};
-    auto record = standins::history::open(file.path);
-    ASSERT_TRUE(record);
-    auto loop = transport::reactor{2};
-    auto client = transport::http_client{loop, {}};
     auto settings = standins::runner_settings{};
     settings.worker = "w1";
-    auto const runner =
-        standins::runner::listen(loop, settings, core::system_clock(), *record);
-    ASSERT_TRUE(runner);
-    auto const result = start(client, runner->local(), "id-7").get();
+    auto it = recorded_runner{settings};
+    ASSERT_TRUE(it.runner);
+    auto const result = start(it.client, it.runner->local(), "id-7").get();
     ASSERT_TRUE(result.response);
     EXPECT_EQ(result.response->status, 200);
     EXPECT_EQ(result.response->headers.get("X-Request-Id"), "id-7");
@@ -116,37 +130,32 @@
     EXPECT_EQ(body.at("method"), "POST");
     EXPECT_EQ(body.at("target"), "/book?x=1");
     EXPECT_EQ(body.at("body"), "text");
-    auto const lines = file.lines();
+    auto const lines = it.file.lines();
     ASSERT_EQ(lines.size(), 2U);
     EXPECT_EQ(lines[0].at("event"), "started");
     EXPECT_EQ(lines[1].at("event"), "finished");
     EXPECT_EQ(lines[1].at("request_id"), "id-7");
-    EXPECT_EQ(lines[1].at("runner"), transport::to_string(runner->local()));
+    EXPECT_EQ(lines[1].at("runner"), transport::to_string(it.runner->local()));
     EXPECT_LE(lines[0].at("at_us"), lines[1].at("at_us"));
 }
 
 // Guards against a request for the runner that had the address before.
 TEST(runner, refuses_requests_for_another_runner)
 {
-    auto file = temporary_file{};
-    auto record = standins::history::open(file.path);
-    ASSERT_TRUE(record);
-    auto loop = transport::reactor{2};
-    auto client = transport::http_client{loop, {}};
     auto settings = standins::runner_settings{};
     settings.backend_server = "stock#2";
-    auto const runner =
-        standins::runner::listen(loop, settings, core::system_clock(), *record);
-    ASSERT_TRUE(runner);
-    auto const former =
-        start(client, runner->local(), "1", "text", "desk#1").get();
-    ASSERT_TRUE(former.response);
-    EXPECT_EQ(former.response->status, 421);
-    EXPECT_TRUE(file.lines().empty());
-    auto const own =
-        start(client, runner->local(), "2", "text", "stock#2").get();
-    ASSERT_TRUE(own.response);
-    EXPECT_EQ(own.response->status, 200);
+    auto it = recorded_runner{settings};
+    ASSERT_TRUE(it.runner);
+    auto const status_for = [&it](std::string_view backend_server)
+    {
+        auto const where = it.runner->local();
+        auto const result =
+            start(it.client, where, "1", "text", backend_server).get();
+        return result.response ? result.response->status : 0;
+    };
+    EXPECT_EQ(status_for("desk#1"), 421);
+    EXPECT_TRUE(it.file.lines().empty());
+    EXPECT_EQ(status_for("stock#2"), 200);
 }
 
 // Guards against a body that is no UTF-8 and ends the stand-in.
