Dispatcher: find the runs of a list where they are expected

Each row of a worker's list was compared with all runs of the worker before it, so that a list took time with the square of the runs. The search now begins behind the run that was found last, as rows are mostly in the order of the runs; the result is the same, since task and run number are unique on a worker.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -371,6 +371,9 @@
     std::deque<pending_end> unacknowledged_ends;
     bool ends_complete = true; ///< worker_lists::ends_complete of the last one.
     std::vector<run_entry> runs;
+    /** Where find_run() begins: rows of lists are mostly in the order of runs.
+     */
+    std::size_t likely_run = 0;
     /** Ended with its lease; they count as crashes if it was restarted. */
     std::vector<run_entry> lapsed_runs;
     core::resources used;
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -30,11 +30,14 @@
     dispatch_worker& worker, task_name const& name, run_number run)
     -> std::optional<std::size_t>
 {
-    for (auto i = std::size_t{0}; i < worker.runs.size(); ++i)
+    auto const size = worker.runs.size();
+    for (auto n = std::size_t{0}; n < size; ++n)
     {
+        auto const i = (worker.likely_run + n) % size;
         auto const& it = worker.runs[i];
         if (it.run == run && it.name == name)
         {
+            worker.likely_run = i + 1;
             return i;
         }
     }
