Tests: compare the worker before its jobs in the check of the stored list

The world searched the stored jobs for each of 40 stored workers on each start, though only one of them is the worker. The check is the same.

--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -569,12 +569,14 @@
         [&](auto const& it)
         {
             auto const& names = it.possible_tasks;
-            auto const shown =
-                names ? std::find(names->begin(), names->end(), task) !=
-                            names->end()
-                      : is_service_stored(task, it.info.service);
-            return shown && it.info.worker == worker.worker &&
-                   it.info.address == worker.address;
+            if (it.info.worker != worker.worker ||
+                it.info.address != worker.address)
+            {
+                return false;
+            }
+            return names ? std::find(names->begin(), names->end(), task) !=
+                               names->end()
+                         : is_service_stored(task, it.info.service);
         });
 }
 
