--- a/standins/soak/main.cpp
+++ b/standins/soak/main.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t threads = 3;
 constexpr auto start_limit = 30s;
+constexpr auto end_limit = 60s;    ///< Of the faults, after the last began.
 constexpr auto calm_time = 12s;    ///< Then all that lasts is at work.
 constexpr auto finish_limit = 40s; ///< Of accepted jobs, in calm.
 constexpr auto cancel_time = 7s;   ///< Then nothing cancelled is at work.
@@ -57,7 +58,7 @@
         , store_(loop_, seed_)
         , fleet_(
               options["daemon"].as<std::string>(), folder_, links_, check_,
-              store_.address)
+              store_.address, lease_limit_)
         , faults_(
               seed_, check_, store_, fleet_, workers_,
               [this](auto const& place) { return make_worker(place); })
@@ -83,7 +84,7 @@
                 auto const duration =
                     std::chrono::seconds{number("duration-s")};
                 wait(duration, true, [] { return false; });
-                wait(start_limit, false, [this] { return !faults_.active(); });
+                wait(end_limit, false, [this] { return !faults_.active(); });
             }
             check_.fault("no more faults");
             settle();
@@ -124,6 +125,7 @@
         auto settings = soak::worker_settings{};
         settings.id = fmt::format("i-{:08x}", ++last_worker_);
         settings.data_centre = place;
+        settings.lease_limit = lease_limit_;
         settings.clock_rate = last_worker_ % 3 == 0 ? 0.98 : 1;
         settings.stop_time = last_worker_ % 2 == 0 ? 150ms : 20ms;
         return std::make_unique<soak::soak_worker>(
@@ -150,6 +152,8 @@
 
     auto start() -> bool
     {
+        check_.fault(
+            fmt::format("the longest lease is {} ms", lease_limit_.count()));
         faults_.write_config();
         for (auto i = 0; i < number("workers"); ++i)
         {
@@ -239,6 +243,8 @@
 
     cxxopts::ParseResult const& options_;
     std::uint64_t seed_;
+    std::chrono::milliseconds lease_limit_{
+        core::random_source{seed_}.below(4) == 0 ? 6000 : 10'000};
     std::filesystem::path folder_;
     soak::link_loop links_;
     transport::reactor loop_{threads};
--- a/standins/soak/soak_clients.hpp
+++ b/standins/soak/soak_clients.hpp
@@ -87,10 +87,15 @@
         job.id = fmt::format("{:016x}", random_.below(~0ULL));
         job.tasks = static_cast<int>(1 + random_.below(4));
         job.lasts = roll >= 7;
-        job.steps = job.lasts ? 1 : static_cast<int>(1 + random_.below(2));
+        // Longer than a lease: some are at work on each worker at any time.
+        auto const is_long = roll == 5 || roll == 6;
+        job.steps =
+            job.lasts || is_long ? 1 : static_cast<int>(1 + random_.below(2));
         job.spec = job.lasts
                        ? "serve"
-                       : fmt::format("work {}", 100 + random_.below(2500));
+                       : fmt::format(
+                             "work {}", is_long ? 12'000 + random_.below(3000)
+                                                : 100 + random_.below(2500));
         auto const accepted = submit(job);
         pause(2000);
         ask(job.id);
--- a/standins/soak/soak_faults.hpp
+++ b/standins/soak/soak_faults.hpp
@@ -20,7 +20,8 @@
     soak_faults(
         std::uint64_t seed, soak_check& check, soak_store& store,
         soak_fleet& fleet, worker_list& workers, make_worker make)
-        : random_(seed)
+        : restarts_only_(seed % 3 == 0)
+        , random_(seed)
         , check_(check)
         , store_(store)
         , fleet_(fleet)
@@ -44,7 +45,14 @@
             run();
         }
         restart_ended();
-        if (begins && clock_() >= next_)
+        if (begins && restarts_only_)
+        {
+            if (!restarts_ && clock_() >= next_)
+            {
+                restart_data_centre();
+            }
+        }
+        else if (begins && clock_() >= next_)
         {
             begin();
             // Many overlap with this one, and some are followed by calm.
@@ -98,7 +106,7 @@
 
     auto begin() -> void
     {
-        switch (random_.below(16))
+        switch (random_.below(21))
         {
         case 0:
         case 1: return pause();
@@ -115,6 +123,11 @@
         case 12: return cut_data_centre();
         case 13: return disturb_store();
         case 14: return revoke();
+        case 15:
+        case 16:
+        case 17:
+        case 18:
+        case 19: return restarts_ ? disturb_workers() : restart_data_centre();
         default: return random_.below(2) == 0 ? evacuate() : write_config();
         }
     }
@@ -185,6 +198,19 @@
         }
     }
 
+    auto in_data_centre(
+        std::string const& place, std::function<void(soak_worker&)> const& run)
+        -> void
+    {
+        for (auto const& it : workers_)
+        {
+            if (it->settings.data_centre == place)
+            {
+                run(*it);
+            }
+        }
+    }
+
     auto restart_ended() -> void
     {
         fleet_.reap();
@@ -312,20 +338,80 @@
     auto cut_data_centre() -> void
     {
         auto const place = draw_worker().settings.data_centre;
-        auto const set = [this, place](bool is_cut)
+        auto const wait = draw_ms(500, longest_ms);
+        cut_data_centre(place, random_.below(2) == 0, wait, [] {});
+    }
+
+    auto cut_data_centre(
+        std::string const& place, bool in_silence, milliseconds wait,
+        std::function<void()> then) -> void
+    {
+        in_data_centre(
+            place, [in_silence](auto& it) { it.cut_off(true, in_silence); });
+        spell(
+            fmt::format(
+                "workers of {} are cut off{}", place,
+                in_silence ? " in silence" : ""),
+            wait,
+            [this, place, then = std::move(then)]
+            {
+                in_data_centre(place, [](auto& it) { it.cut_off(false); });
+                then();
+            });
+    }
+
+    auto restart_data_centre() -> void
+    {
+        auto const place = draw_worker().settings.data_centre;
+        restarts_ = true;
+        restart_data_centre(place, random_.below(2));
+    }
+
+    // In silence: the workers restart, and are cut off soon after.
+    auto restart_data_centre(std::string const& place, std::uint64_t again)
+        -> void
+    {
+        auto const down = draw_ms(300, 1000);
+        auto const up = draw_ms(600, 1800);
+        // Long enough that the leases lapse, mostly.
+        auto const lease = workers_.front()->settings.lease_limit.count();
+        auto const cut = draw_ms(lease, lease + 2000);
+        auto const then = [this, place, again]
         {
-            for (auto const& it : workers_)
+            if (again > 0)
             {
-                if (it->settings.data_centre == place)
-                {
-                    it->cut_off(is_cut);
-                }
+                later(
+                    draw_ms(2000, 4000),
+                    [=, this] { restart_data_centre(place, again - 1); });
             }
+            restarts_ = again > 0;
+            next_ = restarts_only_ ? clock_() + draw_ms(500, 3000) : next_;
         };
-        set(true);
+        in_data_centre(place, [](auto& it) { it.crash(true); });
         spell(
-            "workers of " + place + " are cut off", draw_ms(500, longest_ms),
-            [set] { set(false); });
+            "workers of " + place + " are down in silence", down,
+            [this, place]
+            { in_data_centre(place, [](auto& it) { it.start(); }); });
+        later(
+            down + up, [=, this] { cut_data_centre(place, true, cut, then); });
+        if (random_.below(3) == 0)
+        {
+            later(
+                draw_ms(down.count(), (down + up).count()),
+                [this] { kill_owner(); });
+        }
+    }
+
+    auto kill_owner() -> void
+    {
+        for (auto const& it : fleet_.all)
+        {
+            if (it->name == store_.owner())
+            {
+                check_.fault(it->name + " gets signal 9");
+                fleet_.send(*it, SIGKILL);
+            }
+        }
     }
 
     auto disturb_store() -> void
@@ -374,6 +460,7 @@
     }
 
     core::clock clock_ = core::system_clock();
+    bool restarts_only_; ///< Those of data centres alone, in some runs.
     core::random_source random_;
     soak_check& check_;
     soak_store& store_;
@@ -384,6 +471,7 @@
     std::set<instance*> restarting_;
     core::time_point next_;
     std::uint64_t version_ = 1;
+    bool restarts_ = false; ///< Of a data centre, with what follows.
 };
 
 } // namespace godwitcleat::soak
--- a/standins/soak/soak_fleet.hpp
+++ b/standins/soak/soak_fleet.hpp
@@ -141,12 +141,13 @@
 public:
     soak_fleet(
         std::string daemon, std::filesystem::path folder, link_loop& links,
-        soak_check& check, transport::endpoint store)
+        soak_check& check, transport::endpoint store, milliseconds lease_limit)
         : daemon_(std::move(daemon))
         , folder_(std::move(folder))
         , links_(links)
         , check_(check)
         , store_(std::move(store))
+        , lease_limit_(lease_limit)
     {
     }
 
@@ -216,14 +217,14 @@
             "[instance]\nname = {}\ndata_centre = {}\nprocessors = 1\n"
             "gateway = {}\npeer = {}\nadvertise_peer = {}\ncontrol = {}\n"
             "[store]\naddresses = {}\ntimeout_ms = 1000\n"
-            "[hosted]\nreadiness = {}\nlease_limit_ms = 6000\nstop_ms = 200\n"
+            "[hosted]\nreadiness = {}\nlease_limit_ms = {}\nstop_ms = 200\n"
             "worker_notice_ms = 2000\ndata_centre_notice_ms = 5000\n"
             "[limits]\nthreads = 1\ndrain_delay_ms = {}\n"
             "drain_timeout_ms = 2800\n",
             it.name, it.data_centre, to_string(it.gateway), to_string(it.peer),
             to_string(it.peer_link.local()), to_string(it.control),
             to_string(it.store_link.local()), to_string(it.readiness),
-            drain_ms);
+            lease_limit_.count(), drain_ms);
     }
 
     /** Notes ended processes; reports those that nobody asked to end. */
@@ -266,6 +267,7 @@
     link_loop& links_;
     soak_check& check_;
     transport::endpoint store_;
+    milliseconds lease_limit_;
     std::uint16_t next_port_ = 20'000;
 };
 
--- a/standins/soak/soak_link.hpp
+++ b/standins/soak/soak_link.hpp
@@ -28,15 +28,16 @@
     bool refuses = false;           ///< New connections.
     bool mutes_open = false;        ///< Open ones pass nothing any more.
     std::array<bool, 2> mutes = {}; ///< All, what the side sends.
+    bool holds = false;             ///< New ones wait for its end.
     milliseconds delay = {};        ///< Of each piece.
     std::int64_t bytes_per_s = 0;   ///< Of each connection; 0: no limit.
 };
 
 constexpr auto passing = link_trouble{};
 constexpr auto link_troubles = std::array<link_trouble, 10>{
-    {{"slow", false, false, false, {}, {}, 20'000},
-     {"delayed", false, false, false, {}, milliseconds{150}},
-     {"much delayed", false, false, false, {}, milliseconds{1500}},
+    {{"slow", false, false, false, {}, false, {}, 20'000},
+     {"delayed", false, false, false, {}, false, milliseconds{150}},
+     {"much delayed", false, false, false, {}, false, milliseconds{1500}},
      {"refusing", true, true},
      {"reset", true},
      {"silent where open", false, false, true},
@@ -49,12 +50,10 @@
 class passed_connection : public std::enable_shared_from_this<passed_connection>
 {
 public:
-    passed_connection(
-        asio::io_context& loop, tcp::socket from, link_trouble const& trouble)
+    passed_connection(asio::io_context& loop, tcp::socket from)
         : sides_{std::move(from), tcp::socket{loop}}
         , timers_{asio::steady_timer{loop}, asio::steady_timer{loop}}
     {
-        disturb(trouble, false);
     }
 
     auto begin(tcp::endpoint const& target) -> void
@@ -191,6 +190,13 @@
         {
             trouble.resets ? it->reset() : it->disturb(trouble, true);
         }
+        if (trouble.resets || !trouble.holds)
+        {
+            for (auto const& it : std::exchange(waiting_, {}))
+            {
+                trouble.resets ? it->reset() : begin(it);
+            }
+        }
         if (trouble.refuses)
         {
             listener_.close(ec);
@@ -218,19 +224,26 @@
                     connections_,
                     [](auto const& it) { return !it->is_open(); });
                 auto const it = std::make_shared<passed_connection>(
-                    loop_, std::move(socket), trouble_);
-                connections_.insert(it);
-                it->begin(target_);
+                    loop_, std::move(socket));
+                trouble_.holds ? waiting_.push_back(it) : begin(it);
                 accept();
             });
     }
 
+    auto begin(std::shared_ptr<passed_connection> const& it) -> void
+    {
+        it->disturb(trouble_, false);
+        it->begin(target_);
+        connections_.insert(it);
+    }
+
     asio::io_context& loop_;
     tcp::acceptor listener_;
     tcp::endpoint bound_;
     tcp::endpoint target_;
     link_trouble trouble_;
     std::set<std::shared_ptr<passed_connection>> connections_;
+    std::vector<std::shared_ptr<passed_connection>> waiting_;
 };
 
 /** Owns all links and the thread that runs them. */
--- a/standins/soak/soak_worker.hpp
+++ b/standins/soak/soak_worker.hpp
@@ -74,8 +74,11 @@
             life_ = life{};
             life_.born = clock_();
             life_.born_ms = core::wall_clock_us() / 1000;
-            link_.set(is_cut_ ? refusing : passing);
-            beat();
+            set_link();
+            if (!is_cut_)
+            {
+                beat();
+            }
         }
     }
 
@@ -86,8 +89,9 @@
         // Closed without the lock, because its handlers take that.
         auto server = std::optional<transport::http_server>{};
         auto const lock = std::scoped_lock{mutex_};
-        link_.set(in_silence && !is_cut_ ? silent : refusing);
         std::swap(server, server_);
+        in_silence_ = is_cut_ ? in_silence_ : in_silence;
+        set_link();
         for (auto const& it : life_.running)
         {
             check_.ended(it.index, "lost");
@@ -95,12 +99,14 @@
         life_.running.clear();
     }
 
-    /** Closes the links to the instances and to the store; it works on. */
-    auto cut_off(bool is_cut) -> void
+    /** Closes the links to the instances and to the store; it works on.
+     *  @param in_silence as for a crash. */
+    auto cut_off(bool is_cut, bool in_silence = false) -> void
     {
         auto const lock = std::scoped_lock{mutex_};
         is_cut_ = is_cut;
-        link_.set(is_cut_ || !server_ ? refusing : passing);
+        in_silence_ = is_cut ? in_silence : in_silence_;
+        set_link();
     }
 
     auto drain() -> void
@@ -125,6 +131,7 @@
     {
         std::string task;
         std::uint64_t number = 0;
+        core::time_point since;
         core::time_point until;
         std::string outcome; ///< How it ends at `until`.
         std::size_t index = 0;
@@ -161,10 +168,18 @@
 
     static constexpr auto refusing = link_trouble{"refusing", true, true};
     static constexpr auto silent =
-        link_trouble{"silent", false, false, true, {true, true}};
+        link_trouble{"silent", false, false, true, {}, true};
     static constexpr auto beat_interval = milliseconds{500};
     static constexpr auto notice_ms = 2000; ///< Between drain and exit.
 
+    auto set_link() -> void
+    {
+        link_.set(
+            server_ && !is_cut_ ? passing
+            : in_silence_       ? silent
+                                : refusing);
+    }
+
     [[nodiscard]] auto clock_ms() const -> std::int64_t
     {
         auto const age =
@@ -291,7 +306,7 @@
                 : core::time_point::max();
         auto const index =
             check_.started(settings.id, settings.cpu_milli, task, number, spec);
-        life_.running.push_back({task, number, until, "done", index});
+        life_.running.push_back({task, number, clock_(), until, "done", index});
         return respond(200);
     }
 
@@ -370,6 +385,15 @@
             });
     }
 
+    // In percent; what lasts is always at 100.
+    [[nodiscard]] auto progress(run const& it) const -> std::int64_t
+    {
+        constexpr auto all = 100;
+        return it.until == core::time_point::max()
+                   ? all
+                   : all * (clock_() - it.since) / (it.until - it.since);
+    }
+
     [[nodiscard]] auto lists() const -> std::string
     {
         auto root = json{
@@ -379,7 +403,8 @@
             {"ended", json::array()}};
         for (auto const& it : life_.running)
         {
-            root["running"].push_back({it.task, it.number, "", 50, 500});
+            root["running"].push_back(
+                {it.task, it.number, "", progress(it), 500});
         }
         for (auto const& it : life_.ended)
         {
@@ -399,6 +424,7 @@
     std::mutex mutex_;                             ///< Guards all below.
     std::optional<transport::http_server> server_; ///< None: it is down.
     bool is_cut_ = false;
+    bool in_silence_ = false; ///< The last crash or cut.
     bool is_listed_ = false;
     core::time_point last_beat_;
     life life_;
--- a/tests/soak_test.sh
+++ b/tests/soak_test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # A short soak of real processes under seeded faults (CONTRIBUTING.md).
 # Guards against tasks that run twice or after their cancellation, refused jobs
-# that run, overcommitted workers and lost jobs. The two seeds run at once.
+# that run, overcommitted workers and lost jobs. The two seeds run at once; seed 2
+# begins with a data centre that restarts in silence and is cut off soon after.
 set -eu
 build=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.."
