Tell a worker's processes apart by their clocks as well

Cause: the start time alone named a process. A worker whose time of day steps back may start again with the same start time, or an earlier one. The next process then got the calls for the former one: its numbers of ends were taken as known, so that ends were forgotten unread and done tasks started again, and its lease outlasted the owner's bound. With an earlier start time, the entry of the former process passed for that of the new one.

Change: an order names the start time and the range in which the clock of the process reads while it is under way, from the last lists, within the drift of 3%. A process's own clock can't step. Lists are compared in the same way, with the times at which they were asked for and answered, so that no delay makes one process pass for two; the lower end of the range is a strict one, so that no later process has a lease beyond the bound. The HTTP client keeps what a connection has told and lets the request judge it. A listed entry with another start time than that of the answering process admits no start, whichever is greater. An order belongs to the present process if it has its token. make_hold() and make_order() share how they address a process.

Not told apart: a process with the same start time whose clock reads within 3 s ahead of the former one's; its entry with the same start time.

--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -365,7 +365,7 @@
             now - run.pace_sent_at >= pace_retry)
         {
             run.pace_sent_at = now;
-            auto order = make_order(worker, run, run_order_kind::pace);
+            auto order = make_order(worker, run, run_order_kind::pace, now);
             order.percent = run.pace;
             orders.push_back(std::move(order));
         }
@@ -398,7 +398,7 @@
     }
     run.pace = pace;
     run.pace_sent_at = now;
-    auto order = make_order(worker, run, run_order_kind::pace);
+    auto order = make_order(worker, run, run_order_kind::pace, now);
     order.percent = pace;
     orders.push_back(std::move(order));
 }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -34,6 +34,13 @@
     return value * (100 + clock_drift_percent) / 100;
 }
 
+/** Returns a lower bound of the time that a worker's clock goes on in @p value.
+ */
+constexpr auto less_drift(core::duration value) -> core::duration
+{
+    return value * (100 - clock_drift_percent) / 100;
+}
+
 constexpr auto to_ms(core::duration value) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -44,6 +51,9 @@
  */
 constexpr auto late_factor = 3;
 
+/** Calls to workers time out earlier. */
+constexpr auto max_call_time = core::duration{std::chrono::seconds{3}};
+
 /** Returns the time objective of a job with this critical path. */
 auto objective_ms(std::int64_t path_ms, queue_config const& queue)
     -> std::int64_t;
@@ -331,6 +341,21 @@
     double recent_excess_limit = 0.0; ///< Above the latest measurement.
 };
 
+/** A process of a worker, as its lists have told. */
+struct known_process
+{
+    std::int64_t started_ms = 0; ///< 0: unknown.
+    std::int64_t clock_ms = 0;   ///< Read after `asked_at`, by `answered_at`.
+    core::time_point asked_at;
+    core::time_point answered_at;
+
+    /** Returns how lists can be told from those of other processes if their
+     *  worker reads its clock after @p from and by @p until. */
+    [[nodiscard]] auto
+    expected(core::time_point from, core::time_point until) const
+        -> expected_process;
+};
+
 /** A worker and its runs. */
 struct dispatch_worker
 {
@@ -358,9 +383,8 @@
     std::string answered_address;
     contact_state contact = contact_state::none;
     std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
-    std::uint64_t restarts = 0; ///< Of the worker under this owner.
-    std::int64_t started_ms = 0;
-    bool started_ms_known = false;
+    std::uint64_t restarts = 0;           ///< Of the worker under this owner.
+    std::optional<known_process> process; ///< That has answered last.
     bool restarted = false;    ///< Runs from before its restart have ended.
     std::int64_t clock_ms = 0; ///< Its clock at `clock_at`.
     core::time_point clock_at;
@@ -416,12 +440,12 @@
         return info.capacity - used;
     }
 
-    /** Returns true if the listed capacity and labels are of an earlier
-     *  process. */
-    [[nodiscard]] auto is_listed_as_former_process() const -> bool
+    /** Returns true if the listed capacity and labels are of another process
+     *  than the one that has answered. */
+    [[nodiscard]] auto is_listed_as_other_process() const -> bool
     {
-        return info.started_ms != 0 && started_ms_known &&
-               info.started_ms < started_ms;
+        return info.started_ms != 0 && process && process->started_ms != 0 &&
+               info.started_ms != process->started_ms;
     }
 
     /** Returns false for a run whose start was sent after the last sign of life
@@ -461,8 +485,7 @@
 struct former_worker
 {
     std::uint64_t restarts = 0; ///< It obeys no lower token.
-    std::int64_t started_ms = 0;
-    bool started_ms_known = false;
+    std::optional<known_process> process;
     std::vector<run_entry> lapsed_runs;
     core::time_point lapsed_runs_until; ///< When they are dropped.
 };
@@ -600,12 +623,22 @@
         job_pointer const& job, std::uint32_t task, core::worker_id worker,
         core::time_point commit_by) -> void;
     auto token_of(dispatch_worker const& worker) const -> fencing_token;
-    /** Returns the process of the worker that an order is meant for. */
-    [[nodiscard]] static auto process_of(dispatch_worker const& worker)
-        -> std::optional<std::int64_t>
+    /** Makes an order for the present process of the worker, or for any if that
+     *  is not known. */
+    template <class Order>
+    auto
+    make_order_to(dispatch_worker const& worker, core::time_point now) const
+        -> Order
     {
-        auto const known = worker.started_ms_known && worker.started_ms != 0;
-        return known ? std::optional{worker.started_ms} : std::nullopt;
+        auto order = Order{};
+        order.worker = worker.info.worker;
+        order.address = worker.info.address;
+        order.token = token_of(worker);
+        if (worker.process && worker.process->started_ms != 0)
+        {
+            order.process = worker.process->expected(now, now + max_call_time);
+        }
+        return order;
     }
     auto clock_of(dispatch_worker const& worker, core::time_point now) const
         -> std::int64_t;
@@ -853,7 +886,7 @@
         core::time_point now) -> void;
     auto make_order(
         dispatch_worker const& worker, run_entry const& run,
-        run_order_kind kind) -> run_order;
+        run_order_kind kind, core::time_point now) const -> run_order;
 
     /** Reports the time since the job was accepted. */
     auto report_latency(job_latency kind, job_entry const& job) const -> void
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -364,7 +364,7 @@
            !worker.stored_with_lease && worker.contact == contact_state::live &&
            !worker.info.draining && now >= worker.starts_blocked_until &&
            now >= worker.suspended_until && now <= worker.lease_until &&
-           !worker.is_listed_as_former_process() &&
+           !worker.is_listed_as_other_process() &&
            !drained.contains(worker.info.data_centre);
 }
 
@@ -648,7 +648,7 @@
     run.startable_until =
         now + with_drift(settings.start_validity) + start_margin;
     worker.lease_until = std::max(worker.lease_until, run.startable_until);
-    auto order = make_order(worker, run, run_order_kind::start);
+    auto order = make_order(worker, run, run_order_kind::start, now);
     order.command = run.job->record.plan.command;
     order.checkpoint = run.checkpoint;
     order.deadline_ms = clock_of(worker, now) + to_ms(start_validity(now));
@@ -740,15 +740,11 @@
 }
 
 auto dispatcher::implementation::make_order(
-    dispatch_worker const& worker, run_entry const& run, run_order_kind kind)
-    -> run_order
+    dispatch_worker const& worker, run_entry const& run, run_order_kind kind,
+    core::time_point now) const -> run_order
 {
-    auto order = run_order{};
+    auto order = make_order_to<run_order>(worker, now);
     order.kind = kind;
-    order.worker = worker.info.worker;
-    order.address = worker.info.address;
-    order.process = process_of(worker);
-    order.token = token_of(worker);
     order.task = run.name;
     order.run = run.run;
     return order;
@@ -944,7 +940,8 @@
             run.stop_sent_at = now;
             run.stop_pending = true;
             run.stop_confirmed_at.reset();
-            orders.push_back(make_order(*worker, run, run_order_kind::stop));
+            orders.push_back(
+                make_order(*worker, run, run_order_kind::stop, now));
         }
     }
 }
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -90,7 +90,7 @@
 /** Running and ended runs of a worker. */
 struct worker_lists
 {
-    std::int64_t started_ms = 0; ///< Identifies the process; 0: unknown.
+    std::int64_t started_ms = 0; ///< Unix time of its start; 0: unknown.
     std::int64_t clock_ms = 0;   ///< The worker's own clock.
     std::vector<running_row> running;
     std::vector<ended_row> ended;
@@ -98,15 +98,28 @@
     bool ends_complete = true;
 };
 
+/** The process of a worker that may get an order. A start time may come again,
+ *  as the time of day can step back; a process's own clock only goes on. */
+struct expected_process
+{
+    std::int64_t started_ms = 0;   ///< worker_lists::started_ms.
+    std::int64_t min_clock_ms = 0; ///< Its clock while the order is under way.
+    std::int64_t max_clock_ms = 0;
+
+    /** Returns true for the start time and the clock that the process may have
+     *  told @p age ago. */
+    [[nodiscard]] auto may_have_told(
+        std::int64_t told_started_ms, std::int64_t told_clock_ms,
+        core::duration age = {}) const -> bool;
+};
+
 /** A long poll that renews a worker's lease, acknowledges ended runs and
  *  requests both lists. */
 struct hold_order
 {
     core::worker_id worker;
     std::string address;
-    /** Process of the worker that may get the order, by
-     *  worker_lists::started_ms; unset: any. */
-    std::optional<std::int64_t> process;
+    std::optional<expected_process> process; ///< Unset: any may get it.
     fencing_token token;
     std::optional<std::int64_t> deadline_ms; ///< On the worker's clock.
     std::uint64_t acknowledged = 0; ///< The worker may drop ends up to this.
@@ -129,7 +142,7 @@
     run_order_kind kind = run_order_kind::start;
     core::worker_id worker;
     std::string address;
-    std::optional<std::int64_t> process; ///< As hold_order::process.
+    std::optional<expected_process> process; ///< As hold_order::process.
     fencing_token token;
     task_name task;
     run_number run;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -54,6 +54,24 @@
 
 } // namespace
 
+auto expected_process::may_have_told(
+    std::int64_t told_started_ms, std::int64_t told_clock_ms,
+    core::duration age) const -> bool
+{
+    return told_started_ms == started_ms &&
+           told_clock_ms + to_ms(with_drift(age)) >= min_clock_ms &&
+           told_clock_ms + to_ms(less_drift(age)) <= max_clock_ms;
+}
+
+auto known_process::expected(
+    core::time_point from, core::time_point until) const -> expected_process
+{
+    // Readings are whole milliseconds, rounded down.
+    return {
+        started_ms, clock_ms + to_ms(less_drift(from - answered_at)),
+        clock_ms + to_ms(with_drift(until - asked_at)) + 1};
+}
+
 auto dispatcher::implementation::set_workers(
     std::span<listed_worker const> listed, core::time_point now) -> void
 {
@@ -277,8 +295,7 @@
     }
     auto& it = former_workers[worker.info.worker];
     it.restarts = worker.restarts;
-    it.started_ms = worker.started_ms;
-    it.started_ms_known = worker.started_ms_known;
+    it.process = worker.process;
     it.lapsed_runs = std::move(worker.lapsed_runs);
     it.lapsed_runs_until = now + max_absence;
 }
@@ -292,8 +309,7 @@
         return;
     }
     worker.restarts = it->second.restarts;
-    worker.started_ms = it->second.started_ms;
-    worker.started_ms_known = it->second.started_ms_known;
+    worker.process = it->second.process;
     worker.lapsed_runs = std::exchange(it->second.lapsed_runs, {});
 }
 
@@ -337,18 +353,15 @@
 auto dispatcher::implementation::make_hold(
     dispatch_worker& worker, core::time_point now) -> hold_order
 {
-    auto order = hold_order{};
-    order.worker = worker.info.worker;
-    order.address = worker.info.address;
-    order.token = token_of(worker);
+    auto order = make_order_to<hold_order>(worker, now);
     order.sent_at = now;
     order.session = worker.session;
     worker.hold_in_flight = true;
     if (worker.contact == contact_state::none)
     {
+        order.process.reset();
         return order;
     }
-    order.process = process_of(worker);
     auto const length = lease_length(now);
     if (!worker.stored_with_lease && length > core::duration{})
     {
@@ -505,7 +518,7 @@
         {{"worker", worker.info.worker.value},
          {"runs", worker.runs.size()},
          {"started_ms", lists.started_ms},
-         {"former_started_ms", worker.started_ms},
+         {"former_started_ms", worker.process->started_ms},
          {"clock_ms", lists.clock_ms},
          {"former_clock_ms", clock_of(worker, now)},
          {"lease_left_ms", to_ms(worker.lease_until - now)}});
@@ -514,7 +527,6 @@
     ++worker.session;
     worker.restarted = true;
     worker.former_heard_at = worker.clock_at;
-    worker.started_ms = lists.started_ms;
     for (auto const& run : std::exchange(worker.lapsed_runs, {}))
     {
         count_crash(worker, run, now);
@@ -532,19 +544,20 @@
     core::time_point now) -> void
 {
     auto const restarted =
-        worker.started_ms_known && worker.started_ms != lists.started_ms;
+        worker.process && !worker.process->expected(order.sent_at, now)
+                               .may_have_told(lists.started_ms, lists.clock_ms);
     if (restarted)
     {
         handle_restart(worker, lists, now);
     }
+    worker.process =
+        known_process{lists.started_ms, lists.clock_ms, order.sent_at, now};
     worker.clock_ms = lists.clock_ms;
     worker.clock_at = now;
     if (restarted)
     {
         return;
     }
-    worker.started_ms_known = true;
-    worker.started_ms = lists.started_ms;
     worker.lapsed_runs.clear();
     worker.answered_address = order.address;
     ++worker.list_count;
@@ -615,7 +628,8 @@
     {
         return false;
     }
-    auto const is_known_process = order.process == process_of(*worker);
+    // Each process of the worker has a token of its own.
+    auto const is_known_process = order.token == token_of(*worker);
     if (result == order_result::other_process && is_known_process &&
         worker->contact != contact_state::none)
     {
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -6,8 +6,10 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -24,6 +26,9 @@
 // After this time on a worker's clock, its deadlines are far ahead on that of a
 // process that has just begun.
 constexpr auto former_clock_ms = std::int64_t{1'000'000};
+// Steps of the time of day at a restart; none: the start time is the same.
+constexpr auto clock_steps_ms =
+    std::array<std::optional<std::int64_t>, 3>{0, std::nullopt, -100'000};
 // Longer than any lease.
 constexpr auto long_absence_ms = std::int64_t{15'000};
 
@@ -64,10 +69,12 @@
 // given its new one a longer lease than the owner counts.
 TEST(restarted_worker, a_start_for_its_former_process_prolongs_no_lease)
 {
-    for (auto const delay_ms : {50, 300, 600, 900, 1200, 1500})
+    constexpr auto delays_ms = std::array{50, 300, 600, 900, 1200, 1500};
+    for (auto i = std::size_t{0}; i < 3 * delays_ms.size(); ++i)
     {
+        auto const delay_ms = delays_ms.at(i / 3);
         auto const world = world_with_serving_task();
-        world->restart_worker("w1");
+        world->restart_worker("w1", clock_steps_ms.at(i % 3));
         world->run_for(delay_ms);
         ASSERT_TRUE(world->submit(tests::make_plan("short", 1, 500)));
         auto const serves = [&world]
@@ -78,7 +85,7 @@
                 [](tests::fake_run const& it)
                 { return it.task.job.value == "serve"; });
         };
-        for (auto i = 0; i < 300 && !serves(); ++i)
+        for (auto n = 0; n < 300 && !serves(); ++n)
         {
             world->run_for(10);
         }
@@ -140,7 +147,7 @@
 // forgotten for an acknowledgement of ends of the worker's former process.
 TEST(restarted_worker, an_acknowledgement_for_its_former_process_forgets_no_end)
 {
-    constexpr auto offsets = 20;
+    constexpr auto offsets = 60;
     auto world = tests::dispatch_world{};
     world.settings.poll_pause = std::chrono::milliseconds{100};
     world.add_worker("w1", worker_capacity).clock_ms = former_clock_ms;
@@ -157,9 +164,9 @@
         world.run_for(500);
         ASSERT_TRUE(
             world.submit(tests::make_plan(fmt::format("at-{}", i), 4, 100)));
-        world.run_for(std::int64_t{10} * i);
+        world.run_for(std::int64_t{10} * (i / 3));
         auto const starts = world.starts.size();
-        world.restart_worker("w1");
+        world.restart_worker("w1", clock_steps_ms.at(i % 3));
         ASSERT_TRUE(
             world.submit(tests::make_plan(fmt::format("after-{}", i), 4, 100)));
         world.run_for(3000);
@@ -170,7 +177,7 @@
         {
             auto const is_new = it.starts_with("after-");
             EXPECT_TRUE(!is_new || ran.count(it) == 1)
-                << it << " restart after " << 10 * i << " ms";
+                << it << " restart after " << 10 * (i / 3) << " ms";
         }
     }
     EXPECT_EQ(world.violations, std::vector<std::string>{});
@@ -180,18 +187,21 @@
 // only the entry of the former one is known.
 TEST(restarted_worker, gets_no_start_while_its_former_process_is_listed)
 {
-    auto world = tests::dispatch_world{};
-    world.add_worker("w1", worker_capacity);
-    world.begin_term();
-    world.run_for(200);
-    world.restart_worker("w1");
-    world.worker("w1").listed_started_ms = 1;
-    ASSERT_TRUE(world.submit(tests::make_plan("short", 1, 500)));
-    world.run_for(1000);
-    EXPECT_EQ(world.starts, std::vector<std::string>{});
-    world.worker("w1").listed_started_ms.reset();
-    world.run_for(1000);
-    EXPECT_EQ(world.starts.size(), 1U);
+    for (auto const clock_step_ms : {0, -100'000})
+    {
+        auto world = tests::dispatch_world{};
+        auto& worker = world.add_worker("w1", worker_capacity);
+        world.begin_term();
+        world.run_for(200);
+        worker.listed_started_ms = worker.info.started_ms;
+        world.restart_worker("w1", clock_step_ms);
+        ASSERT_TRUE(world.submit(tests::make_plan("short", 1, 500)));
+        world.run_for(1000);
+        EXPECT_EQ(world.starts, std::vector<std::string>{}) << clock_step_ms;
+        worker.listed_started_ms.reset();
+        world.run_for(1000);
+        EXPECT_EQ(world.starts.size(), 1U) << clock_step_ms;
+    }
 }
 
 // Random silent restarts and cuts of workers and changes of the owner: no task
@@ -226,8 +236,13 @@
         auto& worker = world.worker(id);
         switch (kind)
         {
-        case 0:
-        case 1: world.restart_worker(id); break;
+        case 0: world.restart_worker(id); break;
+        case 1:
+            // The same start time as before, and earlier ones.
+            world.restart_worker(
+                id, pause % 2 == 0 ? std::optional{std::int64_t{-1000} * pause}
+                                   : std::nullopt);
+            break;
         case 2: worker.reachable = !worker.reachable; break;
         case 3: worker.loses_answers = !worker.loses_answers; break;
         case 4: world.begin_term(); break;
@@ -290,6 +305,9 @@
     {
         auto lists = state::worker_lists{};
         lists.started_ms = process;
+        lists.clock_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now.time_since_epoch())
+                             .count();
         owner.hold_answered(hold, state::order_result::accepted, lists, now);
     }
 
@@ -308,7 +326,8 @@
     EXPECT_EQ(first.acknowledged, 0U);
     it.answer(first, 77);
     auto const second = it.next_hold();
-    EXPECT_EQ(second.process, 77);
+    ASSERT_TRUE(second.process);
+    EXPECT_EQ(second.process->started_ms, 77);
     EXPECT_TRUE(second.deadline_ms);
 }
 
@@ -317,16 +336,18 @@
 TEST(restarted_worker, a_late_answer_of_its_former_process_sets_no_clock)
 {
     auto it = owner_of_one_worker{};
-    it.answer(it.next_hold(), 77);
+    auto const first = it.next_hold();
+    it.answer(first, 77);
     auto start = state::run_order{};
-    start.worker = core::worker_id{"w1"};
-    start.process = 77;
+    start.worker = first.worker;
+    start.token = first.token;
     it.answer(it.next_hold(), 88);
     it.answer(it.next_hold(), 88);
     it.owner.order_answered(
         start, state::order_result::accepted, former_clock_ms, it.now);
     auto const hold = it.next_hold();
-    EXPECT_EQ(hold.process, 88);
+    ASSERT_TRUE(hold.process);
+    EXPECT_EQ(hold.process->started_ms, 88);
     ASSERT_TRUE(hold.deadline_ms);
     EXPECT_LT(*hold.deadline_ms, former_clock_ms);
 }
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -19,10 +19,11 @@
 
 // Orders for another process are not sent; see transport::server_identity.
 auto may_be_sent(
-    std::optional<std::int64_t> process, fake_dispatch_worker const& worker)
-    -> bool
+    std::optional<state::expected_process> const& process,
+    fake_dispatch_worker const& worker) -> bool
 {
-    return !process || *process == worker.info.started_ms;
+    return !process ||
+           process->may_have_told(worker.info.started_ms, worker.clock_ms);
 }
 
 auto is_same_run(fake_run const& run, state::run_order const& order) -> bool
@@ -288,7 +289,7 @@
                      std::chrono::duration_cast<std::chrono::milliseconds>(
                          order.wait)
                          .count(),
-                 term, order, worker.info.started_ms, std::nullopt});
+                 term, order, worker.process, std::nullopt});
             continue;
         }
         answer_hold(order);
@@ -303,7 +304,7 @@
             continue;
         }
         auto const& worker = workers_.at(it.order.worker.value);
-        if (!worker.reachable || it.process != worker.info.started_ms)
+        if (!worker.reachable || it.process != worker.process)
         {
             // Nothing tells the owner, so that it waits for its time-out.
             if (now_ms_ >= it.due_ms + call_timeout_ms)
@@ -718,10 +719,15 @@
     }
 }
 
-auto dispatch_world::restart_worker(std::string const& id) -> void
+auto dispatch_world::restart_worker(
+    std::string const& id, std::optional<std::int64_t> step_ms) -> void
 {
     auto& worker = workers_.at(id);
-    worker.info.started_ms = now_ms_;
+    ++worker.process;
+    if (step_ms)
+    {
+        worker.info.started_ms = now_ms_ + *step_ms;
+    }
     worker.clock_ms = 1000;
     worker.token = {};
     worker.deadline_ms = 0;
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -48,6 +48,7 @@
     bool fails_all_runs = false; ///< Each run fails immediately.
     bool delays_starts = false;  ///< Starts are queued in `delayed`.
     std::int64_t clock_ms = 1000;
+    std::uint64_t process = 0; ///< Number of its restarts.
     state::fencing_token token;
     std::int64_t deadline_ms = 0; ///< End of its lease, on its own clock.
     std::uint64_t next_end = 1;
@@ -93,8 +94,10 @@
     /** Advances the time in steps of 10 ms. */
     auto run_for(std::int64_t ms) -> void;
 
-    /** Restarts a worker process; its runs and lists are lost. */
-    auto restart_worker(std::string const& id) -> void;
+    /** Restarts a worker process; its runs and lists are lost. Its time of day
+     *  steps by @p step_ms; unset: back to the former start. */
+    auto restart_worker(
+        std::string const& id, std::optional<std::int64_t> step_ms = 0) -> void;
 
     /** Ends a worker process, which leaves the list of workers; another process
      *  takes its address. */
@@ -186,7 +189,7 @@
         std::int64_t due_ms = 0;
         core::epoch term;
         state::hold_order order;
-        std::int64_t process = 0; ///< That has received it.
+        std::uint64_t process = 0; ///< That has received it.
         std::optional<state::worker_lists> lists;
     };
     std::vector<waiting_hold> waiting_holds_;
--- a/tests/worker_call_test.cpp
+++ b/tests/worker_call_test.cpp
@@ -23,6 +23,12 @@
 
 constexpr auto former = std::int64_t{1000};
 constexpr auto current = std::int64_t{2000};
+constexpr auto known_clock_ms = std::int64_t{60'000};
+
+auto process_of(std::int64_t started_ms) -> state::expected_process
+{
+    return {started_ms, known_clock_ms, known_clock_ms + 3000};
+}
 
 // Answers each call and records it as "TARGET BODY".
 class fake_worker
@@ -30,10 +36,10 @@
 public:
     fake_worker(
         transport::reactor& loop, transport::endpoint const& where,
-        std::int64_t process)
+        std::int64_t process, std::int64_t clock_ms = known_clock_ms)
         : server_(*transport::http_server::listen(
               loop, where, {},
-              [this, process](auto const& request, auto reply)
+              [this, process, clock_ms](auto const& request, auto reply)
               {
                   {
                       auto const lock = std::scoped_lock{mutex_};
@@ -43,10 +49,10 @@
                   response.body =
                       request.target == "/api/hold"
                           ? fmt::format(
-                                R"({{"clock-ms":5,"born":{},"running":[],)"
+                                R"({{"clock-ms":{},"born":{},"running":[],)"
                                 R"("ended":[]}})",
-                                process)
-                          : std::string{R"({"clock-ms":5})"};
+                                clock_ms, process)
+                          : fmt::format(R"({{"clock-ms":{}}})", clock_ms);
                   reply(std::move(response));
               }))
     {
@@ -80,9 +86,9 @@
         it.worker = core::worker_id{"w1"};
         it.address = transport::to_string(where);
         it.token = state::fencing_token{3};
-        it.process = process;
         if (process)
         {
+            it.process = process_of(*process);
             it.deadline_ms = 700'000;
             it.acknowledged = 9;
         }
@@ -100,7 +106,7 @@
         it.worker = core::worker_id{"w1"};
         it.address = transport::to_string(where);
         it.token = state::fencing_token{3};
-        it.process = process;
+        it.process = process_of(process);
         it.task = {core::job_id{"0123456789abcdef"}, 0, 0, 0};
         it.run = state::run_number{1};
         it.deadline_ms = 700'000;
@@ -148,6 +154,30 @@
         state::order_result::accepted);
 }
 
+// Guards against calls for the former process of a worker that the next one
+// carries out as its start time is the same, and only its clock differs.
+TEST_F(
+    worker_call, a_process_with_the_same_start_and_another_clock_gets_no_call)
+{
+    for (auto const clock_ms : {std::int64_t{500'000}, std::int64_t{5}})
+    {
+        auto worker = fake_worker{loop, any_port(), former, clock_ms};
+        // A connection that has served a call to any process, and a new one.
+        for (auto i = 0; i < 2; ++i)
+        {
+            EXPECT_EQ(
+                order(worker.local(), state::run_order_kind::start, former)
+                    .result,
+                state::order_result::other_process);
+            ASSERT_EQ(hold(worker.local(), {}).lists->clock_ms, clock_ms);
+        }
+        for (auto const& it : worker.take_calls())
+        {
+            EXPECT_EQ(it, plain_hold);
+        }
+    }
+}
+
 // Guards against a query before each call, where one for each connection tells
 // the process.
 TEST_F(worker_call, a_connection_is_identified_once)
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -107,21 +107,30 @@
     bool other_server = false;
 };
 
+/** What a response tells of the process that gave it. */
+struct server_process
+{
+    std::int64_t started_ms = 0; ///< Unix time of its start.
+    std::int64_t clock_ms = 0;   ///< Its own steady clock.
+};
+
 /**
  * Ties a request to one server process. A connection leads to the same process
  * until it is closed, while an address may have another one at any time.
  */
 struct server_identity
 {
-    /** The process that may get the request; unset: any. */
-    std::optional<std::int64_t> expected;
+    /** Returns true if a process may get the request; the second argument is
+     *  the time since it was asked. Unset: any may. */
+    std::function<bool(server_process const&, core::duration)> accepts;
     /** Makes the request that is sent first on a connection whose process is
-     *  not known, if `expected` is set. Any process may get it, so it must not
-     *  change anything. Called, as `identify`, on a thread of the reactor. */
+     *  not known, if `accepts` is set. Any process may get it, so it must not
+     *  change anything. Called on a thread of the reactor, as `identify` and
+     *  `accepts`; the latter by send() as well. */
     std::function<http_request()> query;
     /** Returns the process that gave a response, or std::nullopt if that does
      *  not tell. */
-    std::function<std::optional<std::int64_t>(http_response const&)> identify;
+    std::function<std::optional<server_process>(http_response const&)> identify;
 };
 
 /** Limits of one HTTP client. */
--- a/transport/http_client_base.cpp
+++ b/transport/http_client_base.cpp
@@ -42,8 +42,7 @@
 {
     auto const suits = [&request](idle_connection const& it)
     {
-        auto const& expected = request.server.expected;
-        return !expected || it.server == expected;
+        return may_get(request, it.server);
     };
     auto it = std::find_if(idle.rbegin(), idle.rend(), suits);
     if (it == idle.rend())
@@ -118,7 +117,7 @@
 
 auto http_client_state::release(
     connection_pointer const& connection, bool reusable,
-    std::optional<std::int64_t> server) -> void
+    std::optional<identified_server> server) -> void
 {
     auto const lock = std::scoped_lock{mutex};
     auto const it = pools.find(connection->where());
--- a/transport/http_client_connection.cpp
+++ b/transport/http_client_connection.cpp
@@ -289,7 +289,10 @@
     auto response = from_beast(std::move(message));
     if (request_->server.identify && !server_)
     {
-        server_ = request_->server.identify(response);
+        if (auto const process = request_->server.identify(response))
+        {
+            server_ = identified_server{*process, begun_};
+        }
     }
     if (querying_)
     {
--- a/transport/http_client_internal.hpp
+++ b/transport/http_client_internal.hpp
@@ -46,6 +46,23 @@
     server_identity server;
 };
 
+/** The process to which a connection leads. */
+struct identified_server
+{
+    server_process process;
+    core::time_point asked_at; ///< Before the process has told this.
+};
+
+/** Returns true if the request may be sent to @p server; unset: not known. */
+inline auto
+may_get(exchange const& request, std::optional<identified_server> const& server)
+    -> bool
+{
+    auto const& accepts = request.server.accepts;
+    return !accepts ||
+           (server && accepts(server->process, now() - server->asked_at));
+}
+
 using exchange_pointer = std::shared_ptr<exchange>;
 using connection_pointer = std::shared_ptr<client_connection>;
 
@@ -53,8 +70,8 @@
 struct idle_connection
 {
     connection_pointer connection;
-    core::time_point since;             ///< Time of its last response.
-    std::optional<std::int64_t> server; ///< As client_connection::server_.
+    core::time_point since;                  ///< Time of its last response.
+    std::optional<identified_server> server; ///< Of the connection.
 };
 
 /** Connections and waiting requests of one endpoint. */
@@ -87,7 +104,7 @@
     auto open(endpoint const& where, endpoint_pool& pool) -> connection_pointer;
     auto release(
         connection_pointer const& connection, bool reusable,
-        std::optional<std::int64_t> server) -> void;
+        std::optional<identified_server> server) -> void;
     auto drop_idle(connection_pointer const& connection) -> void;
     /** Closes the idle connections without a response after @p time. */
     auto drop_idle_before(endpoint const& where, core::time_point time) -> void;
@@ -160,8 +177,7 @@
     /** Returns true if the request may be sent on this connection now. */
     [[nodiscard]] auto leads_to_expected_server() const -> bool
     {
-        auto const& expected = request_->server.expected;
-        return !expected || server_ == expected;
+        return may_get(*request_, server_);
     }
     auto fail(core::error_kind kind, std::string_view message) -> void;
     auto finish(http_result result, bool reusable) -> void;
@@ -178,7 +194,7 @@
     send_progress progress_ = send_progress::nothing_written;
     bool connection_refused_ = false;
     /** Process that it leads to; unset: not known. */
-    std::optional<std::int64_t> server_;
+    std::optional<identified_server> server_;
     bool querying_ = false; ///< `query_` is on its way.
     beast_request query_;
     int interim_ = 0;
