Look at a restarted worker while a look waits at its former process

Cause: an order that found another process raised the session, but the look that waited at the former process still counted as under way, so that the next one waited for its time-out, of up to 1.7 s.

Change: a look counts as under way within its session only. The answer to one of an earlier session changes nothing, unless it tells of a later owner. Sessions are numbered over all workers, so that a look at a worker that was forgotten belongs to no session of the same worker when it returns. After an order has found another process, the next look is sent at once. It names no process and acknowledges nothing.

Failed before: is_looked_at_while_a_look_waits_at_its_former_process (no look was sent). An end that the former process lists in the late answer is not noted, so its run is lost with the process and its task is started again.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -382,8 +382,8 @@
     /** Where it has last answered this owner; empty: nowhere yet. */
     std::string answered_address;
     contact_state contact = contact_state::none;
-    std::uint64_t session = 1; ///< Incremented at a restart or loss of contact.
-    std::uint64_t restarts = 0;           ///< Of the worker under this owner.
+    std::uint64_t session = 0;  ///< See implementation::begin_session().
+    std::uint64_t restarts = 0; ///< Of the worker under this owner.
     std::optional<known_process> process; ///< That has answered last.
     bool restarted = false;    ///< Runs from before its restart have ended.
     std::int64_t clock_ms = 0; ///< Its clock at `clock_at`.
@@ -401,7 +401,7 @@
     /** Ended with its lease; they count as crashes if it was restarted. */
     std::vector<run_entry> lapsed_runs;
     core::resources used;
-    bool hold_in_flight = false;
+    bool hold_in_flight = false; ///< A hold of this session.
     core::time_point next_hold_at;
     std::uint64_t list_count = 0; ///< Number of processed lists.
     core::time_point starts_blocked_until;
@@ -656,6 +656,12 @@
         hold_order const& order, order_result result,
         std::optional<worker_lists> const& lists, core::time_point now) -> bool;
     auto adapt_poll_pause(core::time_point now) -> void;
+    /** Makes the answers to all holds that are under way void. */
+    auto begin_session(dispatch_worker& worker) -> void
+    {
+        worker.session = ++last_session;
+        worker.hold_in_flight = false;
+    }
     auto lose_contact(dispatch_worker& worker, core::time_point now) -> void;
     auto handle_exit(dispatch_worker& worker, core::time_point now) -> void;
     /** Returns a bound of the rest of the lease of a worker that is without
@@ -932,6 +938,7 @@
         jobs;
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
     std::map<core::worker_id, former_worker> former_workers;
+    std::uint64_t last_session = 0; ///< Of all workers.
     std::vector<ready_step> ready_steps;
     /** Workers that accept starts in this pass, by service. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -74,6 +74,7 @@
     {
         auto const& info = it.info;
         auto worker = std::make_unique<dispatch_worker>();
+        begin_session(*worker);
         worker->info = info;
         worker->former_tasks = it.possible_tasks;
         worker->former_service = info.service;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -87,6 +87,7 @@
         if (!worker)
         {
             worker = std::make_unique<dispatch_worker>();
+            begin_session(*worker);
             worker->next_hold_at = now;
             recall(*worker, info.worker);
             worker->lost_at = now;
@@ -421,7 +422,7 @@
         worker.lost_at = now;
     }
     worker.contact = contact_state::none;
-    ++worker.session;
+    begin_session(worker);
     worker.next_hold_at = now + lost_contact_pause;
 }
 
@@ -434,12 +435,20 @@
     {
         return result != order_result::fenced;
     }
-    worker->hold_in_flight = false;
+    auto const is_void = order.session != worker->session;
+    if (!is_void)
+    {
+        worker->hold_in_flight = false;
+    }
     if (result == order_result::fenced)
     {
         worker->next_hold_at = now + lost_contact_pause;
         return order.token != token_of(*worker);
     }
+    if (is_void)
+    {
+        return true;
+    }
     if (result != order_result::accepted || !lists)
     {
         if (worker->contact != contact_state::none)
@@ -464,10 +473,6 @@
         }
         return true;
     }
-    if (order.session != worker->session)
-    {
-        return true;
-    }
     process_lists(*worker, order, *lists, now);
     return true;
 }
@@ -524,7 +529,7 @@
          {"lease_left_ms", to_ms(worker.lease_until - now)}});
     // The higher token fences orders that were sent before the restart.
     ++worker.restarts;
-    ++worker.session;
+    begin_session(worker);
     worker.restarted = true;
     worker.former_heard_at = worker.clock_at;
     for (auto const& run : std::exchange(worker.lapsed_runs, {}))
@@ -637,6 +642,7 @@
             "An order has found a worker restarted.",
             {{"worker", order.worker.value}, {"runs", worker->runs.size()}});
         lose_contact(*worker, now);
+        worker->next_hold_at = now;
     }
     // A late answer of a former process tells another clock.
     if (clock_ms && is_known_process && worker->contact == contact_state::live)
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -352,6 +352,44 @@
     EXPECT_LT(*hold.deadline_ms, former_clock_ms);
 }
 
+// Guards against a look that waits for the time-out of one at a process that is
+// gone, and against a late answer of that one that counts for the new process.
+TEST(restarted_worker, is_looked_at_while_a_look_waits_at_its_former_process)
+{
+    auto it = owner_of_one_worker{};
+    it.answer(it.next_hold(), 77);
+    it.answer(it.next_hold(), 77);
+    auto const waiting = it.next_hold();
+    ASSERT_EQ(waiting.process.value().started_ms, 77);
+    auto order = state::run_order{};
+    order.worker = waiting.worker;
+    order.token = waiting.token;
+    it.owner.order_answered(
+        order, state::order_result::other_process, std::nullopt, it.now);
+    auto const next = it.next_hold();
+    EXPECT_EQ(next.process, std::nullopt);
+    EXPECT_EQ(next.acknowledged, 0U);
+    it.answer(next, 88);
+    auto lists = state::worker_lists{};
+    lists.started_ms = 77;
+    lists.ended.push_back({9, {core::job_id{"j"}, 0, 0, 0}, {}, {}, {}});
+    using state::order_result;
+    for (auto const result :
+         {order_result::accepted, order_result::unknown,
+          order_result::other_process, order_result::other_worker})
+    {
+        auto const hold = it.next_hold();
+        EXPECT_EQ(hold.process.value().started_ms, 88);
+        EXPECT_EQ(hold.acknowledged, 0U);
+        auto const has_lists = result == order_result::accepted;
+        it.owner.hold_answered(
+            waiting, result, has_lists ? std::optional{lists} : std::nullopt,
+            it.now);
+        EXPECT_TRUE(it.owner.take_holds(it.now).empty());
+        it.answer(hold, 88);
+    }
+}
+
 // Guards against an innocent task that is given up: a start that waited for its
 // connection while the restart was seen counted as a crash.
 TEST(restarted_worker, only_a_start_that_may_have_been_sent_counts_as_a_crash)
