Test: a late start is fenced once the worker's new process was heard

PROTOCOL.md lets a worker carry out a call seconds later; it does not say that the next process of the worker does not. The higher token that the owner sends with its first look at the new process refuses such a start.

--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -44,7 +44,7 @@
     world->behaviour_of = [](state::task_name const& task, auto)
     {
         return tests::task_behaviour{
-            task.job.value == "serve" ? -1 : 300, false};
+            task.job.value == "short" ? 300 : -1, false};
     };
     world->begin_term();
     world->run_for(200);
@@ -109,10 +109,6 @@
     auto plan = tests::make_plan("serve", 1, 500);
     plan.id = core::job_id{"later"};
     plan.steps.front().long_running = true;
-    world->behaviour_of = [](auto const&, auto)
-    {
-        return tests::task_behaviour{-1, false};
-    };
     ASSERT_TRUE(world->submit(std::move(plan)));
     world->run_for(500);
     cut_off(*world);
@@ -121,6 +117,34 @@
     EXPECT_EQ(world->worker("w2").runs.size(), 2U);
 }
 
+// Guards against a second run after the new process of a worker, which the
+// owner has heard, has carried out a start for the former one by itself.
+TEST(restarted_worker, carries_out_no_late_start_once_it_was_heard)
+{
+    for (auto const late_ms : {2000, 6000, 12'000})
+    {
+        auto const world = world_with_serving_task();
+        auto& worker = world->worker("w1");
+        worker.keeps_delayed = true;
+        worker.delays_starts = true;
+        auto plan = tests::make_plan("later", 1, 500);
+        plan.steps.front().long_running = true;
+        ASSERT_TRUE(world->submit(std::move(plan)));
+        world->run_for(300);
+        ASSERT_EQ(worker.delayed.size(), 1U);
+        worker.delays_starts = false;
+        world->restart_worker("w1");
+        world->run_for(2000);
+        cut_off(*world);
+        world->run_for(late_ms - 2000);
+        auto const starts = world->starts.size();
+        world->carry_out_delayed("w1");
+        EXPECT_EQ(world->starts.size(), starts) << late_ms;
+        world->run_for(long_absence_ms);
+        EXPECT_EQ(world->violations, std::vector<std::string>{}) << late_ms;
+    }
+}
+
 // Guards against two runs after the owner that has sent a start to the former
 // process of a worker was replaced.
 TEST(restarted_worker, a_new_owner_waits_for_no_start_of_the_former_one)
@@ -130,10 +154,6 @@
     world->run_for(50);
     auto plan = tests::make_plan("later", 1, 500);
     plan.steps.front().long_running = true;
-    world->behaviour_of = [](auto const&, auto)
-    {
-        return tests::task_behaviour{-1, false};
-    };
     ASSERT_TRUE(world->submit(std::move(plan)));
     world->run_for(50);
     cut_off(*world);
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -736,7 +736,10 @@
     worker.runs.clear();
     worker.ended.clear();
     worker.stopped.clear();
-    worker.delayed.clear(); // Their connections ended with the process.
+    if (!worker.keeps_delayed)
+    {
+        worker.delayed.clear(); // Their connections ended with the process.
+    }
 }
 
 auto dispatch_world::exit_worker(std::string const& id) -> void
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -47,6 +47,7 @@
     bool stalled = false;        ///< Its runs make no progress.
     bool fails_all_runs = false; ///< Each run fails immediately.
     bool delays_starts = false;  ///< Starts are queued in `delayed`.
+    bool keeps_delayed = false;  ///< `delayed` outlasts its process.
     std::int64_t clock_ms = 1000;
     std::uint64_t process = 0; ///< Number of its restarts.
     state::fencing_token token;
