--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -440,6 +440,13 @@
         return info.capacity - used;
     }
 
+    auto set_process(known_process const& heard) -> void
+    {
+        process = heard;
+        clock_ms = heard.clock_ms;
+        clock_at = heard.answered_at;
+    }
+
     /** Returns true if the listed capacity and labels are of another process
      *  than the one that has answered. */
     [[nodiscard]] auto is_listed_as_other_process() const -> bool
@@ -687,7 +694,7 @@
         dispatch_worker& worker, core::time_point sent_at, core::time_point now)
         -> void;
     auto handle_restart(
-        dispatch_worker& worker, worker_lists const& lists,
+        dispatch_worker& worker, known_process const& heard,
         core::time_point now) -> void;
     auto fail_task(
         job_pointer const& job, std::uint32_t task, run_number run,
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -515,16 +515,16 @@
 }
 
 auto dispatcher::implementation::handle_restart(
-    dispatch_worker& worker, worker_lists const& lists, core::time_point now)
+    dispatch_worker& worker, known_process const& heard, core::time_point now)
     -> void
 {
     event(
         "A worker has been restarted.",
         {{"worker", worker.info.worker.value},
          {"runs", worker.runs.size()},
-         {"started_ms", lists.started_ms},
+         {"started_ms", heard.started_ms},
          {"former_started_ms", worker.process->started_ms},
-         {"clock_ms", lists.clock_ms},
+         {"clock_ms", heard.clock_ms},
          {"former_clock_ms", clock_of(worker, now)},
          {"lease_left_ms", to_ms(worker.lease_until - now)}});
     // The higher token fences orders that were sent before the restart.
@@ -532,6 +532,7 @@
     begin_session(worker);
     worker.restarted = true;
     worker.former_heard_at = worker.clock_at;
+    worker.set_process(heard);
     for (auto const& run : std::exchange(worker.lapsed_runs, {}))
     {
         count_crash(worker, run, now);
@@ -548,21 +549,14 @@
     dispatch_worker& worker, hold_order const& order, worker_lists const& lists,
     core::time_point now) -> void
 {
-    auto const restarted =
-        worker.process && !worker.process->expected(order.sent_at, now)
-                               .may_have_told(lists.started_ms, lists.clock_ms);
-    if (restarted)
-    {
-        handle_restart(worker, lists, now);
-    }
-    worker.process =
+    auto const heard =
         known_process{lists.started_ms, lists.clock_ms, order.sent_at, now};
-    worker.clock_ms = lists.clock_ms;
-    worker.clock_at = now;
-    if (restarted)
+    if (worker.process && !worker.process->expected(order.sent_at, now)
+                               .may_have_told(heard.started_ms, heard.clock_ms))
     {
-        return;
+        return handle_restart(worker, heard, now);
     }
+    worker.set_process(heard);
     worker.lapsed_runs.clear();
     worker.answered_address = order.address;
     ++worker.list_count;
