Dispatch: a crash of a data centre counts against no task

Cause: each task that had a run of at most 10 s on a worker whose process was replaced got a crash counted. When all workers of a data centre crash at one moment this counts against all their tasks, and after three such moments a job without fault is failed.

Ways to tell the cause from a bystander that were weighed: 1. Whether the job had runs on most of the workers that crashed at one moment. It misses many deadly jobs that crash a worker each. 2. Whether a data centre crashed and the others did not. It misses a deadly job whose tasks are all in that data centre. 3. The age of the run at each crash. It is known only within the pause between two answers, and periodic crashes look alike.

Change: 1 and 2 together. A crash does not count if more than half of the service's workers in the data centre, and at least three, may have crashed at one moment (between two answers), most workers elsewhere went on, and the job was on at most half of the crashed workers. A crash is open until the other workers have been heard, at most 2.5 s: it counts for placement but is not stored, and a task with three waits for the verdict. Tasks with dismissed crashes are started again with the delays of long-running ones, so that deadly jobs that pass for victims are held back.

Tests: of the new ones innocent_tasks_survive_common_crashes, ..._and_owners and a_deadly_job_that_crashes_many_workers_is_given_up (there the innocent jobs beside it) failed on the code before; many_deadly_jobs_of_a_data_centre_are_held_back guards the change itself and passed.

--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -33,7 +33,7 @@
         }
         else if (
             !task.failed_runs.empty() || !task.checkpoint.empty() ||
-            task.is_suspect() || !task.stored_worker.empty())
+            !task.crashed_runs.empty() || !task.stored_worker.empty())
         {
             result.tasks.push_back(
                 {i, task.failed_runs, task.checkpoint, task.crashed_runs,
--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -17,6 +17,13 @@
 // with each further one. The task has to be started 9 s after its last run.
 constexpr auto first_restart_delay = std::chrono::seconds{2};
 constexpr auto max_restart_delay = std::chrono::seconds{6};
+// A crash of fewer workers at one moment is not common.
+constexpr auto min_common_crashes = std::size_t{3};
+// Workers that crash at one moment are heard of within this time.
+constexpr auto common_crash_time = std::chrono::milliseconds{2500};
+// One that is heard of this much later is not compared.
+constexpr auto max_crash_age = std::chrono::seconds{30};
+constexpr auto crash_check_interval = std::chrono::milliseconds{50};
 // With as many crashes, the delay has its maximum.
 constexpr auto max_crash_history = std::size_t{4};
 
@@ -38,8 +45,179 @@
         first_restart_delay * (1U << doublings), max_restart_delay);
 }
 
+// Workers of a service, in one data centre or in all others.
+struct crash_group
+{
+    std::size_t crashed = 0;
+    std::size_t sound = 0;   // At work before and after.
+    std::size_t unknown = 0; // Not heard of since.
+
+    [[nodiscard]] auto has_mostly(std::size_t count) const -> bool
+    {
+        return 2 * count > crashed + sound + unknown;
+    }
+};
+
 } // namespace
 
+auto dispatcher::implementation::add_crash(
+    dispatch_worker const& worker, core::time_point alive_at,
+    core::time_point now) -> worker_crash&
+{
+    auto& crash = recent_crashes.emplace_back();
+    crash.worker = worker.info.worker;
+    crash.service = worker.info.service;
+    crash.data_centre = worker.info.data_centre;
+    crash.alive_at = alive_at == core::time_point{} ? now : alive_at;
+    crash.heard_at = now;
+    for (auto const* const runs : {&worker.runs, &worker.lapsed_runs})
+    {
+        for (auto const& run : *runs)
+        {
+            if (!run.waits_for_store)
+            {
+                crash.jobs.insert(run.name.job);
+            }
+        }
+    }
+    return crash;
+}
+
+auto dispatcher::implementation::judge_crash(
+    worker_crash const& crash, core::time_point now) const -> crash_verdict
+{
+    auto crashed = std::set<core::worker_id>{};
+    for (auto const& it : recent_crashes)
+    {
+        if (it.overlaps(crash))
+        {
+            crashed.insert(it.worker);
+        }
+    }
+    auto here = crash_group{};
+    auto elsewhere = crash_group{};
+    for (auto const& [id, worker] : workers)
+    {
+        auto const& info = worker->info;
+        auto const was_away =
+            !worker->started_ms_known ||
+            (worker->contact == contact_state::none && worker->lost_at &&
+             *worker->lost_at < crash.alive_at);
+        if (info.service != crash.service)
+        {
+            continue;
+        }
+        auto& group = info.data_centre == crash.data_centre ? here : elsewhere;
+        if (crashed.contains(id))
+        {
+            ++group.crashed;
+        }
+        else if (worker->in_worker_list && !was_away)
+        {
+            ++(worker->clock_at > crash.heard_at ? group.sound : group.unknown);
+        }
+    }
+    // Tasks that crash workers do so in each data centre.
+    auto const most_here = here.crashed + here.unknown;
+    auto const possible =
+        most_here >= min_common_crashes && here.has_mostly(most_here) &&
+        elsewhere.has_mostly(elsewhere.sound + elsewhere.unknown);
+    if (!possible)
+    {
+        return crash_verdict::single;
+    }
+    auto const complete = here.unknown + elsewhere.unknown == 0;
+    if (!complete && now < crash.heard_at + common_crash_time)
+    {
+        return crash_verdict::open;
+    }
+    auto const is_common =
+        here.crashed >= min_common_crashes && here.has_mostly(here.crashed);
+    return is_common ? crash_verdict::common : crash_verdict::single;
+}
+
+auto dispatcher::implementation::explains(
+    core::job_id const& job, worker_crash const& crash) const -> bool
+{
+    auto crashed = std::set<core::worker_id>{};
+    auto with_job = std::set<core::worker_id>{};
+    for (auto const& it : recent_crashes)
+    {
+        if (it.service != crash.service ||
+            it.data_centre != crash.data_centre || !it.overlaps(crash))
+        {
+            continue;
+        }
+        crashed.insert(it.worker);
+        if (it.jobs.contains(job))
+        {
+            with_job.insert(it.worker);
+        }
+    }
+    return 2 * with_job.size() > crashed.size();
+}
+
+auto dispatcher::implementation::settle_crash(
+    worker_crash& crash, core::time_point now) -> void
+{
+    auto const verdict = judge_crash(crash, now);
+    if (verdict == crash_verdict::open)
+    {
+        return;
+    }
+    auto dismissed = std::size_t{0};
+    for (auto const& it : std::exchange(crash.open, {}))
+    {
+        auto& task = it.job->tasks[it.task];
+        if (std::erase(task.open_crashes, it.run.value) == 0)
+        {
+            continue;
+        }
+        schedule_due = true;
+        if (is_final(it.job->phase) || task.state == task_state::done)
+        {
+            continue;
+        }
+        if (verdict == crash_verdict::common &&
+            !explains(it.job->record.plan.id, crash))
+        {
+            ++task.dismissed_crashes;
+            ++dismissed;
+            continue;
+        }
+        confirm_crash(it, now);
+    }
+    if (dismissed > 0)
+    {
+        event(
+            "A crash of most workers of a data centre does not count.",
+            {{"worker", crash.worker.value},
+             {"data_centre", crash.data_centre.value},
+             {"tasks", dismissed}});
+    }
+}
+
+auto dispatcher::implementation::settle_crashes(core::time_point now) -> void
+{
+    if (recent_crashes.empty() || now < next_crash_check)
+    {
+        return;
+    }
+    next_crash_check = now + crash_check_interval;
+    for (auto& it : recent_crashes)
+    {
+        if (!it.open.empty())
+        {
+            settle_crash(it, now);
+        }
+    }
+    while (!recent_crashes.empty() &&
+           now > recent_crashes.front().heard_at + max_crash_age)
+    {
+        recent_crashes.pop_front();
+    }
+}
+
 auto dispatcher::implementation::count_crash(
     dispatch_worker& worker, run_entry const& run, core::time_point now) -> void
 {
@@ -51,20 +229,19 @@
     }
     auto const job = run.job;
     auto& task = job->tasks[run.task];
-    auto& crashed = task.crashed_runs;
+    auto const is_run = [&](std::uint64_t it)
+    {
+        return it == run.run.value;
+    };
     auto const counted =
-        std::find(crashed.begin(), crashed.end(), run.run.value) !=
-        crashed.end();
+        std::any_of(
+            task.crashed_runs.begin(), task.crashed_runs.end(), is_run) ||
+        std::any_of(task.open_crashes.begin(), task.open_crashes.end(), is_run);
     if (is_final(job->phase) || task.state == task_state::done || counted)
     {
         return;
     }
-    auto const lasts = job->spec(job->step_of(run.task)).long_running;
-    if (lasts && crashed.size() >= max_crash_history)
-    {
-        crashed.erase(crashed.begin());
-    }
-    crashed.push_back(run.run.value);
+    task.open_crashes.push_back(run.run.value);
     note_loss(run);
     event(
         "A worker crashed under a task.", {{"worker", worker.info.worker.value},
@@ -72,8 +249,9 @@
                                            {"step", run.name.step},
                                            {"task", run.name.index},
                                            {"run", run.run.value},
-                                           {"crashes", crashed.size()}});
-    if (lasts && restart_delay(crashed.size()) > core::duration{})
+                                           {"crashes", task.crash_count()}});
+    auto const lasts = job->spec(job->step_of(run.task)).long_running;
+    if (lasts && restart_delay(task.crash_count()) > core::duration{})
     {
         event(
             "A long-running task is restarted with a delay because workers "
@@ -81,18 +259,39 @@
             {{"job", run.name.job.value},
              {"step", run.name.step},
              {"task", run.name.index},
-             {"delay_ms", to_ms(restart_delay(crashed.size()))}});
+             {"delay_ms", to_ms(restart_delay(task.crash_count()))}});
     }
+    auto const it = std::find_if(
+        recent_crashes.rbegin(), recent_crashes.rend(),
+        [&](auto const& crash) { return crash.worker == worker.info.worker; });
+    auto& crash =
+        it != recent_crashes.rend() ? *it : add_crash(worker, now, now);
+    crash.open.push_back({job, run.task, run.run});
+    settle_crash(crash, now);
+}
+
+auto dispatcher::implementation::confirm_crash(
+    crashed_run const& run, core::time_point now) -> void
+{
+    auto const& job = run.job;
+    auto& crashed = job->tasks[run.task].crashed_runs;
+    auto const lasts = job->spec(job->step_of(run.task)).long_running;
+    if (lasts && crashed.size() >= max_crash_history)
+    {
+        crashed.erase(crashed.begin());
+    }
+    crashed.push_back(run.run.value);
     if (lasts || crashed.size() < max_crashes)
     {
         mark_changed(job, now + settings.commit_delay);
         return;
     }
+    auto const name = job->name_of(run.task);
     event(
         "A task is given up because workers crash under it.",
-        {{"job", run.name.job.value},
-         {"step", run.name.step},
-         {"task", run.name.index},
+        {{"job", name.job.value},
+         {"step", name.step},
+         {"task", name.index},
          {"crashes", crashed.size()}});
     finish_job(job, plan_phase::failed, now);
 }
@@ -126,10 +325,15 @@
         return;
     }
     auto& task = job->tasks[run.task];
-    if (task.is_suspect() && task.last_run == run.run &&
-        job->spec(job->step_of(run.task)).long_running)
+    if (task.last_run != run.run)
+    {
+        return;
+    }
+    task.dismissed_crashes = 0;
+    if (task.is_suspect() && job->spec(job->step_of(run.task)).long_running)
     {
         task.crashed_runs.clear();
+        task.open_crashes.clear();
         mark_changed(job, now + settings.commit_delay);
     }
 }
@@ -138,8 +342,13 @@
     plan_step const& spec, dispatch_task const& task,
     core::time_point now) const -> bool
 {
-    return spec.long_running &&
-           now < task.lost_at + restart_delay(task.crashed_runs.size());
+    if (!spec.long_running && task.crash_count() >= max_crashes)
+    {
+        return true; // Until it is known whether all of them count.
+    }
+    auto const is_delayed = spec.long_running || task.dismissed_crashes > 0;
+    auto const crashes = task.crash_count() + task.dismissed_crashes;
+    return is_delayed && now < task.lost_at + restart_delay(crashes);
 }
 
 auto dispatcher::implementation::is_isolated(
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -81,23 +81,32 @@
     /** Each crashed its worker. Of a long-running task only those since it was
      *  last proved sound, at most max_crash_history. */
     std::vector<std::uint64_t> crashed_runs;
+    /** Runs under which a worker crashed, not known yet whether they count. */
+    std::vector<std::uint64_t> open_crashes;
+    std::size_t dismissed_crashes = 0; ///< Crashes that did not count.
     /** When its last run that was lost with its worker was at work. */
     core::time_point lost_at;
     /** The only worker where it may run, if job_entry::stores_worker_of() is
      *  true; empty: none. Part of the progress. */
     core::worker_id stored_worker;
 
+    /** Returns the number of crashes that count or may count. */
+    [[nodiscard]] auto crash_count() const -> std::size_t
+    {
+        return crashed_runs.size() + open_crashes.size();
+    }
+
     /** Returns true if a worker has crashed under the task. */
     [[nodiscard]] auto is_suspect() const -> bool
     {
-        return !crashed_runs.empty();
+        return crash_count() > 0;
     }
 
     /** Returns true if it is kept from other suspects. After one crash, the
      *  other tasks of that worker are suspects as well. */
     [[nodiscard]] auto needs_isolation() const -> bool
     {
-        return crashed_runs.size() > 1;
+        return crash_count() > 1;
     }
 };
 
@@ -289,6 +298,40 @@
     std::uint64_t last_seen_in_list = 0; ///< dispatch_worker::list_count.
 };
 
+/** A run under which a worker crashed. */
+struct crashed_run
+{
+    job_pointer job;
+    std::uint32_t task = 0;
+    run_number run;
+};
+
+/** A crash of a worker, at some time between two signs of life. */
+struct worker_crash
+{
+    core::worker_id worker;
+    core::service_id service;
+    core::data_centre_id data_centre;
+    core::time_point alive_at;     ///< Last answer of the former process.
+    core::time_point heard_at;     ///< When this owner heard of the crash.
+    std::set<core::job_id> jobs;   ///< May have had runs there.
+    std::vector<crashed_run> open; ///< Not known yet whether they count.
+
+    /** Returns true if both may have happened at one moment. */
+    [[nodiscard]] auto overlaps(worker_crash const& other) const -> bool
+    {
+        return alive_at <= other.heard_at && other.alive_at <= heard_at;
+    }
+};
+
+/** What is known of a crash. */
+enum class crash_verdict
+{
+    open,   ///< Other workers have to be heard first.
+    single, ///< Its tasks may be the cause.
+    common  ///< Its data centre crashed.
+};
+
 /** A run whose start is sent when its worker is stored. */
 struct stored_start
 {
@@ -730,11 +773,26 @@
     auto count_crash(
         dispatch_worker& worker, run_entry const& run, core::time_point now)
         -> void;
+    /** Notes that the process of the worker has ended. */
+    auto add_crash(
+        dispatch_worker const& worker, core::time_point alive_at,
+        core::time_point now) -> worker_crash&;
+    [[nodiscard]] auto
+    judge_crash(worker_crash const& crash, core::time_point now) const
+        -> crash_verdict;
+    /** Returns true if the workers that crashed at one moment with @p crash in
+     *  its data centre mostly had runs of the job. */
+    [[nodiscard]] auto
+    explains(core::job_id const& job, worker_crash const& crash) const -> bool;
+    /** Counts or dismisses the open runs of a crash, once that is known. */
+    auto settle_crash(worker_crash& crash, core::time_point now) -> void;
+    auto settle_crashes(core::time_point now) -> void;
+    auto confirm_crash(crashed_run const& run, core::time_point now) -> void;
     auto note_loss(run_entry const& run) -> void;
     auto update_suspicion(
         dispatch_worker& worker, run_entry& run, core::time_point now) -> void;
-    /** Returns true if a long-running task is not started again yet, because
-     *  workers crash under it. */
+    /** Returns true if a task is not started again yet, because workers crash
+     *  under it. */
     [[nodiscard]] auto is_backing_off(
         plan_step const& spec, dispatch_task const& task,
         core::time_point now) const -> bool;
@@ -946,6 +1004,8 @@
     std::map<core::worker_id, std::unique_ptr<dispatch_worker>> workers;
     std::map<core::worker_id, former_worker> former_workers;
     std::uint64_t last_session = 0; ///< Of all workers.
+    std::deque<worker_crash> recent_crashes;
+    core::time_point next_crash_check;
     std::vector<ready_step> ready_steps;
     /** Workers that accept starts in this pass, by service. */
     std::map<core::service_id, std::vector<dispatch_worker*>> startable_workers;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -489,6 +489,7 @@
             {{"worker", worker.info.worker.value},
              {"runs", worker.runs.size()}});
         worker.may_have_unknown_runs = false;
+        add_crash(worker, worker.clock_at, now);
     }
     for (auto i = worker.runs.size(); i-- > 0;)
     {
@@ -533,6 +534,7 @@
     worker.restarted = true;
     worker.former_heard_at = worker.clock_at;
     worker.set_process(heard);
+    add_crash(worker, worker.former_heard_at, now);
     for (auto const& run : std::exchange(worker.lapsed_runs, {}))
     {
         count_crash(worker, run, now);
@@ -764,6 +766,7 @@
         update_retired(*worker, now);
         update_stored_tasks(*worker, now);
     }
+    settle_crashes(now);
     update_stored_leases(now);
     finish_recovery(now);
     forget_lost_workers(now);
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -42,13 +42,18 @@
 class crash_world
 {
 public:
-    explicit crash_world(int workers, std::int64_t worker_down_ms = down_ms)
+    explicit crash_world(
+        int workers, std::int64_t worker_down_ms = down_ms,
+        int data_centres = 1)
         : worker_down_ms_(worker_down_ms)
     {
         for (auto i = 0; i < workers; ++i)
         {
             ids_.push_back(fmt::format("w{}", i));
-            world.add_worker(ids_.back(), worker_capacity);
+            auto& info = world.add_worker(ids_.back(), worker_capacity).info;
+            auto const dc = fmt::format("dc-{}", i % data_centres + 1);
+            info.data_centre = core::data_centre_id{dc};
+            info.labels.insert(dc);
         }
         world.behaviour_of = [](state::task_name const& task, auto)
         {
@@ -63,16 +68,34 @@
     }
 
     auto crash(std::string const& id) -> void
+    {
+        crash(id, worker_down_ms_);
+    }
+
+    auto crash(std::string const& id, std::int64_t ms) -> void
     {
         world.restart_worker(id);
         world.worker(id).reachable = false;
         world.worker(id).unreachable_result =
             state::order_result::connection_refused;
-        down_until_[id] =
-            world.now() + std::chrono::milliseconds{worker_down_ms_};
+        down_until_[id] = world.now() + std::chrono::milliseconds{ms};
         ++crashes;
     }
 
+    /** Crashes the workers of a data centre; they return within 2 s, in an
+     *  order that depends on @p seed. */
+    auto crash_data_centre(std::string const& name, std::size_t seed) -> void
+    {
+        for (auto i = std::size_t{0}; i < ids_.size(); ++i)
+        {
+            if (world.worker(ids_[i]).info.data_centre.value == name)
+            {
+                auto const ms = (i * 7 + seed * 13) % 10 * 190 + 100;
+                crash(ids_[i], static_cast<std::int64_t>(ms));
+            }
+        }
+    }
+
     auto run_for(std::int64_t ms) -> void
     {
         for (auto i = std::int64_t{0}; i < ms; i += 10)
@@ -164,6 +187,49 @@
     return result;
 }
 
+constexpr auto data_centres = 3;
+
+// Jobs that do not end, on 18 workers in three data centres.
+auto submit_innocent(crash_world& it) -> void
+{
+    auto const behaviour = it.world.behaviour_of;
+    it.world.behaviour_of = [behaviour](auto const& task, auto run)
+    {
+        auto const good = task.job.value.starts_with("good");
+        return good ? tests::task_behaviour{120'000, false}
+                    : behaviour(task, run);
+    };
+    for (auto i = 0; i < 8; ++i)
+    {
+        ASSERT_TRUE(it.world.submit(
+            tests::make_plan(fmt::format("good{}", i), 3, 1000)));
+    }
+    it.run_for(500);
+}
+
+// Crashes the data centre of a task each 5 s, or another one if it waits.
+auto crash_under(crash_world& it, std::string const& task, int times) -> void
+{
+    for (auto i = 0; i < times; ++i)
+    {
+        auto const id = last_worker_of(it.world, task);
+        it.crash_data_centre(
+            it.world.worker(id).info.data_centre.value,
+            static_cast<std::size_t>(i));
+        it.run_for(5000);
+    }
+}
+
+auto expect_innocent_active(crash_world const& it) -> void
+{
+    for (auto i = 0; i < 8; ++i)
+    {
+        EXPECT_EQ(it.world.phase(fmt::format("good{}", i)), plan_phase::active)
+            << i;
+    }
+    EXPECT_TRUE(it.world.violations.empty());
+}
+
 auto stored_crashes(crash_world const& it) -> std::size_t
 {
     auto result = std::size_t{0};
@@ -182,12 +248,15 @@
 // Guards against one task that crashes worker after worker.
 TEST(dispatch_crash, a_task_that_crashes_its_workers_starts_three_times)
 {
-    auto it = crash_world{4};
-    ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
-    it.run_for(60'000);
-    EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 3);
-    EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
-    EXPECT_TRUE(it.world.violations.empty());
+    for (auto const workers : {4, 18})
+    {
+        auto it = crash_world{workers, down_ms, workers / 6 + 1};
+        ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
+        it.run_for(60'000);
+        EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 3);
+        EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
+        EXPECT_TRUE(it.world.violations.empty());
+    }
 }
 
 // Guards against a long-running job that is given up, and against a task that
@@ -438,17 +507,20 @@
 // Guards against a count that begins anew with each owner.
 TEST(dispatch_crash, crashes_count_across_a_change_of_owner)
 {
-    auto it = crash_world{4};
-    ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
-    while (it.crashes < 2)
+    for (auto const workers : {4, 18})
     {
-        it.run_for(10);
+        auto it = crash_world{workers, down_ms, workers / 6 + 1};
+        ASSERT_TRUE(it.world.submit(tests::make_plan("bad", 1, 1000)));
+        while (it.crashes < 2)
+        {
+            it.run_for(10);
+        }
+        it.run_for(down_ms + 1000);
+        it.world.begin_term();
+        it.run_for(60'000);
+        EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 4);
+        EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
     }
-    it.run_for(down_ms + 1000);
-    it.world.begin_term();
-    it.run_for(60'000);
-    EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 4);
-    EXPECT_EQ(it.world.phase("bad"), plan_phase::failed);
 }
 
 // Guards against innocent tasks that are given up with the one beside them.
@@ -733,3 +805,91 @@
     it.run_for(6000);
     EXPECT_EQ(it.world.running(), 4U);
 }
+
+// Guards against jobs that are given up after crashes of a data centre.
+TEST(dispatch_crash, innocent_tasks_survive_common_crashes)
+{
+    auto it = crash_world{18, down_ms, data_centres};
+    submit_innocent(it);
+    crash_under(it, "good0.0.0.0", 10);
+    it.run_for(10'000);
+    expect_innocent_active(it);
+    EXPECT_EQ(it.world.running(), 24U);
+    EXPECT_EQ(stored_crashes(it), 0U);
+}
+
+// Guards against common crashes that count with the next owner.
+TEST(dispatch_crash, innocent_tasks_survive_common_crashes_and_owners)
+{
+    for (auto const after_ms : {50, 400, 1000, 1800, 2600})
+    {
+        auto it = crash_world{18, down_ms, data_centres};
+        submit_innocent(it);
+        for (auto i = 0; i < 6; ++i)
+        {
+            crash_under(it, "good0.0.0.0", 1);
+            auto const id = last_worker_of(it.world, "good0.0.0.0");
+            it.crash_data_centre(
+                it.world.worker(id).info.data_centre.value,
+                static_cast<std::size_t>(i));
+            it.run_for(after_ms);
+            it.world.begin_term();
+            it.run_for(5000 - after_ms);
+        }
+        it.run_for(10'000);
+        expect_innocent_active(it);
+        EXPECT_EQ(stored_crashes(it), 0U) << after_ms;
+    }
+}
+
+// Guards against deadly jobs that pass for victims of common crashes, in one
+// data centre and in all.
+TEST(dispatch_crash, a_deadly_job_that_crashes_many_workers_is_given_up)
+{
+    for (auto const* const label : {"dc-1", ""})
+    {
+        for (auto const common : {false, true})
+        {
+            auto it = crash_world{18, 300, data_centres};
+            submit_innocent(it);
+            auto plan = tests::make_plan("bad", 12, 1000);
+            plan.steps.front().label = label;
+            ASSERT_TRUE(it.world.submit(plan));
+            for (auto i = 0; i < 6; ++i)
+            {
+                it.run_for(5000);
+                if (common)
+                {
+                    it.crash_data_centre(
+                        fmt::format("dc-{}", i % 2 + 1),
+                        static_cast<std::size_t>(i));
+                }
+            }
+            EXPECT_EQ(it.world.phase("bad"), plan_phase::failed) << label;
+            for (auto i = 0; i < 12; ++i)
+            {
+                EXPECT_LE(
+                    count_starts(it.world, fmt::format("bad.0.0.{}", i)), 3);
+            }
+            expect_innocent_active(it);
+        }
+    }
+}
+
+// Guards against deadly jobs that crash most workers of a data centre again and
+// again, each another one. From the fourth run on they are started each 6 s.
+TEST(dispatch_crash, many_deadly_jobs_of_a_data_centre_are_held_back)
+{
+    auto it = crash_world{18, 300, data_centres};
+    for (auto i = 0; i < 6; ++i)
+    {
+        auto plan = tests::make_plan(fmt::format("bad{}", i), 1, 3000);
+        plan.steps.front().label = "dc-1";
+        ASSERT_TRUE(it.world.submit(plan));
+    }
+    it.run_for(60'000);
+    for (auto i = 0; i < 6; ++i)
+    {
+        EXPECT_LE(count_starts(it.world, fmt::format("bad{}.0.0.0", i)), 12);
+    }
+}
