Dispatch: crashes of workers that were forgotten are compared too

Cause: a worker that is neither listed nor has runs is forgotten when its lease has lapsed, with the time of its last answer, and with its process unless it had runs or had been restarted. When a data centre was away for longer than the leases and its workers had left the list, the crash of each that had runs was taken for one of its own, and counted.

A worker whose process this owner did not know before a crash is no evidence about it, in place of evidence that most of the data centre went on.

--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -100,7 +100,7 @@
     {
         auto const& info = worker->info;
         auto const was_away =
-            !worker->started_ms_known ||
+            !worker->process || worker->known_since > crash.alive_at ||
             (worker->contact == contact_state::none && worker->lost_at &&
              *worker->lost_at < crash.alive_at);
         if (info.service != crash.service)
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -428,6 +428,7 @@
     std::uint64_t session = 0;  ///< See implementation::begin_session().
     std::uint64_t restarts = 0; ///< Of the worker under this owner.
     std::optional<known_process> process; ///< That has answered last.
+    core::time_point known_since;         ///< When `process` was set first.
     bool restarted = false;    ///< Runs from before its restart have ended.
     std::int64_t clock_ms = 0; ///< Its clock at `clock_at`.
     core::time_point clock_at;
@@ -536,8 +537,9 @@
 {
     std::uint64_t restarts = 0; ///< It obeys no lower token.
     std::optional<known_process> process;
+    core::time_point heard_at; ///< Its last answer.
     std::vector<run_entry> lapsed_runs;
-    core::time_point lapsed_runs_until; ///< When they are dropped.
+    core::time_point kept_until; ///< Later only `restarts` matters.
 };
 
 /** A step with tasks that wait for free capacity. */
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -280,25 +280,29 @@
         });
     for (auto& [id, it] : former_workers)
     {
-        if (now > it.lapsed_runs_until)
+        if (now > it.kept_until)
         {
             it.lapsed_runs.clear();
         }
     }
+    std::erase_if(
+        former_workers, [&](auto const& it)
+        { return it.second.restarts == 0 && now > it.second.kept_until; });
 }
 
 auto dispatcher::implementation::remember(
     dispatch_worker& worker, core::time_point now) -> void
 {
-    if (worker.restarts == 0 && worker.lapsed_runs.empty())
+    if (worker.restarts == 0 && !worker.process)
     {
         return;
     }
     auto& it = former_workers[worker.info.worker];
     it.restarts = worker.restarts;
     it.process = worker.process;
+    it.heard_at = worker.clock_at;
     it.lapsed_runs = std::move(worker.lapsed_runs);
-    it.lapsed_runs_until = now + max_absence;
+    it.kept_until = now + max_absence;
 }
 
 auto dispatcher::implementation::recall(
@@ -311,6 +315,8 @@
     }
     worker.restarts = it->second.restarts;
     worker.process = it->second.process;
+    worker.clock_at = it->second.heard_at;
+    worker.known_since = it->second.heard_at;
     worker.lapsed_runs = std::exchange(it->second.lapsed_runs, {});
 }
 
@@ -558,6 +564,10 @@
     {
         return handle_restart(worker, heard, now);
     }
+    if (!worker.process)
+    {
+        worker.known_since = now;
+    }
     worker.set_process(heard);
     worker.lapsed_runs.clear();
     worker.answered_address = order.address;
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -842,6 +842,34 @@
     }
 }
 
+// Guards against common crashes that count because the workers were away for
+// longer than their leases, also if the list of workers lacked them.
+TEST(dispatch_crash, innocent_tasks_survive_long_common_crashes)
+{
+    for (auto const listed : {true, false})
+    {
+        auto it = crash_world{18, 12'000, data_centres};
+        submit_innocent(it);
+        for (auto i = 0; i < 6; ++i)
+        {
+            auto const id = last_worker_of(it.world, "good0.0.0.0");
+            for (auto w = 0; w < 18; ++w)
+            {
+                auto const other = fmt::format("w{}", w);
+                auto& worker = it.world.worker(other);
+                if (worker.info.data_centre ==
+                    it.world.worker(id).info.data_centre)
+                {
+                    it.crash(other);
+                    worker.listed = listed;
+                }
+            }
+            it.run_for(15'000);
+        }
+        expect_innocent_active(it);
+    }
+}
+
 // Guards against deadly jobs that pass for victims of common crashes, in one
 // data centre and in all.
 TEST(dispatch_crash, a_deadly_job_that_crashes_many_workers_is_given_up)
