Send a job again only to an owner that can take it

Cause: a submit that the owner does not take is sent again with the whole job each 100 ms, also through other instances.

Change: from the second try on, a small call about the job goes first; the submit follows once an owner has answered it.

Test: job_router_test, failed before with 5 submits in 400 ms instead of 2.

--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -160,6 +160,11 @@
     {
         return retry(it);
     }
+    // Jobs that an owner cannot take yet would fill its link.
+    if (it->call.kind == protocol::job_call_kind::submit && it->tries > 1)
+    {
+        return ask_first(it, *where);
+    }
     call_instance(it, *where);
 }
 
@@ -186,6 +191,38 @@
     return transport::parse_endpoint(others[n].address);
 }
 
+auto job_router::ask_first(
+    std::shared_ptr<attempt> const& it, transport::endpoint const& where)
+    -> void
+{
+    auto call = protocol::job_call{};
+    call.kind = protocol::job_call_kind::phase;
+    call.job = it->call.job;
+    call.relayed = it->call.relayed;
+    call_peer_(
+        where, protocol::encode(call),
+        std::min(settings_.call_timeout, it->deadline - clock_()),
+        [this, it, where](std::optional<std::string> payload)
+        {
+            auto const answer =
+                payload ? protocol::decode<protocol::job_answer>(*payload)
+                        : std::nullopt;
+            if (!answer)
+            {
+                note_failure(*it, core::last_reason().message);
+                return retry(it);
+            }
+            // The owner knows the job, or that there is none.
+            if (answer->error == core::error_kind::none ||
+                answer->error == core::error_kind::not_found)
+            {
+                return call_instance(it, where);
+            }
+            note_failure(*it, answer->message);
+            retry(it);
+        });
+}
+
 auto job_router::call_instance(
     std::shared_ptr<attempt> const& it, transport::endpoint const& where)
     -> void
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -75,6 +75,10 @@
     auto try_once(std::shared_ptr<attempt> const& it) -> void;
     auto choose_instance(attempt const& it)
         -> std::optional<transport::endpoint>;
+    /** Sends the call once the owner has answered a small one there. */
+    auto ask_first(
+        std::shared_ptr<attempt> const& it, transport::endpoint const& where)
+        -> void;
     auto call_instance(
         std::shared_ptr<attempt> const& it, transport::endpoint const& where)
         -> void;
--- /dev/null
+++ b/tests/job_router_test.cpp
@@ -0,0 +1,101 @@
+/** @file job_router_test.cpp Tests of the way of calls to the owner. */
+#include "coordination/coordination.hpp"
+#include "standins/support/memory_store_base.hpp"
+#include "tests/support/dispatch_world_base.hpp"
+#include "tests/support/transport_fixture_base.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <string>
+
+namespace coordination = godwitcleat::coordination;
+namespace core = godwitcleat::core;
+namespace protocol = godwitcleat::protocol;
+namespace standins = godwitcleat::standins;
+namespace tests = godwitcleat::tests;
+namespace transport = godwitcleat::transport;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** A store with an owner of the jobs and another instance. */
+struct router_fixture : testing::Test
+{
+    ~router_fixture() override
+    {
+        loop.stop();
+    }
+
+    auto host_of(std::string name) -> coordination::dispatch_host
+    {
+        return {
+            {store,
+             loop,
+             core::suspend_aware_clock(),
+             core::null_logger(),
+             metrics,
+             {[](auto const&, auto const&) {},
+              [](auto const&, auto const&) {
+              }},
+             [](bool) {},
+             []
+             {
+                 return core::time_point{};
+             }},
+            {core::instance_id{name}, "boot-" + name, "127.0.0.1:1", {}, 0},
+            {}};
+    }
+
+    core::metrics metrics;
+    transport::reactor loop{1};
+    standins::memory_store store{core::suspend_aware_clock()};
+    coordination::dispatch_host owner = host_of("owner");
+    coordination::dispatch_host other = host_of("other");
+};
+
+} // namespace
+
+// Guards against a new owner whose link is full of jobs that it cannot accept
+// yet, sent again and again, while it has to load its own.
+TEST_F(router_fixture, a_job_is_not_sent_again_to_an_owner_that_cannot_take_it)
+{
+    owner.start();
+    ASSERT_TRUE(tests::eventually([this] { return owner.is_active(); }));
+    other.start();
+    ASSERT_TRUE(
+        tests::eventually([this] { return other.owner().has_value(); }));
+    auto submits = std::atomic<int>{0};
+    auto loads = std::atomic<bool>{true};
+    auto router = coordination::job_router{
+        other,
+        [&](auto const&, auto const& payload, auto, auto on_done)
+        {
+            auto const call = protocol::decode<protocol::job_call>(payload);
+            submits += call->kind == protocol::job_call_kind::submit ? 1 : 0;
+            auto answer = protocol::job_answer{};
+            answer.error =
+                loads ? core::error_kind::not_owner : core::error_kind::none;
+            on_done(protocol::encode(answer));
+        },
+        loop,
+        core::suspend_aware_clock(),
+        core::null_logger(),
+        {}};
+    auto call = protocol::job_call{};
+    call.kind = protocol::job_call_kind::submit;
+    call.job = core::job_id{"00000000000000f5"};
+    call.plan = tests::make_plan(call.job.value, 1, 1000);
+    auto done = std::promise<core::error_kind>{};
+    auto answered = done.get_future();
+    auto const wakes = loop.after(400ms, [&] { loads = false; });
+    router.route(
+        std::move(call), 10s,
+        [&done](auto const& answer) { done.set_value(answer.error); });
+    ASSERT_EQ(answered.wait_for(tests::patience), std::future_status::ready);
+    EXPECT_EQ(answered.get(), core::error_kind::none);
+    EXPECT_EQ(submits, 2);
+}
