--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -743,21 +743,33 @@
 // higher token of this same owner.
 TEST(dispatch, a_forgotten_worker_that_returns_gets_tasks)
 {
-    auto world = tests::dispatch_world{};
-    world.add_worker("w1", worker_capacity);
-    world.begin_term();
-    world.run_for(200);
-    world.restart_worker("w1");
-    world.run_for(500);
-    auto& w1 = world.worker("w1");
-    w1.listed = false;
-    w1.reachable = false;
-    world.run_for(12'000);
-    w1.listed = true;
-    w1.reachable = true;
-    ASSERT_TRUE(world.submit(tests::make_plan("j1", 1, 1000)));
-    world.run_for(3000);
-    EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+    for (auto const& [restarts_before, restarts_meanwhile] :
+         {std::pair{true, false}, {true, true}, {false, true}, {false, false}})
+    {
+        auto world = tests::dispatch_world{};
+        world.add_worker("w1", worker_capacity);
+        world.begin_term();
+        world.run_for(200);
+        if (restarts_before)
+        {
+            world.restart_worker("w1");
+            world.run_for(500);
+        }
+        auto& w1 = world.worker("w1");
+        w1.listed = false;
+        w1.reachable = false;
+        world.run_for(12'000);
+        if (restarts_meanwhile)
+        {
+            world.restart_worker("w1");
+        }
+        w1.listed = true;
+        w1.reachable = true;
+        ASSERT_TRUE(world.submit(tests::make_plan("j1", 1, 1000)));
+        world.run_for(3000);
+        EXPECT_EQ(world.phase("j1"), plan_phase::completed);
+        EXPECT_TRUE(world.violations.empty());
+    }
 }
 
 // Guards against a second run of a task if the stored list cannot be read.
