Requests: a 421 counts as not run only if it says so

It counts with X-Outcome: not-run only, as a 503 does. The stand-in and the schedules of gateway_test send the field.

--- a/coordination/request_policy_func.cpp
+++ b/coordination/request_policy_func.cpp
@@ -130,9 +130,9 @@
         return attempt_outcome::mismatch;
     }
     auto const status = result.response->status;
-    auto const refused = status == misdirected_request ||
-                         (status == service_unavailable &&
-                          headers.get(outcome_header) == outcome_not_run);
+    auto const refused =
+        (status == misdirected_request || status == service_unavailable) &&
+        headers.get(outcome_header) == outcome_not_run;
     return refused ? attempt_outcome::not_run : attempt_outcome::answered;
 }
 
--- a/standins/support/runner_base.cpp
+++ b/standins/support/runner_base.cpp
@@ -66,6 +66,7 @@
         {
             auto refusal = transport::http_response{};
             refusal.status = 421;
+            refusal.headers.set("X-Outcome", "not-run");
             return reply(std::move(refusal));
         }
         auto const lock = std::scoped_lock{mutex};
--- a/standins/support/runner_base.hpp
+++ b/standins/support/runner_base.hpp
@@ -28,8 +28,9 @@
 /**
  * Answers each request with status 200 and a JSON body that repeats the
  * request id, method, target and body; one that names another backend server
- * in `X-Backend-Server` is refused with 421. Requests beyond the slots wait in
- * the order of their arrival. Destroying the runner closes all connections.
+ * in `X-Backend-Server` is refused with 421 and not-run. Requests beyond the
+ * slots wait in the order of their arrival. Destroying the runner closes all
+ * connections.
  */
 class runner
 {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -346,6 +346,7 @@
         if (what == fate::misdirected)
         {
             result.response->status = 421;
+            result.response->headers.set("X-Outcome", "not-run");
         }
         later(delay, [=] { done(result); });
         if (what == fate::duplicate)
