Tests: wait for the connections of the former process, and a case beside them

The case waits now until the client holds no connection there, with the same expectations, and a second case keeps the former order of events and checks that the new process gets no call; no answer is allowed there.

--- a/tests/worker_call_test.cpp
+++ b/tests/worker_call_test.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace coordination = godwitcleat::coordination;
@@ -135,6 +136,11 @@
             order(where, state::run_order_kind::start, former).result,
             state::order_result::accepted);
     }
+    for (auto i = 0; i < 3000 && client.connections(where) > 0; ++i)
+    {
+        std::this_thread::sleep_for(10ms);
+    }
+    ASSERT_EQ(client.connections(where), 0U);
     auto after = fake_worker{loop, where, current};
     for (auto const kind :
          {state::run_order_kind::start, state::run_order_kind::stop,
@@ -154,6 +160,31 @@
         state::order_result::accepted);
 }
 
+// Guards against the same while connections to the former process still close,
+// when a call may be lost with that process.
+TEST_F(worker_call, the_new_process_gets_no_call_from_a_closing_connection)
+{
+    auto where = any_port();
+    {
+        auto const before = std::make_unique<fake_worker>(loop, where, former);
+        where = before->local();
+        ASSERT_EQ(hold(where, {}).lists->started_ms, former);
+    }
+    auto after = fake_worker{loop, where, current};
+    auto const answer = order(where, state::run_order_kind::start, former);
+    EXPECT_TRUE(
+        answer.result == state::order_result::other_process ||
+        answer.result == state::order_result::unknown);
+    EXPECT_FALSE(answer.clock_ms) << "of another clock";
+    for (auto const& it : after.take_calls())
+    {
+        EXPECT_EQ(it, plain_hold);
+    }
+    EXPECT_EQ(
+        order(where, state::run_order_kind::start, current).result,
+        state::order_result::accepted);
+}
+
 // Guards against calls for the former process of a worker that the next one
 // carries out as its start time is the same, and only its clock differs.
 TEST_F(
