Repeat no unanswered start of a worker whose clock stood still

Found by a review of the identity by clocks: a worker that is suspended as a whole has a steady clock that stands still, so that its process passes for another one with the same start time. A start without an answer was then taken as lost with the former process and sent again at once, though it may have been carried out (TWICE).

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -679,7 +679,12 @@
     auto& run = worker->runs[*i];
     if (order.kind == run_order_kind::start)
     {
-        if (result == order_result::unknown && !is_known_process)
+        // One with the same start time may be the same, with a clock that stood
+        // still.
+        auto const is_of_former_process =
+            order.process && worker->process &&
+            order.process->started_ms != worker->process->started_ms;
+        if (result == order_result::unknown && is_of_former_process)
         {
             if (worker->may_have_begun_before_restart(run))
             {
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -321,16 +321,37 @@
         return holds.empty() ? state::hold_order{} : holds.front();
     }
 
-    auto answer(state::hold_order const& hold, std::int64_t process) -> void
+    /** The clock of the worker has stood still for @p stopped. */
+    auto answer(
+        state::hold_order const& hold, std::int64_t process,
+        core::duration stopped = {}) -> void
     {
         auto lists = state::worker_lists{};
         lists.started_ms = process;
         lists.clock_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now.time_since_epoch())
+                             now.time_since_epoch() - stopped)
                              .count();
         owner.hold_answered(hold, state::order_result::accepted, lists, now);
     }
 
+    /** Goes on until there are orders, for 0.5 s at most. */
+    auto first_orders() -> std::vector<state::run_order>
+    {
+        auto orders = std::vector<state::run_order>{};
+        for (auto i = 0; i < 50 && orders.empty(); ++i)
+        {
+            now += std::chrono::milliseconds{10};
+            owner.limit_leases(now);
+            owner.tick(now);
+            orders = owner.take_orders(now);
+            if (owner.take_batch(now))
+            {
+                owner.batch_committed(now);
+            }
+        }
+        return orders;
+    }
+
     core::time_point now;
     state::dispatcher owner;
 };
@@ -442,18 +463,7 @@
         it.answer(it.next_hold(), 77);
         it.answer(it.next_hold(), 77);
         it.owner.submit(tests::make_plan("j", 1, 1000), now, [](bool) {});
-        auto orders = std::vector<state::run_order>{};
-        for (auto i = 0; i < 50 && orders.empty(); ++i)
-        {
-            it.now += std::chrono::milliseconds{10};
-            it.owner.limit_leases(it.now);
-            it.owner.tick(it.now);
-            orders = it.owner.take_orders(it.now);
-            if (it.owner.take_batch(it.now))
-            {
-                it.owner.batch_committed(it.now);
-            }
-        }
+        auto const orders = it.first_orders();
         ASSERT_EQ(orders.size(), 1U);
         if (heard_after_start)
         {
@@ -470,3 +480,28 @@
         EXPECT_EQ(it.owner.take_orders(it.now).size(), 1U) << "not tried again";
     }
 }
+
+// Guards against a second start while an unanswered one may have been carried
+// out by a worker that was suspended.
+TEST(restarted_worker, a_clock_that_stood_still_repeats_no_unanswered_start)
+{
+    auto hooks = state::dispatch_hooks{};
+    hooks.unix_ms = []
+    {
+        return std::int64_t{1'000'000};
+    };
+    auto it =
+        owner_of_one_worker{hooks, core::time_point{std::chrono::hours{1}}};
+    it.answer(it.next_hold(), 77);
+    it.answer(it.next_hold(), 77);
+    it.owner.submit(tests::make_plan("j", 1, 1000), it.now, [](bool) {});
+    auto const orders = it.first_orders();
+    ASSERT_EQ(orders.size(), 1U);
+    constexpr auto stopped = std::chrono::milliseconds{800};
+    it.now += stopped;
+    it.answer(it.next_hold(), 77, stopped);
+    it.answer(it.next_hold(), 77, stopped);
+    it.owner.order_answered(
+        orders.front(), state::order_result::unknown, std::nullopt, it.now);
+    EXPECT_TRUE(it.first_orders().empty());
+}
