Judge the crashes of workers each 200 ms, not with each run

A review counted the work: the verdict looks at all workers, and was reached for each run of a crashed worker and every 50 ms for each crash, so that a data centre of 250 workers could cost the owner most of its processor for 2.5 s (an estimate, not measured). Open crashes count for placement meanwhile, as before. dispatch_crash_test 32, dispatch_test 56, dispatch_take_over_test 39 and dispatch_restart_test 12 pass.

--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -23,7 +23,7 @@
 constexpr auto common_crash_time = std::chrono::milliseconds{2500};
 // One that is heard of this much later is not compared.
 constexpr auto max_crash_age = std::chrono::seconds{30};
-constexpr auto crash_check_interval = std::chrono::milliseconds{50};
+constexpr auto crash_check_interval = std::chrono::milliseconds{200};
 // With as many crashes, the delay has its maximum.
 constexpr auto max_crash_history = std::size_t{4};
 
@@ -267,7 +267,6 @@
     auto& crash =
         it != recent_crashes.rend() ? *it : add_crash(worker, now, now);
     crash.open.push_back({job, run.task, run.run});
-    settle_crash(crash, now);
 }
 
 auto dispatcher::implementation::confirm_crash(
