Send no job after its caller was told that it did not run

While its answer was awaited, no submit was under way, so that the deadline of the caller gave a refusal (not run); the answer then let the submit follow, and the job ran.

--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -50,10 +50,28 @@
     std::atomic<bool> maybe_done = false; ///< A try may have taken effect.
     std::atomic<std::size_t> tries = 0;
     std::atomic<bool> answered = false;
-    std::mutex mutex;         ///< Of the member below.
+    std::mutex mutex;         ///< Of the members below.
+    bool given_up = false;    ///< Answered without the owner.
     std::string last_failure; ///< Why the last try had no final answer.
     transport::timer_handle timer;
     transport::timer_handle deadline_timer;
+
+    /** Notes that the call is sent now, and returns maybe_done of before;
+     *  std::nullopt if it must not be sent, because it was given up. */
+    auto begin_try() -> std::optional<bool>
+    {
+        auto const lock = std::scoped_lock{mutex};
+        return given_up ? std::nullopt
+                        : std::optional{maybe_done.exchange(true)};
+    }
+
+    /** Returns maybe_done; the call is not sent again. */
+    auto give_up() -> bool
+    {
+        auto const lock = std::scoped_lock{mutex};
+        given_up = true;
+        return maybe_done;
+    }
 };
 
 job_router::job_router(
@@ -97,10 +115,11 @@
 auto job_router::answer_without_owner(std::shared_ptr<attempt> const& it)
     -> void
 {
+    auto const maybe_done = it->give_up();
     auto answer = protocol::job_answer{};
-    answer.error = it->maybe_done ? core::error_kind::unknown_outcome
-                                  : core::error_kind::unavailable;
-    answer.message = it->maybe_done
+    answer.error = maybe_done ? core::error_kind::unknown_outcome
+                              : core::error_kind::unavailable;
+    answer.message = maybe_done
                          ? "the owner of the jobs did not answer in time; ask "
                            "again with the same id"
                          : "the owner of the jobs cannot be reached; retry";
@@ -144,13 +163,17 @@
 {
     if (host_.is_active())
     {
-        auto const before = it->maybe_done.exchange(true);
+        auto const before = it->begin_try();
+        if (!before)
+        {
+            return;
+        }
         // A copy, because the call may have to be sent again.
         return host_.call(
             it->call,
             [this, it, before](auto answer)
             {
-                it->maybe_done = before;
+                it->maybe_done = *before;
                 answered(it, std::move(answer));
             });
     }
@@ -229,7 +252,11 @@
 {
     auto const left = it->deadline - clock_();
     // Until there is an answer the owner may carry the call out.
-    auto const before = it->maybe_done.exchange(true);
+    auto const before = it->begin_try();
+    if (!before)
+    {
+        return;
+    }
     call_peer_(
         where, protocol::encode(it->call),
         std::min(settings_.call_timeout, left),
@@ -240,7 +267,7 @@
                 note_failure(*it, core::last_reason().message);
                 if (core::last_reason().kind == core::error_kind::unavailable)
                 {
-                    it->maybe_done = before; // Nothing was sent.
+                    it->maybe_done = *before; // Nothing was sent.
                 }
                 return retry(it);
             }
@@ -250,7 +277,7 @@
                 note_failure(*it, core::last_reason().message);
                 return retry(it);
             }
-            it->maybe_done = before;
+            it->maybe_done = *before;
             answered(it, std::move(*answer));
         });
 }
--- a/tests/job_router_test.cpp
+++ b/tests/job_router_test.cpp
@@ -8,7 +8,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <future>
+#include <optional>
 #include <string>
 
 namespace coordination = godwitcleat::coordination;
@@ -50,6 +52,25 @@
             {}};
     }
 
+    /** The one owns the jobs, and the other knows it. */
+    auto start() -> void
+    {
+        owner.start();
+        ASSERT_TRUE(tests::eventually([this] { return owner.is_active(); }));
+        other.start();
+        ASSERT_TRUE(
+            tests::eventually([this] { return other.owner().has_value(); }));
+    }
+
+    static auto submit_of(std::string const& id) -> protocol::job_call
+    {
+        auto call = protocol::job_call{};
+        call.kind = protocol::job_call_kind::submit;
+        call.job = core::job_id{id};
+        call.plan = tests::make_plan(id, 1, 1000);
+        return call;
+    }
+
     core::metrics metrics;
     transport::reactor loop{1};
     standins::memory_store store{core::suspend_aware_clock()};
@@ -63,11 +84,7 @@
 // yet, sent again and again, while it has to load its own.
 TEST_F(router_fixture, a_job_is_not_sent_again_to_an_owner_that_cannot_take_it)
 {
-    owner.start();
-    ASSERT_TRUE(tests::eventually([this] { return owner.is_active(); }));
-    other.start();
-    ASSERT_TRUE(
-        tests::eventually([this] { return other.owner().has_value(); }));
+    start();
     auto submits = std::atomic<int>{0};
     auto loads = std::atomic<bool>{true};
     auto router = coordination::job_router{
@@ -85,17 +102,54 @@
         core::suspend_aware_clock(),
         core::null_logger(),
         {}};
-    auto call = protocol::job_call{};
-    call.kind = protocol::job_call_kind::submit;
-    call.job = core::job_id{"00000000000000f5"};
-    call.plan = tests::make_plan(call.job.value, 1, 1000);
     auto done = std::promise<core::error_kind>{};
     auto answered = done.get_future();
     auto const wakes = loop.after(400ms, [&] { loads = false; });
     router.route(
-        std::move(call), 10s,
+        submit_of("00000000000000f5"), 10s,
         [&done](auto const& answer) { done.set_value(answer.error); });
     ASSERT_EQ(answered.wait_for(tests::patience), std::future_status::ready);
     EXPECT_EQ(answered.get(), core::error_kind::none);
     EXPECT_EQ(submits, 2);
 }
+
+// Guards against a job that is sent, and runs, after its caller was told that
+// it did not.
+TEST_F(router_fixture, a_job_is_not_sent_after_its_caller_was_refused)
+{
+    start();
+    auto submits = std::atomic<int>{0};
+    auto asked = std::promise<std::function<void()>>{};
+    auto router = coordination::job_router{
+        other,
+        [&](auto const&, auto const& payload, auto, auto on_done)
+        {
+            auto const call = protocol::decode<protocol::job_call>(payload);
+            if (call->kind == protocol::job_call_kind::submit)
+            {
+                ++submits;
+                core::fail(core::error_kind::unavailable, "not sent");
+                return on_done(std::nullopt);
+            }
+            asked.set_value(
+                [on_done]
+                {
+                    auto answer = protocol::job_answer{};
+                    answer.error = core::error_kind::not_found;
+                    on_done(protocol::encode(answer));
+                });
+        },
+        loop,
+        core::suspend_aware_clock(),
+        core::null_logger(),
+        {}};
+    auto done = std::promise<core::error_kind>{};
+    auto answered = done.get_future();
+    router.route(
+        submit_of("00000000000000f6"), 400ms,
+        [&done](auto const& answer) { done.set_value(answer.error); });
+    ASSERT_EQ(answered.wait_for(tests::patience), std::future_status::ready);
+    EXPECT_EQ(answered.get(), core::error_kind::unavailable);
+    asked.get_future().get()();
+    EXPECT_EQ(submits, 1);
+}
