--- a/bench/micro/micro_bench.cpp
+++ b/bench/micro/micro_bench.cpp
@@ -1,9 +1,11 @@
 /** @file micro_bench.cpp Processor time of the frequent operations. */
+#include "bench/support/crashed_fleet_base.hpp"
 #include "bench/support/load_base.hpp"
 #include "coordination/coordination.hpp"
 
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace core = godwitcleat::core;
@@ -87,6 +89,44 @@
     run_ticks(run, 1);
 }
 
+// Verdicts on crashes are looked for each 200 ms and are due after 2.5 s.
+constexpr auto verdict_interval =
+    core::duration{std::chrono::milliseconds{200}};
+constexpr auto verdict_due = core::duration{std::chrono::milliseconds{2600}};
+
+auto seconds_of_tick(bench::crashed_fleet& fleet, core::duration after)
+    -> double
+{
+    auto const from = std::chrono::steady_clock::now();
+    fleet.tick(after);
+    auto const until = std::chrono::steady_clock::now();
+    return std::chrono::duration<double>{until - from}.count();
+}
+
+// A third of the workers has crashed at one moment. `open`: one look at their
+// crashes while no verdict is possible; else the one that settles all of them.
+// The tick before, without a look, is subtracted.
+auto judge_crashes(benchmark::State& run, bool open) -> void
+{
+    for (auto _ : run)
+    {
+        auto fleet = bench::crashed_fleet{size_of(run)};
+        fleet.tick({});
+        auto const without = seconds_of_tick(fleet, verdict_interval / 2);
+        auto const with =
+            seconds_of_tick(fleet, open ? verdict_interval : verdict_due);
+        run.SetIterationTime(std::max(0.0, with - without));
+        run.counters["crashes"] = static_cast<double>(fleet.crashed());
+        auto const early = open ? fleet.dismissed() : 0;
+        fleet.tick(verdict_due);
+        if (early > 0 || fleet.dismissed() != fleet.crashed())
+        {
+            run.SkipWithError("the crashes were not judged when expected");
+            break;
+        }
+    }
+}
+
 auto handle_heartbeat(benchmark::State& run) -> void
 {
     auto shard = bench::loaded_engine{{1, size_of(run), 0, true}};
@@ -224,6 +264,18 @@
 BENCHMARK(route)->Arg(50)->Arg(65)->Arg(3'100);
 BENCHMARK(tick_without_job)->UseManualTime()->Arg(22)->Arg(200)->Arg(1'400);
 BENCHMARK(place_one_job)->UseManualTime()->Arg(22)->Arg(200)->Arg(1'400);
+BENCHMARK_CAPTURE(judge_crashes, open, true)
+    ->UseManualTime()
+    ->Iterations(20)
+    ->Arg(100)
+    ->Arg(300)
+    ->Arg(1'000);
+BENCHMARK_CAPTURE(judge_crashes, settled, false)
+    ->UseManualTime()
+    ->Iterations(20)
+    ->Arg(100)
+    ->Arg(300)
+    ->Arg(1'000);
 BENCHMARK(handle_heartbeat)->Arg(5)->Arg(15)->Arg(50);
 BENCHMARK(write_log_line);
 BENCHMARK(encode_peer_update)->Arg(50)->Arg(3'100);
