Dispatch: look once at the workers for all open crashes

Cause: each look, 200 ms apart, visited all workers of all services for each open crash, and built a set of all crashes; when a crash was dismissed, each of its runs visited all crashes and their sets of jobs. With n workers of a data centre down at one moment that grew with the square of n.

Change: crash_judge reads the workers of the services with open crashes once a look into flat rows. The jobs on the workers that crashed at one moment are counted once for all crashes that overlap with the same ones. The verdicts are the same.

One verdict for a whole group was left out: crashes differ in when their workers were last heard.

--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -1,5 +1,5 @@
 /** @file dispatch_crashes.cpp Tasks under which workers crash. */
-#include "state/dispatch_internal.hpp"
+#include "state/dispatch_verdicts_internal.hpp"
 
 #include <algorithm>
 
@@ -17,10 +17,6 @@
 // with each further one. The task has to be started 9 s after its last run.
 constexpr auto first_restart_delay = std::chrono::seconds{2};
 constexpr auto max_restart_delay = std::chrono::seconds{6};
-// A crash of fewer workers at one moment is not common.
-constexpr auto min_common_crashes = std::size_t{3};
-// Workers that crash at one moment are heard of within this time.
-constexpr auto common_crash_time = std::chrono::milliseconds{2500};
 // One that is heard of this much later is not compared.
 constexpr auto max_crash_age = std::chrono::seconds{30};
 constexpr auto crash_check_interval = std::chrono::milliseconds{200};
@@ -45,19 +41,6 @@
         first_restart_delay * (1U << doublings), max_restart_delay);
 }
 
-// Workers of a service, in one data centre or in all others.
-struct crash_group
-{
-    std::size_t crashed = 0;
-    std::size_t sound = 0;   // At work before and after.
-    std::size_t unknown = 0; // Not heard of since.
-
-    [[nodiscard]] auto has_mostly(std::size_t count) const -> bool
-    {
-        return 2 * count > crashed + sound + unknown;
-    }
-};
-
 } // namespace
 
 auto dispatcher::implementation::add_crash(
@@ -83,84 +66,11 @@
     return crash;
 }
 
-auto dispatcher::implementation::judge_crash(
-    worker_crash const& crash, core::time_point now) const -> crash_verdict
-{
-    auto crashed = std::set<core::worker_id>{};
-    for (auto const& it : recent_crashes)
-    {
-        if (it.overlaps(crash))
-        {
-            crashed.insert(it.worker);
-        }
-    }
-    auto here = crash_group{};
-    auto elsewhere = crash_group{};
-    for (auto const& [id, worker] : workers)
-    {
-        auto const& info = worker->info;
-        auto const was_away =
-            !worker->process || worker->known_since > crash.alive_at ||
-            (worker->contact == contact_state::none && worker->lost_at &&
-             *worker->lost_at < crash.alive_at);
-        if (info.service != crash.service)
-        {
-            continue;
-        }
-        auto& group = info.data_centre == crash.data_centre ? here : elsewhere;
-        if (crashed.contains(id))
-        {
-            ++group.crashed;
-        }
-        else if (worker->in_worker_list && !was_away)
-        {
-            ++(worker->clock_at > crash.heard_at ? group.sound : group.unknown);
-        }
-    }
-    // Tasks that crash workers do so in each data centre.
-    auto const most_here = here.crashed + here.unknown;
-    auto const possible =
-        most_here >= min_common_crashes && here.has_mostly(most_here) &&
-        elsewhere.has_mostly(elsewhere.sound + elsewhere.unknown);
-    if (!possible)
-    {
-        return crash_verdict::single;
-    }
-    auto const complete = here.unknown + elsewhere.unknown == 0;
-    if (!complete && now < crash.heard_at + common_crash_time)
-    {
-        return crash_verdict::open;
-    }
-    auto const is_common =
-        here.crashed >= min_common_crashes && here.has_mostly(here.crashed);
-    return is_common ? crash_verdict::common : crash_verdict::single;
-}
-
-auto dispatcher::implementation::explains(
-    core::job_id const& job, worker_crash const& crash) const -> bool
-{
-    auto crashed = std::set<core::worker_id>{};
-    auto with_job = std::set<core::worker_id>{};
-    for (auto const& it : recent_crashes)
-    {
-        if (it.service != crash.service ||
-            it.data_centre != crash.data_centre || !it.overlaps(crash))
-        {
-            continue;
-        }
-        crashed.insert(it.worker);
-        if (it.jobs.contains(job))
-        {
-            with_job.insert(it.worker);
-        }
-    }
-    return 2 * with_job.size() > crashed.size();
-}
-
 auto dispatcher::implementation::settle_crash(
-    worker_crash& crash, core::time_point now) -> void
+    crash_judge& judge, std::size_t index, core::time_point now) -> void
 {
-    auto const verdict = judge_crash(crash, now);
+    auto& crash = recent_crashes[index];
+    auto const verdict = judge.judge(index, now);
     if (verdict == crash_verdict::open)
     {
         return;
@@ -179,7 +89,7 @@
             continue;
         }
         if (verdict == crash_verdict::common &&
-            !explains(it.job->record.plan.id, crash))
+            !judge.explains(it.job->record.plan.id, index))
         {
             ++task.dismissed_crashes;
             ++dismissed;
@@ -204,11 +114,19 @@
         return;
     }
     next_crash_check = now + crash_check_interval;
-    for (auto& it : recent_crashes)
+    auto const is_open = [](worker_crash const& it)
     {
-        if (!it.open.empty())
+        return !it.open.empty();
+    };
+    if (std::any_of(recent_crashes.begin(), recent_crashes.end(), is_open))
+    {
+        auto judge = crash_judge{workers, recent_crashes};
+        for (auto i = std::size_t{0}; i < recent_crashes.size(); ++i)
         {
-            settle_crash(it, now);
+            if (is_open(recent_crashes[i]))
+            {
+                settle_crash(judge, i, now);
+            }
         }
     }
     while (!recent_crashes.empty() &&
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -18,6 +18,7 @@
 
 struct job_entry;
 struct dispatch_worker;
+class crash_judge;
 struct queue_state;
 using job_pointer = std::shared_ptr<job_entry>;
 
@@ -779,15 +780,10 @@
     auto add_crash(
         dispatch_worker const& worker, core::time_point alive_at,
         core::time_point now) -> worker_crash&;
-    [[nodiscard]] auto
-    judge_crash(worker_crash const& crash, core::time_point now) const
-        -> crash_verdict;
-    /** Returns true if the workers that crashed at one moment with @p crash in
-     *  its data centre mostly had runs of the job. */
-    [[nodiscard]] auto
-    explains(core::job_id const& job, worker_crash const& crash) const -> bool;
     /** Counts or dismisses the open runs of a crash, once that is known. */
-    auto settle_crash(worker_crash& crash, core::time_point now) -> void;
+    auto
+    settle_crash(crash_judge& judge, std::size_t index, core::time_point now)
+        -> void;
     auto settle_crashes(core::time_point now) -> void;
     auto confirm_crash(crashed_run const& run, core::time_point now) -> void;
     auto note_loss(run_entry const& run) -> void;
--- /dev/null
+++ b/state/dispatch_verdicts.cpp
@@ -0,0 +1,185 @@
+/** @file dispatch_verdicts.cpp Verdicts on crashes of workers. */
+#include "state/dispatch_verdicts_internal.hpp"
+
+#include <algorithm>
+
+namespace godwitcleat::state
+{
+
+namespace
+{
+
+// A crash of fewer workers at one moment is not common.
+constexpr auto min_common_crashes = std::size_t{3};
+// Workers that crash at one moment are heard of within this time.
+constexpr auto common_crash_time = std::chrono::milliseconds{2500};
+
+// Workers of a service, in one data centre or in all others.
+struct crash_group
+{
+    std::size_t crashed = 0;
+    std::size_t sound = 0;   // At work before and after.
+    std::size_t unknown = 0; // Not heard of since.
+
+    [[nodiscard]] auto has_mostly(std::size_t count) const -> bool
+    {
+        return 2 * count > crashed + sound + unknown;
+    }
+};
+
+} // namespace
+
+crash_judge::crash_judge(
+    worker_map const& workers, std::deque<worker_crash> const& crashes)
+    : crashes_(crashes)
+{
+    for (auto const& it : crashes_)
+    {
+        crash_groups_.push_back(number_of(it.service, it.data_centre));
+        if (!it.open.empty())
+        {
+            rows_.try_emplace(it.service);
+        }
+    }
+    add_rows(workers);
+}
+
+auto crash_judge::number_of(
+    core::service_id const& service, core::data_centre_id const& data_centre)
+    -> std::uint32_t
+{
+    auto const next = static_cast<std::uint32_t>(groups_.size());
+    return groups_.try_emplace({service, data_centre}, next).first->second;
+}
+
+auto crash_judge::add_rows(worker_map const& workers) -> void
+{
+    auto crashes_of =
+        std::unordered_map<std::string_view, std::vector<std::size_t>>{};
+    for (auto i = std::size_t{0}; i < crashes_.size(); ++i)
+    {
+        crashes_of[crashes_[i].worker.value].push_back(i);
+    }
+    for (auto const& [id, worker] : workers)
+    {
+        auto const& info = worker->info;
+        auto const service = rows_.find(info.service);
+        if (service == rows_.end())
+        {
+            continue;
+        }
+        auto& row = service->second.emplace_back();
+        row.group = number_of(info.service, info.data_centre);
+        row.is_evidence = worker->in_worker_list && worker->process.has_value();
+        row.known_since = worker->known_since;
+        row.lost_at = worker->contact == contact_state::none
+                          ? worker->lost_at.value_or(core::time_point::max())
+                          : core::time_point::max();
+        row.clock_at = worker->clock_at;
+        auto const it = crashes_of.find(id.value);
+        if (it != crashes_of.end())
+        {
+            row.crashes = it->second;
+        }
+    }
+}
+
+auto crash_judge::has_crashed(
+    worker_row const& row, worker_crash const& crash) const -> bool
+{
+    return std::any_of(
+        row.crashes.begin(), row.crashes.end(),
+        [&](auto i) { return crashes_[i].overlaps(crash); });
+}
+
+auto crash_judge::judge(std::size_t index, core::time_point now) const
+    -> crash_verdict
+{
+    auto const& crash = crashes_[index];
+    auto here = crash_group{};
+    auto elsewhere = crash_group{};
+    for (auto const& row : rows_.at(crash.service))
+    {
+        auto& group = row.group == crash_groups_[index] ? here : elsewhere;
+        if (has_crashed(row, crash))
+        {
+            ++group.crashed;
+            continue;
+        }
+        auto const was_away =
+            row.known_since > crash.alive_at || row.lost_at < crash.alive_at;
+        if (row.is_evidence && !was_away)
+        {
+            ++(row.clock_at > crash.heard_at ? group.sound : group.unknown);
+        }
+    }
+    // Tasks that crash workers do so in each data centre.
+    auto const most_here = here.crashed + here.unknown;
+    auto const possible =
+        most_here >= min_common_crashes && here.has_mostly(most_here) &&
+        elsewhere.has_mostly(elsewhere.sound + elsewhere.unknown);
+    if (!possible)
+    {
+        return crash_verdict::single;
+    }
+    auto const complete = here.unknown + elsewhere.unknown == 0;
+    if (!complete && now < crash.heard_at + common_crash_time)
+    {
+        return crash_verdict::open;
+    }
+    auto const is_common =
+        here.crashed >= min_common_crashes && here.has_mostly(here.crashed);
+    return is_common ? crash_verdict::common : crash_verdict::single;
+}
+
+auto crash_judge::explains(core::job_id const& job, std::size_t index) -> bool
+{
+    if (common_.crashes.empty() || common_index_ != index)
+    {
+        count_jobs(index);
+    }
+    auto const it = common_.workers_by_job.find(job.value);
+    return it != common_.workers_by_job.end() &&
+           2 * it->second > common_.workers;
+}
+
+auto crash_judge::count_jobs(std::size_t index) -> void
+{
+    common_index_ = index;
+    auto crashes = std::vector<std::size_t>{};
+    for (auto i = std::size_t{0}; i < crashes_.size(); ++i)
+    {
+        if (crash_groups_[i] == crash_groups_[index] &&
+            crashes_[i].overlaps(crashes_[index]))
+        {
+            crashes.push_back(i);
+        }
+    }
+    if (crashes == common_.crashes)
+    {
+        return; // Of one moment with the crash before.
+    }
+    // One that has crashed twice counts once.
+    auto jobs_of =
+        std::unordered_map<std::string_view, std::set<std::string_view>>{};
+    for (auto const i : crashes)
+    {
+        auto& jobs = jobs_of[crashes_[i].worker.value];
+        for (auto const& job : crashes_[i].jobs)
+        {
+            jobs.insert(job.value);
+        }
+    }
+    common_.workers = jobs_of.size();
+    common_.workers_by_job.clear();
+    for (auto const& [worker, jobs] : jobs_of)
+    {
+        for (auto const job : jobs)
+        {
+            ++common_.workers_by_job[job];
+        }
+    }
+    common_.crashes = std::move(crashes);
+}
+
+} // namespace godwitcleat::state
