Dispatch: a run at work for over 10 s clears the crashes of a batch task too

Cause: a new owner dates a run that it finds from when it finds it, since nothing tells its age: neither a row of the worker's list (task, run, checkpoint, percent, measurement; percent also counts work before a checkpoint, and the declared run time is rough), nor the run number (the term at most), nor the stored progress. So the crash of its worker counts for 10 s more, and three of these gave an innocent job up, however long its runs had worked.

No field is added to the store. What remains: a run whose owner changes before it has worked for 10 s, and again each time.

--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -247,7 +247,7 @@
         return;
     }
     task.dismissed_crashes = 0;
-    if (task.is_suspect() && job->spec(job->step_of(run.task)).long_running)
+    if (task.is_suspect())
     {
         task.crashed_runs.clear();
         task.open_crashes.clear();
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -79,8 +79,8 @@
     /** Worker of the last run that failed, stalled or was paused too long. */
     core::worker_id avoided_worker;
     std::string checkpoint;
-    /** Each crashed its worker. Of a long-running task only those since it was
-     *  last proved sound, at most max_crash_history. */
+    /** Each crashed its worker, since the task was last proved sound. Of a
+     *  long-running one at most max_crash_history. */
     std::vector<std::uint64_t> crashed_runs;
     /** Runs under which a worker crashed, not known yet whether they count. */
     std::vector<std::uint64_t> open_crashes;
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -630,6 +630,29 @@
     EXPECT_EQ(it.world.running(), 1U);
 }
 
+// Guards against an innocent job that is given up because a new owner takes the
+// run that it finds for a young one.
+TEST(dispatch_crash, a_task_that_works_for_15_s_is_not_given_up_by_new_owners)
+{
+    auto it = crash_world{2};
+    it.world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    ASSERT_TRUE(it.world.submit(tests::make_plan("good", 1, 1000)));
+    for (auto i = 0; i < 5; ++i)
+    {
+        it.run_for(15'000);
+        ASSERT_EQ(it.world.running(), 1U) << i;
+        it.world.begin_term();
+        it.run_for(1000);
+        it.crash(worker_of(it.world.starts.back()));
+        it.run_for(down_ms + 1000);
+    }
+    EXPECT_EQ(it.world.phase("good"), plan_phase::active);
+    EXPECT_TRUE(it.world.violations.empty());
+}
+
 // Guards against a task that is given up although it was being stopped.
 TEST(dispatch_crash, a_crash_under_a_run_that_is_stopped_does_not_count)
 {
