Dispatch: a common crash soon after a new term counts against no task

Cause: a worker whose process a new owner had first heard after the last answer before a crash was no evidence, neither of the data centre nor of the others. A new owner hears its workers one after the other, and then not again for up to 1 s, while its holds wait. When a data centre crashed in that time, the worker heard first had no others to compare with, and its crash counted at once; with none elsewhere, so did those of the others. The counts are stored and the next owner adds to them, so that three such moments gave an innocent job up. Crashes that the former owner had heard of and not settled are lost and count for nobody: a new owner sees the new process only.

Change: such a worker is open until it has answered after the crash was heard. Then, elsewhere, it counts as sound; in the data centre of the crash it is still no evidence, as it may have crashed before this owner knew it.

Not mended: a crash of the data centre before the new owner has heard the other workers there at all.

--- a/state/dispatch_verdicts.cpp
+++ b/state/dispatch_verdicts.cpp
@@ -107,10 +107,19 @@
             continue;
         }
         auto const was_away =
-            row.known_since > crash.alive_at || row.lost_at < crash.alive_at;
-        if (row.is_evidence && !was_away)
+            row.known_since > crash.heard_at || row.lost_at < crash.alive_at;
+        if (!row.is_evidence || was_away)
         {
-            ++(row.clock_at > crash.heard_at ? group.sound : group.unknown);
+            continue;
+        }
+        auto const was_heard = row.clock_at > crash.heard_at;
+        // It may have crashed before this owner knew its process. Elsewhere
+        // that is rare: many data centres crash, and return, at one moment.
+        auto const may_have_crashed =
+            row.known_since > crash.alive_at && &group == &here;
+        if (!was_heard || !may_have_crashed)
+        {
+            ++(was_heard ? group.sound : group.unknown);
         }
     }
     // Tasks that crash workers do so in each data centre.
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -96,6 +96,26 @@
         }
     }
 
+    /** Begins a term whose owner hears @p first before all others. */
+    auto begin_term_at(std::string const& first) -> void
+    {
+        world.begin_term();
+        auto others = std::vector<std::string>{};
+        for (auto const& id : ids_)
+        {
+            if (id != first && world.worker(id).reachable)
+            {
+                others.push_back(id);
+                world.worker(id).reachable = false;
+            }
+        }
+        run_for(30);
+        for (auto const& id : others)
+        {
+            world.worker(id).reachable = !down_until_.contains(id);
+        }
+    }
+
     auto run_for(std::int64_t ms) -> void
     {
         for (auto i = std::int64_t{0}; i < ms; i += 10)
@@ -865,6 +885,58 @@
     }
 }
 
+// Guards against common crashes that count with a new owner because it heard
+// one worker before the others, and none of them twice.
+TEST(dispatch_crash, innocent_tasks_survive_common_crashes_after_a_new_term)
+{
+    for (auto const crash_ms : {300, 600, 900})
+    {
+        auto it = crash_world{18, down_ms, data_centres};
+        it.world.holds_wait = true;
+        submit_innocent(it);
+        for (auto i = 0; i < 6; ++i)
+        {
+            auto const first = last_worker_of(it.world, "good0.0.0.0");
+            it.begin_term_at(first);
+            it.run_for(crash_ms);
+            it.crash_data_centre(
+                it.world.worker(first).info.data_centre.value,
+                static_cast<std::size_t>(i));
+            it.run_for(8000);
+        }
+        expect_innocent_active(it);
+        EXPECT_EQ(stored_crashes(it), 0U) << crash_ms;
+    }
+}
+
+// Guards against deadly jobs that pass for victims of common crashes with new
+// owners, in one data centre and in all.
+TEST(dispatch_crash, a_deadly_job_is_given_up_soon_after_new_terms)
+{
+    constexpr auto terms = 8;
+    for (auto const* const label : {"dc-1", ""})
+    {
+        for (auto const term_ms : {3300, 3500, 3700, 4300})
+        {
+            auto it = crash_world{18, down_ms, data_centres};
+            it.world.holds_wait = true;
+            auto plan = tests::make_plan("bad", 12, 1000);
+            plan.steps.front().label = label;
+            ASSERT_TRUE(it.world.submit(plan));
+            for (auto i = 0; i < terms; ++i)
+            {
+                it.run_for(term_ms);
+                it.begin_term_at(last_worker_of(it.world, "bad.0.0.0"));
+            }
+            it.run_for(60'000);
+            EXPECT_EQ(it.world.phase("bad"), plan_phase::failed)
+                << label << ' ' << term_ms;
+            // Each owner may lose one crash that it has heard of.
+            EXPECT_LE(count_starts(it.world, "bad.0.0.0"), terms + 5);
+        }
+    }
+}
+
 // Guards against common crashes that count because the workers were away for
 // longer than their leases, also if the list of workers lacked them.
 TEST(dispatch_crash, innocent_tasks_survive_long_common_crashes)
