Dispatch: start_answered() takes an unanswered start of a former process

order_answered() handled this result of a start apart from the others (house rules, one function for one answer).

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -806,8 +806,8 @@
         run_order const& order, order_result result,
         std::optional<std::int64_t> clock_ms, core::time_point now) -> bool;
     auto start_answered(
-        dispatch_worker& worker, std::size_t index, order_result result,
-        core::time_point now) -> void;
+        dispatch_worker& worker, std::size_t index, run_order const& order,
+        order_result result, core::time_point now) -> void;
     auto find_worker(core::worker_id const& id) -> dispatch_worker*;
     auto tick(core::time_point now) -> void;
     auto finish_recovery(core::time_point now) -> void;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -679,21 +679,7 @@
     auto& run = worker->runs[*i];
     if (order.kind == run_order_kind::start)
     {
-        // One with the same start time may be the same, with a clock that stood
-        // still.
-        auto const is_of_former_process =
-            order.process && worker->process &&
-            order.process->started_ms != worker->process->started_ms;
-        if (result == order_result::unknown && is_of_former_process)
-        {
-            if (worker->may_have_begun_before_restart(run))
-            {
-                count_crash(*worker, run, now);
-            }
-            retry_run(*worker, *i, now);
-            return true;
-        }
-        start_answered(*worker, *i, result, now);
+        start_answered(*worker, *i, order, result, now);
     }
     else if (order.kind == run_order_kind::stop)
     {
@@ -712,10 +698,23 @@
 }
 
 auto dispatcher::implementation::start_answered(
-    dispatch_worker& worker, std::size_t index, order_result result,
-    core::time_point now) -> void
+    dispatch_worker& worker, std::size_t index, run_order const& order,
+    order_result result, core::time_point now) -> void
 {
     auto& run = worker.runs[index];
+    // One with the same start time may be the same, with a clock that stood
+    // still.
+    auto const is_of_former_process =
+        order.process && worker.process &&
+        order.process->started_ms != worker.process->started_ms;
+    if (result == order_result::unknown && is_of_former_process)
+    {
+        if (worker.may_have_begun_before_restart(run))
+        {
+            count_crash(worker, run, now);
+        }
+        return retry_run(worker, index, now);
+    }
     run.start_pending = false;
     switch (result)
     {
