--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -296,12 +296,7 @@
         : now(begun)
         , owner(core::epoch{1}, {}, {}, std::move(hooks), begun)
     {
-        auto queue = state::queue_config{};
-        queue.queue = state::queue_id{"q"};
-        queue.service = core::service_id{"s"};
-        queue.max_failures = 3;
-        queue.stretch = 2.0;
-        queue.allowance_ms = 1000;
+        auto const queue = tests::make_queue();
         auto queues = state::queue_table{};
         queues.version = 1;
         queues.queues.insert_or_assign(queue.queue, queue);
--- a/tests/job_router_test.cpp
+++ b/tests/job_router_test.cpp
@@ -12,6 +12,7 @@
 #include <future>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace coordination = godwitcleat::coordination;
 namespace core = godwitcleat::core;
@@ -62,6 +63,19 @@
             tests::eventually([this] { return other.owner().has_value(); }));
     }
 
+    /** Returns the router of the other instance. */
+    auto router_of(coordination::frame_call call_peer)
+        -> coordination::job_router
+    {
+        return {
+            other,
+            std::move(call_peer),
+            loop,
+            core::suspend_aware_clock(),
+            core::null_logger(),
+            {}};
+    }
+
     static auto submit_of(std::string const& id) -> protocol::job_call
     {
         auto call = protocol::job_call{};
@@ -87,8 +101,7 @@
     start();
     auto submits = std::atomic<int>{0};
     auto loads = std::atomic<bool>{true};
-    auto router = coordination::job_router{
-        other,
+    auto router = router_of(
         [&](auto const&, auto const& payload, auto, auto on_done)
         {
             auto const call = protocol::decode<protocol::job_call>(payload);
@@ -97,11 +110,7 @@
             answer.error =
                 loads ? core::error_kind::not_owner : core::error_kind::none;
             on_done(protocol::encode(answer));
-        },
-        loop,
-        core::suspend_aware_clock(),
-        core::null_logger(),
-        {}};
+        });
     auto done = std::promise<core::error_kind>{};
     auto answered = done.get_future();
     auto const wakes = loop.after(400ms, [&] { loads = false; });
@@ -120,8 +129,7 @@
     start();
     auto submits = std::atomic<int>{0};
     auto asked = std::promise<std::function<void()>>{};
-    auto router = coordination::job_router{
-        other,
+    auto router = router_of(
         [&](auto const&, auto const& payload, auto, auto on_done)
         {
             auto const call = protocol::decode<protocol::job_call>(payload);
@@ -138,11 +146,7 @@
                     answer.error = core::error_kind::not_found;
                     on_done(protocol::encode(answer));
                 });
-        },
-        loop,
-        core::suspend_aware_clock(),
-        core::null_logger(),
-        {}};
+        });
     auto done = std::promise<core::error_kind>{};
     auto answered = done.get_future();
     router.route(
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -54,19 +54,24 @@
     return plan;
 }
 
-dispatch_world::dispatch_world()
+auto make_queue() -> state::queue_config
 {
-    behaviour_of = [](auto const&, auto)
-    {
-        return task_behaviour{};
-    };
     auto queue = state::queue_config{};
     queue.queue = state::queue_id{"q"};
     queue.service = core::service_id{"s"};
     queue.max_failures = 3;
     queue.stretch = 2.0;
     queue.allowance_ms = 1000;
-    add_queue(queue);
+    return queue;
+}
+
+dispatch_world::dispatch_world()
+{
+    behaviour_of = [](auto const&, auto)
+    {
+        return task_behaviour{};
+    };
+    add_queue(make_queue());
 }
 
 auto dispatch_world::add_worker(std::string id, core::resources capacity)
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -247,6 +247,9 @@
 /** Returns JOB.OCCURRENCE.STEP.INDEX. */
 auto text_of(state::task_name const& name) -> std::string;
 
+/** Returns queue "q" of service "s". */
+auto make_queue() -> state::queue_config;
+
 /** Returns a job of one step. */
 auto make_plan(std::string id, std::uint32_t tasks, std::int64_t cpu_milli)
     -> state::job_plan;
