Dispatcher: a start for a former process waits for the higher token

Cause: start_answered() tried a start again at once if its call had no answer and was sent to a former process of the worker, also while the new process had not heard the higher token (the look that tells of a restart carries the former one), and also if the new process already listed that run. A start that the new process carries out by itself then ran twice.

Change: such a run keeps its task until the first lists under the higher token, or the end of the lease; one that these lists name is kept. The other paths that start a task again use lists under the higher token, a refusal of that call, or the end of the lease.

Tests (failed before): restarted_worker.a_late_start_before_the_higher_token_ runs_alone, a_late_start_that_its_new_process_lists_runs_alone.

--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -709,6 +709,15 @@
         order.process->started_ms != worker.process->started_ms;
     if (result == order_result::unknown && is_of_former_process)
     {
+        // Only the higher token keeps the new process from carrying it out. The
+        // first lists under that token tell whether it has.
+        auto const may_run =
+            worker.restarted || run.last_seen_in_list == worker.list_count;
+        if (may_run)
+        {
+            run.start_pending = false;
+            return;
+        }
         if (worker.may_have_begun_before_restart(run))
         {
             count_crash(worker, run, now);
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace core = godwitcleat::core;
@@ -29,6 +30,7 @@
 // Steps of the time of day at a restart; none: the start time is the same.
 constexpr auto clock_steps_ms =
     std::array<std::optional<std::int64_t>, 3>{0, std::nullopt, -100'000};
+constexpr auto step_ms = std::int64_t{10};
 // Longer than any lease.
 constexpr auto long_absence_ms = std::int64_t{15'000};
 
@@ -145,6 +147,99 @@
     }
 }
 
+namespace
+{
+
+// The start of "later" is kept by the former process of w1; its call ends
+// without an answer after @p answered_after_ms.
+auto restart_with_late_start(
+    tests::dispatch_world& world, std::int64_t answered_after_ms) -> void
+{
+    auto& worker = world.worker("w1");
+    worker.keeps_delayed = true;
+    worker.delays_starts = true;
+    auto const delay_ms =
+        std::exchange(world.answer_delay_ms, answered_after_ms);
+    auto plan = tests::make_plan("later", 1, 500);
+    plan.steps.front().long_running = true;
+    ASSERT_TRUE(world.submit(std::move(plan)));
+    for (auto n = 0; n < 50 && worker.delayed.empty(); ++n)
+    {
+        world.run_for(step_ms);
+    }
+    ASSERT_EQ(worker.delayed.size(), 1U);
+    world.answer_delay_ms = delay_ms;
+    worker.delays_starts = false;
+    world.restart_worker("w1");
+}
+
+// Returns the time from the restart until the new process hears the higher
+// token; the owner has heard of the restart one step before.
+auto time_until_fenced(std::int64_t answered_after_ms) -> std::int64_t
+{
+    auto const world = world_with_serving_task();
+    auto const token = world->worker("w1").token;
+    restart_with_late_start(*world, answered_after_ms);
+    auto passed_ms = std::int64_t{0};
+    while (!(token < world->worker("w1").token) && passed_ms < 10'000)
+    {
+        world->run_for(step_ms);
+        passed_ms += step_ms;
+    }
+    return passed_ms;
+}
+
+} // namespace
+
+// Guards against a second run at once after the owner has heard the new process
+// by a look with the former token, under which that process carries out a start
+// for the former one by itself.
+TEST(restarted_worker, a_late_start_before_the_higher_token_runs_alone)
+{
+    // Shorter than any lease that the owner counts on.
+    constexpr auto absence_ms = std::int64_t{3000};
+    for (auto const answered_after_ms : {3000, 5000, 6000})
+    {
+        auto const fenced_ms = time_until_fenced(answered_after_ms);
+        ASSERT_LT(fenced_ms, 10'000);
+        for (auto const before_ms : {3 * step_ms, 2 * step_ms, step_ms})
+        {
+            auto const world = world_with_serving_task();
+            auto& worker = world->worker("w1");
+            restart_with_late_start(*world, answered_after_ms);
+            world->run_for(fenced_ms - before_ms);
+            cut_off(*world);
+            auto const starts = world->starts.size();
+            world->carry_out_delayed("w1");
+            ASSERT_EQ(world->starts.size(), starts + 1);
+            world->run_for(absence_ms);
+            EXPECT_EQ(world->violations, std::vector<std::string>{})
+                << answered_after_ms << ", " << before_ms;
+            worker.reachable = true;
+            world->run_for(long_absence_ms);
+            EXPECT_EQ(world->violations, std::vector<std::string>{})
+                << answered_after_ms << ", " << before_ms;
+            EXPECT_EQ(world->running(), 2U);
+        }
+    }
+}
+
+// Guards against a start again, as its call has no answer, of a run that the
+// new process has begun by itself and lists.
+TEST(restarted_worker, a_late_start_that_its_new_process_lists_runs_alone)
+{
+    constexpr auto answered_after_ms = 6000;
+    auto const fenced_ms = time_until_fenced(answered_after_ms);
+    auto const world = world_with_serving_task();
+    restart_with_late_start(*world, answered_after_ms);
+    world->run_for(fenced_ms - step_ms);
+    world->carry_out_delayed("w1");
+    world->worker("w2").listed = true;
+    world->run_for(long_absence_ms);
+    EXPECT_EQ(world->violations, std::vector<std::string>{});
+    EXPECT_EQ(world->running(), 2U);
+}
+
 // Guards against two runs after the owner that has sent a start to the former
 // process of a worker was replaced.
 TEST(restarted_worker, a_new_owner_waits_for_no_start_of_the_former_one)
