Refuse jobs that find no room in time

The backlog was counted only while starts were scarce: a pass that had tried all steps reported nothing waiting, so that no job was refused however full the workers were.

A job is now refused with 429 if the last pass found no room for tasks as small as its own, and the work that is due no later exceeds what the workers can do in the time that its objective leaves, without the processors of long-running tasks and of jobs with shorter objectives. As before, nothing is refused unless such a task has waited for a quarter of that time. A job that is late already is judged by three times its objective, so that a refused job that comes back is not refused as long as anything waits.

--- a/state/dispatch_admission.cpp
+++ b/state/dispatch_admission.cpp
@@ -27,6 +27,7 @@
 constexpr auto max_retry_after_s = std::int64_t{10};
 constexpr auto refusal_memory = std::chrono::seconds{60};
 constexpr auto max_refused_jobs = std::size_t{20'000};
+constexpr auto max_wait = std::chrono::hours{1};
 
 auto is_first(plan_step const& step) -> bool
 {
@@ -51,6 +52,14 @@
                [](plan_step const& it) { return it.long_running; });
 }
 
+// Its first tasks need reserved room on any worker.
+auto needs_any_room(plan_step const& step) -> bool
+{
+    return !step.long_running && !step.uses_spare_cpu && !step.gang &&
+           step.label.empty() && step.max_per_worker == 0 &&
+           step.need.cpu_milli > 0;
+}
+
 auto to_duration(double seconds) -> core::duration
 {
     return std::chrono::duration_cast<core::duration>(
@@ -61,7 +70,7 @@
 
 auto start_backlog::expected_wait(std::uint64_t tasks) const -> core::duration
 {
-    constexpr auto max_wait_s = 3600.0;
+    constexpr auto max_wait_s = std::chrono::duration<double>{max_wait}.count();
     if (waiting_tasks == 0 || waited_s < min_waited_s)
     {
         return {};
@@ -77,55 +86,166 @@
 {
     auto const now_ms = hooks.unix_ms();
     auto const tasks = first_tasks_of(plan);
-    auto const wait = to_ms(queue.backlog.expected_wait(tasks));
-    if (wait == 0 || !may_be_refused(plan, now_ms))
+    auto const start_wait = to_ms(queue.backlog.expected_wait(tasks));
+    auto const room = room_backlog_for(plan, config, queue);
+    auto const room_wait = to_ms(room.expected_wait);
+    auto const accept = [&]
     {
         queue.backlog.waiting_tasks +=
             queue.backlog.waiting_tasks > 0 ? tasks : 0;
         return true;
+    };
+    auto const waits = start_wait > 0 || room_wait > 0;
+    if (!waits || !may_be_refused(plan, now_ms))
+    {
+        return accept();
     }
     auto const known = refused_jobs.find(plan.id.value);
     auto const begin = known == refused_jobs.end() ? now_ms : known->second;
     auto const path = critical_path_ms(plan);
     auto const work = static_cast<std::int64_t>(
         queue.run_time_factor * static_cast<double>(path));
-    auto objective = objective_ms(path, config);
-    if (work > objective)
+    auto const objective = objective_ms(path, config);
+    auto const end = now_ms - begin + work; // If it starts at once.
+    auto const late_left = late_factor * objective - end;
+    auto const start_left = work > objective ? late_left : objective - end;
+    // What is late by now may still end with partial value.
+    auto const room_left = end > objective ? late_left : objective - end;
+    auto const is_observed = [](core::duration waited, std::int64_t left_ms)
     {
-        objective *= late_factor; // It is late even if it starts at once.
-    }
-    auto const left = begin + objective - now_ms - work;
-    auto const observed = to_ms(to_duration(queue.backlog.mean_wait_s)) * 100 >=
-                          left * observed_percent;
-    if (wait * 100 <= left * accepted_percent || !observed)
+        return to_ms(waited) * 100 >= left_ms * observed_percent;
+    };
+    auto const starts_late =
+        start_wait * 100 > start_left * accepted_percent && start_wait > 0 &&
+        is_observed(to_duration(queue.backlog.mean_wait_s), start_left);
+    auto const finds_no_room = room_wait > room_left && room_wait > 0 &&
+                               is_observed(room.waited, room_left);
+    if (!starts_late && !finds_no_room)
     {
-        queue.backlog.waiting_tasks += tasks;
         refused_jobs.erase(plan.id.value);
-        return true;
+        return accept();
     }
     if (known == refused_jobs.end() && refused_jobs.size() < max_refused_jobs)
     {
         refused_jobs.emplace(plan.id.value, now_ms);
     }
+    refuse(
+        plan, starts_late ? start_wait : room_wait,
+        starts_late ? start_left : room_left);
+    return false;
+}
+
+auto dispatcher::implementation::refuse(
+    job_plan const& plan, std::int64_t wait_ms, std::int64_t left_ms) -> void
+{
     ++totals.jobs_refused;
     auto reason = core::failure{};
     reason.kind = core::error_kind::no_capacity;
     reason.retry_after_s = std::clamp(
-        (wait - std::max<std::int64_t>(left, 0) + ms_per_s - 1) / ms_per_s,
+        (wait_ms - std::max<std::int64_t>(left_ms, 0) + ms_per_s - 1) /
+            ms_per_s,
         std::int64_t{1}, max_retry_after_s);
     reason.message = fmt::format(
         "the job would wait {} ms for its first task and not end in time; "
         "submit it again in {} s",
-        wait, reason.retry_after_s);
+        wait_ms, reason.retry_after_s);
     core::fail(reason);
+    auto const& backlog = queue_state_of(plan.queue).backlog;
     event(
         "A job was refused.", {{"job", plan.id.value},
                                {"queue", plan.queue.value},
-                               {"tasks", tasks},
-                               {"expected_wait_ms", wait},
-                               {"time_left_ms", left},
-                               {"waiting_tasks", queue.backlog.waiting_tasks}});
-    return false;
+                               {"tasks", first_tasks_of(plan)},
+                               {"expected_wait_ms", wait_ms},
+                               {"time_left_ms", left_ms},
+                               {"waiting_tasks", backlog.waiting_tasks}});
+}
+
+auto dispatcher::implementation::lacks_room(
+    plan_step const& step, queue_config const& config) const -> bool
+{
+    return std::any_of(
+        unplaceable.begin(), unplaceable.end(),
+        [&](unplaceable_need const& it)
+        {
+            return !it.suspects_only && !it.uses_spare_cpu &&
+                   it.service == config.service && it.need.fits_in(step.need);
+        });
+}
+
+auto dispatcher::implementation::room_backlog_for(
+    job_plan const& plan, queue_config const& config,
+    queue_state const& queue) const -> room_backlog
+{
+    auto result = room_backlog{};
+    auto const& first = plan.steps.front();
+    if (!needs_any_room(first) || !lacks_room(first, config))
+    {
+        return result;
+    }
+    auto work = 0.0; // In milli-cores times milliseconds.
+    auto const now_ms = hooks.unix_ms();
+    auto const objective = objective_ms(critical_path_ms(plan), config);
+    for (auto const& it : ready_steps)
+    {
+        auto const& step = it.job->steps[it.step];
+        auto const& spec = it.job->spec(step);
+        if (it.job->queue == &queue && !step.ready_tasks.empty() &&
+            needs_any_room(spec) && spec.need.fits_in(first.need) &&
+            is_schedulable(it, now_ms) &&
+            objective_ms(it.job->critical_path_ms, config) <= objective)
+        {
+            work += static_cast<double>(step.ready_tasks.size()) *
+                    static_cast<double>(spec.need.cpu_milli) *
+                    static_cast<double>(spec.expected_run_ms);
+            result.waited =
+                std::max(result.waited, last_pass_at - step.ready_since);
+        }
+    }
+    if (work == 0.0)
+    {
+        return {};
+    }
+    auto const room = room_for(first.need, objective, config.service);
+    if (room.workers == 0)
+    {
+        return {};
+    }
+    auto const cpu_milli = std::max<std::int64_t>(room.cpu_milli, 1);
+    auto const wait = std::chrono::duration<double, std::milli>{
+        queue.run_time_factor * work / static_cast<double>(cpu_milli)};
+    result.expected_wait = std::chrono::duration_cast<core::duration>(
+        std::min<std::chrono::duration<double, std::milli>>(wait, max_wait));
+    return result;
+}
+
+auto dispatcher::implementation::room_for(
+    core::resources const& need, std::int64_t objective,
+    core::service_id const& service) const -> service_room
+{
+    auto result = service_room{};
+    for (auto const& [id, worker] : workers)
+    {
+        auto const& info = worker->info;
+        if (!worker->in_worker_list || info.draining ||
+            info.service != service || drained.contains(info.data_centre) ||
+            !need.fits_in(info.capacity))
+        {
+            continue;
+        }
+        ++result.workers;
+        result.cpu_milli += info.capacity.cpu_milli;
+        for (auto const& run : worker->runs)
+        {
+            auto const* const queue =
+                run.job ? run.job->queue->config : nullptr;
+            auto const goes_first =
+                queue != nullptr &&
+                (!is_short(run) ||
+                 objective_ms(run.job->critical_path_ms, *queue) < objective);
+            result.cpu_milli -= goes_first ? run.need.cpu_milli : 0;
+        }
+    }
+    return result;
 }
 
 auto dispatcher::implementation::measure_backlogs(core::time_point now) -> void
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -172,6 +172,20 @@
         -> core::duration;
 };
 
+/** Tasks that wait for room before a new job. */
+struct room_backlog
+{
+    core::duration expected_wait{}; ///< Until all of them have started.
+    core::duration waited{};        ///< Of the oldest one.
+};
+
+/** Processors of the workers of a service. */
+struct service_room
+{
+    std::size_t workers = 0;
+    std::int64_t cpu_milli = 0; ///< Of all, without what others occupy.
+};
+
 /** State of a queue. */
 struct queue_state
 {
@@ -848,6 +862,27 @@
     auto
     admit(job_plan const& plan, queue_config const& config, queue_state& queue)
         -> bool;
+    /** Sets core::last_reason() for a job that would wait for @p wait_ms and
+     *  may wait for less than @p left_ms. */
+    auto
+    refuse(job_plan const& plan, std::int64_t wait_ms, std::int64_t left_ms)
+        -> void;
+    /** Returns true if the last pass has found no room for tasks that need no
+     *  more than those of @p step. */
+    [[nodiscard]] auto
+    lacks_room(plan_step const& step, queue_config const& config) const -> bool;
+    /** Returns those waiting tasks of the queue that are due no later after
+     *  their submit than a new job is; nothing if the first tasks of that job
+     *  find room at once. */
+    [[nodiscard]] auto room_backlog_for(
+        job_plan const& plan, queue_config const& config,
+        queue_state const& queue) const -> room_backlog;
+    /** Returns what long-running tasks and tasks of jobs with a shorter time
+     *  objective than @p objective, in ms, leave of the workers that are large
+     *  enough for @p need. */
+    [[nodiscard]] auto room_for(
+        core::resources const& need, std::int64_t objective,
+        core::service_id const& service) const -> service_room;
     /** Adds the time since the last pass to the backlogs. */
     auto measure_backlogs(core::time_point now) -> void;
     /** Counts the tasks that a pass has started. */
