Owner: answers to reads of a former term are not taken

An instance that loses its term while it loads the jobs and gets the next but one put late answers of the first load into the second: jobs that another owner accepted in between were missing (LOST), and progress could be older (TWICE). Each part of a load is now taken only if its term is the present one, under the same lock. owner_fixture.late_answers_of_a_former_term_are_not_taken fails before and passes 20 of 20.

--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -232,6 +232,10 @@
         {
             {
                 auto const lock = std::scoped_lock{self.mutex};
+                if (self.active_term != number)
+                {
+                    return;
+                }
                 self.loading.jobs.clear();
                 for (auto& [key, record] : values)
                 {
@@ -251,6 +255,10 @@
         {
             {
                 auto const lock = std::scoped_lock{self.mutex};
+                if (self.active_term != number)
+                {
+                    return;
+                }
                 self.loading.progress.clear();
                 for (auto& [key, progress] : values)
                 {
@@ -287,6 +295,10 @@
                         self.log.error("Stored workers cannot be read.");
                     }
                     auto const lock = std::scoped_lock{self.mutex};
+                    if (self.active_term != number)
+                    {
+                        return;
+                    }
                     self.loading.workers_written_by = written_by;
                     self.loading.workers_readable = known.has_value();
                     self.loading.workers =
