Dispatch: crashes of workers that return one after the other are compared

Cause: after a silent crash of a data centre that outlasts the leases, the verdict on the first worker to return knew nothing of those that were not listed (it counted at the next look), and waited 2.5 s only for those that were. So crashes counted against innocent tasks.

Change: a worker that is not listed, or whose entry is gone, keeps the crash open if contact was lost after the last answer before the crash and it neither drained nor ended. It is no evidence when the verdict falls, as it may never return. After a silence of over 6 s a crash is open for up to 10 s.

--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -20,6 +20,8 @@
 // One that is heard of this much later is not compared.
 constexpr auto max_crash_age = std::chrono::seconds{30};
 constexpr auto crash_check_interval = std::chrono::milliseconds{200};
+// A task waits no longer until it is known whether a crash counts.
+constexpr auto max_verdict_delay = std::chrono::milliseconds{2900};
 // With as many crashes, the delay has its maximum.
 constexpr auto max_crash_history = std::size_t{4};
 
@@ -120,7 +122,7 @@
     };
     if (std::any_of(recent_crashes.begin(), recent_crashes.end(), is_open))
     {
-        auto judge = crash_judge{workers, recent_crashes};
+        auto judge = crash_judge{workers, former_workers, recent_crashes};
         for (auto i = std::size_t{0}; i < recent_crashes.size(); ++i)
         {
             if (is_open(recent_crashes[i]))
@@ -160,6 +162,7 @@
         return;
     }
     task.open_crashes.push_back(run.run.value);
+    task.crash_heard_at = now;
     note_loss(run);
     event(
         "A worker crashed under a task.", {{"worker", worker.info.worker.value},
@@ -259,9 +262,12 @@
     plan_step const& spec, dispatch_task const& task,
     core::time_point now) const -> bool
 {
-    if (!spec.long_running && task.crash_count() >= max_crashes)
+    auto const waits_for_verdict =
+        !spec.long_running && task.crash_count() >= max_crashes &&
+        now < task.crash_heard_at + max_verdict_delay;
+    if (waits_for_verdict)
     {
-        return true; // Until it is known whether all of them count.
+        return true;
     }
     auto const is_delayed = spec.long_running || task.dismissed_crashes > 0;
     auto const crashes = task.crash_count() + task.dismissed_crashes;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -84,6 +84,7 @@
     std::vector<std::uint64_t> crashed_runs;
     /** Runs under which a worker crashed, not known yet whether they count. */
     std::vector<std::uint64_t> open_crashes;
+    core::time_point crash_heard_at;   ///< Of the last of `open_crashes`.
     std::size_t dismissed_crashes = 0; ///< Crashes that did not count.
     /** When its last run that was lost with its worker was at work. */
     core::time_point lost_at;
@@ -486,6 +487,16 @@
     std::vector<serving_class> serving_classes;
     std::int64_t spare_cpu_milli = 0; ///< Estimated unused processors.
 
+    /** Returns when contact was lost, if its process may have crashed since;
+     *  unset: in contact, or it drains or has ended. */
+    [[nodiscard]] auto possible_crash_since() const
+        -> std::optional<core::time_point>
+    {
+        auto const may_have_crashed =
+            contact == contact_state::none && !drain_seen_at && !exited;
+        return may_have_crashed ? lost_at : std::nullopt;
+    }
+
     [[nodiscard]] auto all_ends_stored() const -> bool
     {
         return ends_complete &&
@@ -553,6 +564,10 @@
     std::uint64_t restarts = 0; ///< It obeys no lower token.
     std::optional<known_process> process;
     core::time_point heard_at; ///< Its last answer.
+    core::service_id service;
+    core::data_centre_id data_centre;
+    /** When contact was lost; unset: it drained or has ended. */
+    std::optional<core::time_point> lost_at;
     std::vector<run_entry> lapsed_runs;
     core::time_point kept_until; ///< Later only `restarts` matters.
 };
--- a/state/dispatch_verdicts.cpp
+++ b/state/dispatch_verdicts.cpp
@@ -13,6 +13,9 @@
 constexpr auto min_common_crashes = std::size_t{3};
 // Workers that crash at one moment are heard of within this time.
 constexpr auto common_crash_time = std::chrono::milliseconds{2500};
+// After a silence that outlasts the leases they return one after the other.
+constexpr auto long_silence = std::chrono::seconds{6};
+constexpr auto common_return_time = std::chrono::seconds{10};
 
 // Workers of a service, in one data centre or in all others.
 struct crash_group
@@ -20,6 +23,7 @@
     std::size_t crashed = 0;
     std::size_t sound = 0;   // At work before and after.
     std::size_t unknown = 0; // Not heard of since.
+    std::size_t away = 0;    // Unknown and not listed; may never return.
 
     [[nodiscard]] auto has_mostly(std::size_t count) const -> bool
     {
@@ -30,7 +34,8 @@
 } // namespace
 
 crash_judge::crash_judge(
-    worker_map const& workers, std::deque<worker_crash> const& crashes)
+    worker_map const& workers, former_map const& former,
+    std::deque<worker_crash> const& crashes)
     : crashes_(crashes)
 {
     for (auto const& it : crashes_)
@@ -41,7 +46,7 @@
             rows_.try_emplace(it.service);
         }
     }
-    add_rows(workers);
+    add_rows(workers, former);
 }
 
 auto crash_judge::number_of(
@@ -52,7 +57,8 @@
     return groups_.try_emplace({service, data_centre}, next).first->second;
 }
 
-auto crash_judge::add_rows(worker_map const& workers) -> void
+auto crash_judge::add_rows(worker_map const& workers, former_map const& former)
+    -> void
 {
     auto crashes_of =
         std::unordered_map<std::string_view, std::vector<std::size_t>>{};
@@ -71,6 +77,8 @@
         auto& row = service->second.emplace_back();
         row.group = number_of(info.service, info.data_centre);
         row.is_evidence = worker->in_worker_list && worker->process.has_value();
+        row.is_away = !worker->in_worker_list && worker->process.has_value() &&
+                      worker->possible_crash_since().has_value();
         row.known_since = worker->known_since;
         row.lost_at = worker->contact == contact_state::none
                           ? worker->lost_at.value_or(core::time_point::max())
@@ -82,6 +90,19 @@
             row.crashes = it->second;
         }
     }
+    for (auto const& [id, worker] : former)
+    {
+        auto const service = rows_.find(worker.service);
+        if (service == rows_.end() || !worker.lost_at || workers.contains(id))
+        {
+            continue;
+        }
+        auto& row = service->second.emplace_back();
+        row.group = number_of(worker.service, worker.data_centre);
+        row.is_away = worker.process.has_value();
+        row.lost_at = *worker.lost_at;
+        row.clock_at = worker.heard_at;
+    }
 }
 
 auto crash_judge::has_crashed(
@@ -108,11 +129,15 @@
         }
         auto const was_away =
             row.known_since > crash.heard_at || row.lost_at < crash.alive_at;
+        auto const was_heard = row.clock_at > crash.heard_at;
+        if (row.is_away && !was_away && !was_heard)
+        {
+            ++group.away;
+        }
         if (!row.is_evidence || was_away)
         {
             continue;
         }
-        auto const was_heard = row.clock_at > crash.heard_at;
         // It may have crashed before this owner knew its process. Elsewhere
         // that is rare: many data centres crash, and return, at one moment.
         auto const may_have_crashed =
@@ -123,16 +148,19 @@
         }
     }
     // Tasks that crash workers do so in each data centre.
-    auto const most_here = here.crashed + here.unknown;
+    auto const most_here = here.crashed + here.unknown + here.away;
     auto const possible =
-        most_here >= min_common_crashes && here.has_mostly(most_here) &&
+        most_here >= min_common_crashes && most_here > here.sound &&
         elsewhere.has_mostly(elsewhere.sound + elsewhere.unknown);
     if (!possible)
     {
         return crash_verdict::single;
     }
-    auto const complete = here.unknown + elsewhere.unknown == 0;
-    if (!complete && now < crash.heard_at + common_crash_time)
+    auto const complete = here.unknown + here.away + elsewhere.unknown == 0;
+    auto const is_long = crash.heard_at - crash.alive_at > long_silence;
+    auto const open_time = is_long ? core::duration{common_return_time}
+                                   : core::duration{common_crash_time};
+    if (!complete && now < crash.heard_at + open_time)
     {
         return crash_verdict::open;
     }
--- a/state/dispatch_verdicts_internal.hpp
+++ b/state/dispatch_verdicts_internal.hpp
@@ -27,9 +27,11 @@
 public:
     using worker_map =
         std::map<core::worker_id, std::unique_ptr<dispatch_worker>>;
+    using former_map = std::map<core::worker_id, former_worker>;
 
     crash_judge(
-        worker_map const& workers, std::deque<worker_crash> const& crashes);
+        worker_map const& workers, former_map const& former,
+        std::deque<worker_crash> const& crashes);
 
     /** Returns the verdict on the crash of number @p index. */
     [[nodiscard]] auto judge(std::size_t index, core::time_point now) const
@@ -48,6 +50,7 @@
     {
         std::uint32_t group = 0;  ///< Number of its group.
         bool is_evidence = false; ///< Listed, and its process is known.
+        bool is_away = false;     ///< Not listed, and it may have crashed.
         core::time_point known_since;
         core::time_point lost_at; ///< Maximum: in contact.
         core::time_point clock_at;
@@ -65,7 +68,7 @@
     auto number_of(
         core::service_id const& service,
         core::data_centre_id const& data_centre) -> std::uint32_t;
-    auto add_rows(worker_map const& workers) -> void;
+    auto add_rows(worker_map const& workers, former_map const& former) -> void;
     [[nodiscard]] auto
     has_crashed(worker_row const& row, worker_crash const& crash) const -> bool;
     auto count_jobs(std::size_t index) -> void;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -301,6 +301,9 @@
     it.restarts = worker.restarts;
     it.process = worker.process;
     it.heard_at = worker.clock_at;
+    it.service = worker.info.service;
+    it.data_centre = worker.info.data_centre;
+    it.lost_at = worker.possible_crash_since();
     it.lapsed_runs = std::move(worker.lapsed_runs);
     it.kept_until = now + max_absence;
 }
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -965,6 +965,65 @@
     }
 }
 
+// Guards against common crashes that count because the workers return one after
+// the other, the first of them with a task, after their leases.
+TEST(dispatch_crash, innocent_tasks_survive_common_crashes_with_late_returns)
+{
+    for (auto const listed : {true, false})
+    {
+        auto it = crash_world{18, down_ms, data_centres};
+        submit_innocent(it);
+        for (auto i = 0; i < 5; ++i)
+        {
+            auto const first = last_worker_of(it.world, "good0.0.0.0");
+            auto const crash = [&](std::string const& id, std::int64_t ms)
+            {
+                it.crash(id, ms);
+                it.world.worker(id).listed = listed;
+            };
+            crash(first, 8000);
+            auto away_ms = std::int64_t{8000};
+            for (auto w = 0; w < 18; ++w)
+            {
+                auto const other = fmt::format("w{}", w);
+                auto const is_here = it.world.worker(other).info.data_centre ==
+                                     it.world.worker(first).info.data_centre;
+                if (is_here && other != first)
+                {
+                    away_ms += 1200;
+                    crash(other, away_ms);
+                }
+            }
+            it.run_for(15'000);
+        }
+        expect_innocent_active(it);
+        EXPECT_EQ(stored_crashes(it), 0U) << listed;
+    }
+}
+
+// Guards against a deadly job that is not given up because other workers of its
+// data centre are gone for good.
+TEST(dispatch_crash, a_deadly_job_beside_lost_workers_is_given_up)
+{
+    for (auto const away_ms : {300, 8000})
+    {
+        auto it = crash_world{18, away_ms, data_centres};
+        auto plan = tests::make_plan("bad", 1, 1000);
+        plan.steps.front().label = "dc-1";
+        ASSERT_TRUE(it.world.submit(plan));
+        for (auto const* const id : {"w3", "w6", "w9", "w12"})
+        {
+            it.crash(id, 200'000);
+            it.world.worker(id).listed = false;
+        }
+        it.run_for(60'000);
+        EXPECT_EQ(it.world.phase("bad"), plan_phase::failed) << away_ms;
+        // A lease may lapse, and a verdict be open, before it is given up.
+        EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 4) << away_ms;
+        EXPECT_TRUE(it.world.violations.empty());
+    }
+}
+
 // Guards against deadly jobs that pass for victims of common crashes, in one
 // data centre and in all.
 TEST(dispatch_crash, a_deadly_job_that_crashes_many_workers_is_given_up)
