Dispatch: an announced stop of a worker is no evidence of a common crash

Cause: add_crash() took the restart or end of a worker that drained for a crash, so that a lone deadly crash beside two drained restarts in a data centre of four workers passed for a common one, and its job, on one of three, did not count.

Change: a crash knows whether the worker was listed as draining after its last answer, also if its entry was forgotten or the next process was listed first. Such a worker shows neither that its data centre crashed nor that it went on.

--- a/state/dispatch_crashes.cpp
+++ b/state/dispatch_crashes.cpp
@@ -55,6 +55,9 @@
     crash.data_centre = worker.info.data_centre;
     crash.alive_at = alive_at == core::time_point{} ? now : alive_at;
     crash.heard_at = now;
+    // The process that replaces it may be listed before it is heard.
+    crash.announced =
+        worker.drain_seen_at || worker.drain_lifted_at >= crash.alive_at;
     for (auto const* const runs : {&worker.runs, &worker.lapsed_runs})
     {
         for (auto const& run : *runs)
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -330,6 +330,7 @@
     core::data_centre_id data_centre;
     core::time_point alive_at;     ///< Last answer of the former process.
     core::time_point heard_at;     ///< When this owner heard of the crash.
+    bool announced = false;        ///< It drained: a planned restart or stop.
     std::set<core::job_id> jobs;   ///< May have had runs there.
     std::vector<crashed_run> open; ///< Not known yet whether they count.
 
@@ -467,6 +468,8 @@
     core::time_point starts_blocked_until;
     /** When it was first listed as draining. */
     std::optional<core::time_point> drain_seen_at;
+    /** When it was last listed as draining no more. */
+    std::optional<core::time_point> drain_lifted_at;
     /** No best-effort run is placed there before; set when a serving run is
      *  near its target. */
     core::time_point near_target_until;
@@ -568,6 +571,8 @@
     core::data_centre_id data_centre;
     /** When contact was lost; unset: it drained or has ended. */
     std::optional<core::time_point> lost_at;
+    /** As dispatch_worker::drain_lifted_at; when forgotten, if it drained. */
+    std::optional<core::time_point> drain_lifted_at;
     std::vector<run_entry> lapsed_runs;
     core::time_point kept_until; ///< Later only `restarts` matters.
 };
--- a/state/dispatch_verdicts.cpp
+++ b/state/dispatch_verdicts.cpp
@@ -110,7 +110,18 @@
 {
     return std::any_of(
         row.crashes.begin(), row.crashes.end(),
-        [&](auto i) { return crashes_[i].overlaps(crash); });
+        [&](auto i)
+        { return !crashes_[i].announced && crashes_[i].overlaps(crash); });
+}
+
+// Returns true if the worker may have been stopped as planned at that moment.
+auto crash_judge::was_stopped(
+    worker_row const& row, worker_crash const& crash) const -> bool
+{
+    return std::any_of(
+        row.crashes.begin(), row.crashes.end(),
+        [&](auto i)
+        { return crashes_[i].announced && crashes_[i].overlaps(crash); });
 }
 
 auto crash_judge::judge(std::size_t index, core::time_point now) const
@@ -127,6 +138,10 @@
             ++group.crashed;
             continue;
         }
+        if (was_stopped(row, crash))
+        {
+            continue;
+        }
         auto const was_away =
             row.known_since > crash.heard_at || row.lost_at < crash.alive_at;
         auto const was_heard = row.clock_at > crash.heard_at;
@@ -186,7 +201,8 @@
     auto crashes = std::vector<std::size_t>{};
     for (auto i = std::size_t{0}; i < crashes_.size(); ++i)
     {
-        if (crash_groups_[i] == crash_groups_[index] &&
+        if (!crashes_[i].announced &&
+            crash_groups_[i] == crash_groups_[index] &&
             crashes_[i].overlaps(crashes_[index]))
         {
             crashes.push_back(i);
--- a/state/dispatch_verdicts_internal.hpp
+++ b/state/dispatch_verdicts_internal.hpp
@@ -71,6 +71,8 @@
     auto add_rows(worker_map const& workers, former_map const& former) -> void;
     [[nodiscard]] auto
     has_crashed(worker_row const& row, worker_crash const& crash) const -> bool;
+    [[nodiscard]] auto
+    was_stopped(worker_row const& row, worker_crash const& crash) const -> bool;
     auto count_jobs(std::size_t index) -> void;
 
     std::deque<worker_crash> const& crashes_;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -123,6 +123,7 @@
         {
             if (std::exchange(worker->drain_seen_at, std::nullopt))
             {
+                worker->drain_lifted_at = now;
                 lift_restriction(*worker, now);
             }
         }
@@ -304,6 +305,8 @@
     it.service = worker.info.service;
     it.data_centre = worker.info.data_centre;
     it.lost_at = worker.possible_crash_since();
+    it.drain_lifted_at =
+        worker.drain_seen_at ? std::optional{now} : worker.drain_lifted_at;
     it.lapsed_runs = std::move(worker.lapsed_runs);
     it.kept_until = now + max_absence;
 }
@@ -320,6 +323,7 @@
     worker.process = it->second.process;
     worker.clock_at = it->second.heard_at;
     worker.known_since = it->second.heard_at;
+    worker.drain_lifted_at = it->second.drain_lifted_at;
     worker.lapsed_runs = std::exchange(it->second.lapsed_runs, {});
 }
 
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -1024,6 +1024,65 @@
     }
 }
 
+// Guards against a deadly job whose crash passes for a common one because other
+// workers of its data centre are drained and restarted at that moment.
+TEST(dispatch_crash, a_deadly_job_beside_drained_restarts_is_given_up)
+{
+    for (auto const leave : {false, true})
+    {
+        auto it = crash_world{12, down_ms, data_centres};
+        auto plan = tests::make_plan("bad", 1, 1000);
+        plan.steps.front().label = "dc-1";
+        ASSERT_TRUE(it.world.submit(plan));
+        for (auto i = 0; i < 3; ++i)
+        {
+            for (auto ms = 0; it.world.running() == 0 && ms < 5000; ms += 10)
+            {
+                it.run_for(10);
+            }
+            auto others = std::vector<std::string>{"w0", "w3", "w6", "w9"};
+            std::erase(others, last_worker_of(it.world, "bad.0.0.0"));
+            others.pop_back();
+            for (auto const& id : others)
+            {
+                it.world.worker(id).info.draining = true;
+                it.world.worker(id).info.drain_left_ms = 60'000;
+            }
+            auto const crashes = it.crashes;
+            while (it.crashes == crashes && it.world.running() > 0)
+            {
+                it.run_for(10);
+            }
+            for (auto const& id : others)
+            {
+                if (leave)
+                {
+                    it.world.exit_worker(id);
+                }
+                else
+                {
+                    it.world.worker(id).info.draining = false;
+                    it.world.restart_worker(id);
+                }
+            }
+            it.run_for(1000);
+            for (auto const& id : others)
+            {
+                it.world.worker(id).info.draining = false;
+                if (leave)
+                {
+                    it.world.return_worker(id);
+                }
+            }
+            it.run_for(down_ms);
+        }
+        it.run_for(20'000);
+        EXPECT_EQ(it.world.phase("bad"), plan_phase::failed) << leave;
+        EXPECT_LE(count_starts(it.world, "bad.0.0.0"), 3) << leave;
+        EXPECT_TRUE(it.world.violations.empty());
+    }
+}
+
 // Guards against deadly jobs that pass for victims of common crashes, in one
 // data centre and in all.
 TEST(dispatch_crash, a_deadly_job_that_crashes_many_workers_is_given_up)
