--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -1001,6 +1001,43 @@
     }
 }
 
+// Guards against a task that waits for as long as a crash is open. Its third
+// crash is open for 6 s and does not count.
+TEST(dispatch_crash, a_task_waits_for_a_verdict_for_3_s)
+{
+    auto it = crash_world{18, 300, data_centres};
+    it.world.behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{60'000, false};
+    };
+    auto plan = tests::make_plan("good", 1, 1000);
+    plan.steps.front().label = "dc-1";
+    ASSERT_TRUE(it.world.submit(plan));
+    for (auto i = 0; i < 2; ++i)
+    {
+        it.run_for(1000);
+        it.crash(last_worker_of(it.world, "good.0.0.0"));
+        it.run_for(1000);
+    }
+    it.run_for(1000);
+    ASSERT_EQ(stored_crashes(it), 2U);
+    ASSERT_EQ(it.world.running(), 1U);
+    auto away_ms = std::int64_t{8000};
+    for (auto const* const id : {"w0", "w3", "w6", "w9", "w12", "w15"})
+    {
+        it.crash(id, away_ms);
+        away_ms += 1200;
+    }
+    it.run_for(8000);
+    ASSERT_EQ(it.world.running(), 0U);
+    it.run_for(3500);
+    EXPECT_EQ(it.world.running(), 1U);
+    it.run_for(5000);
+    EXPECT_EQ(it.world.phase("good"), plan_phase::active);
+    EXPECT_EQ(stored_crashes(it), 2U);
+    EXPECT_TRUE(it.world.violations.empty());
+}
+
 // Guards against a deadly job that is not given up because other workers of its
 // data centre are gone for good.
 TEST(dispatch_crash, a_deadly_job_beside_lost_workers_is_given_up)
