New owner: wait for workers while their first answers come

Cause: if the leases have ended when the jobs are loaded, a new owner waits 1 s for its workers. On a slow link the first answers of 160 workers may take longer; a task that has ended on a worker not heard yet is started again, and that end counts when it is listed.

Change: a listed worker that has not answered holds its tasks until no first list has come for 1 s, at most until the bound without a dated last write.

Test: take_over.waits_for_workers_whose_first_answers_come_one_by_one, fails before.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -1093,6 +1093,10 @@
     /** Of workers that have not answered and may have any tasks. */
     std::set<core::service_id> held_services;
     core::time_point recovery_until;
+    /** Silent workers hold tasks until then, while others answer first. */
+    core::time_point recovery_limit;
+    /** Last list of a worker that may have unknown runs. */
+    core::time_point last_first_list;
     core::time_point loaded_at;
     core::time_point next_lease_update;
     bool stored_list_readable = true; ///< False: unknown workers have runs.
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -16,6 +16,9 @@
 // Workers with both serving and best-effort runs are polled more often.
 constexpr auto shared_hold_wait =
     core::duration{std::chrono::milliseconds{400}};
+// A new owner waits this long for the next first list of a worker.
+constexpr auto first_list_gap = std::chrono::seconds{1};
+
 // Far below the minimum time in which a lease may lapse, so that it is renewed
 // in time.
 constexpr auto lost_contact_pause = std::chrono::milliseconds{150};
@@ -579,6 +582,10 @@
     worker.lapsed_runs.clear();
     worker.answered_address = order.address;
     ++worker.list_count;
+    if (worker.may_have_unknown_runs)
+    {
+        last_first_list = now;
+    }
     auto const ends_before = worker.last_processed_end;
     for (auto const& row : lists.ended)
     {
@@ -842,6 +849,9 @@
     {
         return;
     }
+    // On a full link the first answers take seconds, and more may follow.
+    auto const arriving =
+        now < std::min(last_first_list + first_list_gap, recovery_limit);
     auto unheard = std::size_t{0};
     auto held = std::set<task_name>{};
     auto services = std::set<core::service_id>{};
@@ -854,6 +864,7 @@
         ++unheard;
         // One in contact may not have reported all ends yet.
         auto const lapsed = worker->contact == contact_state::none &&
+                            !(arriving && worker->in_worker_list) &&
                             (expired || now > worker->lease_until);
         if (lapsed)
         {
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -341,6 +341,47 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against second runs of tasks that have ended on workers whose first
+// answers are late because the new owner's link is full: the leases have ended
+// when it begins, and the ends count all the same.
+TEST(take_over, waits_for_workers_whose_first_answers_come_one_by_one)
+{
+    auto const world = three_workers();
+    world->behaviour_of = [](auto const&, auto)
+    {
+        return tests::task_behaviour{200, false};
+    };
+    for (auto const* const id : {"w1", "w2", "w3"})
+    {
+        ASSERT_TRUE(submit_on(
+            *world, id, tests::make_plan(fmt::format("of-{}", id), 1, 1000)));
+    }
+    world->store_down = true;
+    world->run_for(12'000);
+    ASSERT_EQ(world->starts.size(), 3U);
+    world->store_down = false;
+    for (auto const* const id : {"w1", "w2", "w3"})
+    {
+        world->worker(id).reachable = false;
+        world->worker(id).info.labels = {"w1", "w2", "w3"};
+    }
+    world->begin_term();
+    for (auto const* const id : {"w1", "w2", "w3"})
+    {
+        world->run_for(700);
+        world->worker(id).reachable = true;
+    }
+    world->run_for(5000);
+    EXPECT_EQ(world->starts.size(), 3U);
+    for (auto const* const id : {"w1", "w2", "w3"})
+    {
+        EXPECT_EQ(
+            world->phase(fmt::format("of-{}", id)),
+            state::plan_phase::completed);
+    }
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a long-running task that stays down because its own worker has
 // left before the new owner called it. One may be down for 3 s after 4 calm
 // ones.
