--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -13,7 +13,6 @@
 #include "coordination/gateway_base.hpp"
 #include "coordination/held_replies_base.hpp"
 #include "coordination/instance_list_base.hpp"
-#include "coordination/job_loader_base.hpp"
 #include "coordination/job_router_base.hpp"
 #include "coordination/key_func.hpp"
 #include "coordination/ownership_base.hpp"
--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -2,7 +2,6 @@
 #include "coordination/dispatch_host_base.hpp"
 
 #include "coordination/guarded_internal.hpp"
-#include "coordination/job_loader_base.hpp"
 #include "coordination/line_budget_base.hpp"
 
 #include <fmt/format.h>
@@ -89,9 +88,13 @@
     }
 
     auto
-    acquired(core::epoch number, std::optional<core::time_point> written_by)
+    acquired(core::epoch number, std::optional<core::time_point> last_write_by)
         -> void;
-    auto activate(core::epoch number, state::dispatch_snapshot loaded) -> void;
+    auto load_jobs(core::epoch number) -> void;
+    auto load_progress(core::epoch number) -> void;
+    auto load_workers(core::epoch number) -> void;
+    auto load_again(core::epoch number) -> void;
+    auto activate(core::epoch number) -> void;
     auto lost(std::string_view cause) -> void;
     auto pump() -> void;
     [[nodiscard]] auto is_write_due(core::time_point now) const -> bool;
@@ -105,6 +108,15 @@
     auto report_queues() -> void;
     auto submit(protocol::job_call call, reply on_answer) -> void;
     auto finish_leaving() -> void;
+    /**
+     * Hands the values under @p prefix to @p take, by key. Logs @p problem for
+     * one that cannot be decoded; a failed call loads all again, and so does
+     * an unreadable entry.
+     */
+    template <class Value, class Take>
+    auto load(
+        std::string const& prefix, core::epoch number, std::string_view problem,
+        Take take) -> void;
 
     dispatch_host_parts parts;
     core::logger log;
@@ -115,8 +127,7 @@
     std::optional<state::dispatcher> dispatcher;
     core::epoch active_term; ///< Of `dispatcher` or of the load.
     core::time_point acquired_at;
-    std::optional<core::time_point> last_write_by; ///< Of former owners.
-    std::shared_ptr<job_loader> loader;            ///< Of `active_term`.
+    state::dispatch_snapshot loading;
     state::queue_table_pointer queues;
     std::vector<state::listed_worker> workers;
     bool workers_given = false;
@@ -135,35 +146,169 @@
     std::optional<core::duration> min_start_time;
     bool leaving = false;
     std::function<void()> on_left;
+    transport::timer_handle load_timer;
     transport::timer_handle pump_timer;
     term_keeper term;
 };
 
 auto dispatch_host::implementation::acquired(
-    core::epoch number, std::optional<core::time_point> written_by) -> void
+    core::epoch number, std::optional<core::time_point> last_write_by) -> void
 {
-    auto load = std::make_shared<job_loader>(
-        parts.target, parts.loop, log,
-        job_loader_settings{settings.key_prefix, settings.store_retry},
-        guarded([number](auto& self, auto loaded)
-                { self.activate(number, std::move(loaded)); }));
     {
         auto const lock = std::scoped_lock{mutex};
         dispatcher.reset();
         active_term = number;
-        last_write_by = written_by;
-        loader = load;
+        loading = {};
+        loading.last_write_by = last_write_by;
         writing = false;
         refused_since.reset();
         workers_given = false;
         acquired_at = parts.clock();
     }
     parts.metrics.count("take_overs_total");
-    load->start();
+    parts.on_owning(true);
+    load_jobs(number);
+}
+
+auto dispatch_host::implementation::load_again(core::epoch number) -> void
+{
+    log.warn(
+        "Jobs were not loaded; reading again.",
+        {{"reason", core::last_reason().message}});
+    load_timer = later(
+        parts.loop, settings.store_retry,
+        [number](auto& self)
+        {
+            if (self.active_term == number)
+            {
+                self.load_jobs(number);
+            }
+        });
+}
+
+template <class Value, class Take>
+auto dispatch_host::implementation::load(
+    std::string const& prefix, core::epoch number, std::string_view problem,
+    Take take) -> void
+{
+    parts.target.range(
+        prefix, prefix_end(prefix), 0,
+        guarded(
+            [number, problem, take](auto& self, auto answer)
+            {
+                if (!answer)
+                {
+                    return self.load_again(number);
+                }
+                auto values = std::vector<std::pair<std::string, Value>>{};
+                for (auto const& it : answer->entries)
+                {
+                    // A damaged answer must not lose a job.
+                    if (!it.readable)
+                    {
+                        core::fail(
+                            core::error_kind::protocol,
+                            fmt::format(
+                                "the value of {} is no base64", it.key));
+                        return self.load_again(number);
+                    }
+                    auto value = protocol::decode<Value>(it.value);
+                    if (!value)
+                    {
+                        self.log.error(problem, {{"key", it.key}});
+                        continue;
+                    }
+                    values.emplace_back(it.key, std::move(*value));
+                }
+                take(self, std::move(values));
+            }));
+}
+
+auto dispatch_host::implementation::load_jobs(core::epoch number) -> void
+{
+    load<state::plan_record>(
+        settings.key_prefix + "job/", number, "A stored job cannot be read.",
+        [number](auto& self, auto values)
+        {
+            {
+                auto const lock = std::scoped_lock{self.mutex};
+                if (self.active_term != number)
+                {
+                    return;
+                }
+                self.loading.jobs.clear();
+                for (auto& [key, record] : values)
+                {
+                    self.loading.jobs.push_back(std::move(record));
+                }
+            }
+            self.load_progress(number);
+        });
 }
 
-auto dispatch_host::implementation::activate(
-    core::epoch number, state::dispatch_snapshot loaded) -> void
+auto dispatch_host::implementation::load_progress(core::epoch number) -> void
+{
+    auto const prefix = settings.key_prefix + "progress/";
+    load<state::plan_progress>(
+        prefix, number, "Stored progress cannot be read.",
+        [number, n = prefix.size()](auto& self, auto values)
+        {
+            {
+                auto const lock = std::scoped_lock{self.mutex};
+                if (self.active_term != number)
+                {
+                    return;
+                }
+                self.loading.progress.clear();
+                for (auto& [key, progress] : values)
+                {
+                    self.loading.progress.emplace_back(
+                        core::job_id{key.substr(n)}, std::move(progress));
+                }
+            }
+            self.load_workers(number);
+        });
+}
+
+auto dispatch_host::implementation::load_workers(core::epoch number) -> void
+{
+    parts.target.range(
+        settings.key_prefix + "workers", "", 1,
+        guarded(
+            [number](auto& self, auto answer)
+            {
+                if (!answer)
+                {
+                    return self.load_again(number);
+                }
+                if (!answer->entries.empty())
+                {
+                    auto const revision =
+                        answer->entries.front().modify_revision;
+                    auto const written_by =
+                        self.parts.target.reached_by(revision);
+                    auto known =
+                        protocol::decode<std::vector<state::stored_worker>>(
+                            answer->entries.front().value);
+                    if (!known)
+                    {
+                        self.log.error("Stored workers cannot be read.");
+                    }
+                    auto const lock = std::scoped_lock{self.mutex};
+                    if (self.active_term != number)
+                    {
+                        return;
+                    }
+                    self.loading.workers_written_by = written_by;
+                    self.loading.workers_readable = known.has_value();
+                    self.loading.workers =
+                        known.value_or(std::vector<state::stored_worker>{});
+                }
+                self.activate(number);
+            }));
+}
+
+auto dispatch_host::implementation::activate(core::epoch number) -> void
 {
     {
         auto const lock = std::scoped_lock{mutex};
@@ -187,18 +332,18 @@
         auto const now = parts.clock();
         parts.metrics.observe_time("take_over_seconds", now - acquired_at);
         auto const since_write =
-            last_write_by
-                ? fmt::format("{}", milliseconds_of(now - *last_write_by))
+            loading.last_write_by
+                ? fmt::format(
+                      "{}", milliseconds_of(now - *loading.last_write_by))
                 : "unknown";
         log.info(
             "Jobs are loaded.", {{"term", number.value},
-                                 {"jobs", loaded.jobs.size()},
-                                 {"workers", loaded.workers.size()},
+                                 {"jobs", loading.jobs.size()},
+                                 {"workers", loading.workers.size()},
                                  {"last_write_ms_ago", since_write}});
-        loaded.last_write_by = last_write_by;
         dispatcher.emplace(
-            number, std::move(loaded), settings.dispatch, std::move(hooks),
-            now);
+            number, std::exchange(loading, {}), settings.dispatch,
+            std::move(hooks), now);
         if (queues)
         {
             dispatcher->set_queues(queues);
@@ -209,8 +354,6 @@
             dispatcher->set_workers(workers, now);
         }
     }
-    // Their list takes the link from the jobs if it is read beside them.
-    parts.on_owning(true);
     pump();
 }
 
@@ -223,7 +366,6 @@
             fmt::format("the owner has changed ({}); ask again", cause));
         dispatcher.reset();
         active_term = {};
-        loader.reset();
         workers_given = false;
     }
     parts.on_owning(false);
@@ -550,14 +692,6 @@
             core::error_kind::invalid_input, "the submit has no job; add one");
         return on_answer(error_answer(core::last_reason()));
     }
-    if (call.plan->id.value.find_first_not_of(job_id_digits) !=
-        std::string::npos)
-    {
-        core::fail(
-            core::error_kind::invalid_input,
-            "a job id has hexadecimal digits only; choose another");
-        return on_answer(error_answer(core::last_reason()));
-    }
     dispatcher->submit(
         std::move(*call.plan), parts.clock(),
         answer_when_stored(std::move(on_answer)));
--- a/coordination/dispatch_host_base.hpp
+++ b/coordination/dispatch_host_base.hpp
@@ -48,8 +48,7 @@
     core::logger log;
     core::metrics& metrics;
     worker_link link;
-    /** Called with true when this instance has loaded the jobs as their owner,
-     *  with false when it no longer owns them. */
+    /** Called with true when this instance becomes the owner, else false. */
     std::function<void(bool owning)> on_owning;
     /** Returns until when starts may rely on what is known of the workers. */
     std::function<core::time_point()> starts_allowed_until;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -788,18 +788,6 @@
     auto lose_runs(
         dispatch_worker& worker, std::string_view cause, core::time_point now)
         -> void;
-    /** Loses one run whose worker's lease has lapsed. */
-    auto
-    lose_run(dispatch_worker& worker, std::size_t index, core::time_point now)
-        -> void;
-    /** Returns true while most listed workers are without contact. */
-    [[nodiscard]] auto is_cut_off() const -> bool;
-    /** Returns true if a worker is silent because the owner's link is full. */
-    [[nodiscard]] auto
-    is_answer_late(dispatch_worker const& worker, core::time_point now) const
-        -> bool;
-    auto lose_lapsed_runs(dispatch_worker& worker, core::time_point now)
-        -> void;
     auto end_run(
         dispatch_worker& worker, std::size_t index, run_outcome outcome,
         std::string checkpoint, core::time_point now) -> void;
@@ -1105,12 +1093,6 @@
     /** Of workers that have not answered and may have any tasks. */
     std::set<core::service_id> held_services;
     core::time_point recovery_until;
-    /** Silent workers hold tasks until then, while others answer first. */
-    core::time_point recovery_limit;
-    /** Last time that the owner's link was full or cut. */
-    std::optional<core::time_point> link_full_at;
-    /** Last list of a worker that may have unknown runs. */
-    core::time_point last_first_list;
     core::time_point loaded_at;
     core::time_point next_lease_update;
     bool stored_list_readable = true; ///< False: unknown workers have runs.
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -58,7 +58,6 @@
     stored_list_readable = stored.workers_readable;
     recovery_until = now + settings.previous_owner_validity +
                      with_drift(settings.lease_limit) + lease_margin;
-    recovery_limit = recovery_until;
     if (stored.last_write_by)
     {
         recovery_until = std::clamp(
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -223,27 +223,6 @@
     }
 }
 
-auto dispatcher::implementation::lose_run(
-    dispatch_worker& worker, std::size_t index, core::time_point now) -> void
-{
-    auto const& run = worker.runs[index];
-    ++totals.runs_lost;
-    if (!run.waits_for_store)
-    {
-        worker.lapsed_runs.push_back(run);
-    }
-    if (run.seen_running || run.start_confirmed_at)
-    {
-        note_loss(run);
-    }
-    retry_run(worker, index, now);
-    if (worker.stored_with_tasks)
-    {
-        worker_list_changed = true;
-        commit_at(now + settings.commit_delay);
-    }
-}
-
 auto dispatcher::implementation::retry_run(
     dispatch_worker& worker, std::size_t index, core::time_point now) -> void
 {
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -16,13 +16,6 @@
 // Workers with both serving and best-effort runs are polled more often.
 constexpr auto shared_hold_wait =
     core::duration{std::chrono::milliseconds{400}};
-// Contact is lost with calls that were sent this much earlier at most.
-constexpr auto full_link_memory = std::chrono::seconds{1};
-// So long a worker's answer is waited for after its lease.
-constexpr auto max_late_answer = std::chrono::seconds{20};
-// A new owner waits this long for the next first list of a worker.
-constexpr auto first_list_gap = std::chrono::seconds{1};
-
 // Far below the minimum time in which a lease may lapse, so that it is renewed
 // in time.
 constexpr auto lost_contact_pause = std::chrono::milliseconds{150};
@@ -586,10 +579,6 @@
     worker.lapsed_runs.clear();
     worker.answered_address = order.address;
     ++worker.list_count;
-    if (worker.may_have_unknown_runs)
-    {
-        last_first_list = now;
-    }
     auto const ends_before = worker.last_processed_end;
     for (auto const& row : lists.ended)
     {
@@ -789,71 +778,16 @@
     retry_run(worker, index, now);
 }
 
-// Most workers do not fall silent at once; the owner's link does.
-auto dispatcher::implementation::is_cut_off() const -> bool
-{
-    auto listed = std::size_t{0};
-    auto silent = std::size_t{0};
-    for (auto const& [id, worker] : workers)
-    {
-        // One that never answered this owner tells nothing of its link.
-        if (worker->in_worker_list && !worker->exited && worker->process)
-        {
-            ++listed;
-            silent += worker->contact == contact_state::none ? 1 : 0;
-        }
-    }
-    return 2 * silent > listed;
-}
-
-// On a full link a worker's answer may be late by more than its lease. What has
-// ended there counts, and must not start again.
-auto dispatcher::implementation::is_answer_late(
-    dispatch_worker const& worker, core::time_point now) const -> bool
-{
-    return worker.in_worker_list && !worker.exited && worker.lost_at &&
-           link_full_at &&
-           *link_full_at >= *worker.lost_at - full_link_memory &&
-           now <= worker.lease_until + max_late_answer;
-}
-
-auto dispatcher::implementation::lose_lapsed_runs(
-    dispatch_worker& worker, core::time_point now) -> void
-{
-    if (worker.contact != contact_state::none)
-    {
-        lose_contact(worker, now);
-    }
-    if (!is_answer_late(worker, now))
-    {
-        return lose_runs(worker, "its lease has lapsed", now);
-    }
-    for (auto i = worker.runs.size(); i-- > 0;)
-    {
-        auto const& run = worker.runs[i];
-        auto const may_have_ended =
-            run.job && !run.waits_for_store &&
-            !run.job->spec(run.job->step_of(run.task)).long_running;
-        if (!may_have_ended)
-        {
-            lose_run(worker, i, now);
-        }
-    }
-}
-
 auto dispatcher::implementation::tick(core::time_point now) -> void
 {
-    if (window.is_congested() || is_cut_off())
-    {
-        link_full_at = now;
-    }
     decay_offered(now);
     forget_refused_jobs();
     for (auto& [id, worker] : workers)
     {
         if (!worker->runs.empty() && now > worker->lease_until)
         {
-            lose_lapsed_runs(*worker, now);
+            lose_runs(*worker, "its lease has lapsed", now);
+            lose_contact(*worker, now);
         }
     }
     for (auto& [id, worker] : workers)
@@ -908,9 +842,6 @@
     {
         return;
     }
-    // On a full link the first answers take seconds, and more may follow.
-    auto const arriving =
-        now < std::min(last_first_list + first_list_gap, recovery_limit);
     auto unheard = std::size_t{0};
     auto held = std::set<task_name>{};
     auto services = std::set<core::service_id>{};
@@ -923,7 +854,6 @@
         ++unheard;
         // One in contact may not have reported all ends yet.
         auto const lapsed = worker->contact == contact_state::none &&
-                            !(arriving && worker->in_worker_list) &&
                             (expired || now > worker->lease_until);
         if (lapsed)
         {
