Dispatch: members of a gang count for its limit per worker

A gang of three with max-per-server 1 started whole on one of two workers.

Cause: choose_worker() counts the runs of the step on a worker, and place_gang() begins the runs only after it has chosen a worker for each member. It now counts the workers that were chosen for other members too.

dispatch.a_gang_keeps_its_limit_per_worker failed on (three starts on one worker, three workers expected) and passes.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -931,9 +931,11 @@
         -> std::size_t;
     auto place_step(ready_step const& it, core::time_point now) -> bool;
     auto place_gang(ready_step const& it, core::time_point now) -> bool;
+    /** Takes the workers that other members of the gang are to start on. */
     auto choose_worker(
         job_entry& job, step_entry& step, dispatch_task const& task,
-        queue_config const& queue, core::time_point now) -> worker_choice;
+        queue_config const& queue, core::time_point now,
+        std::span<dispatch_worker* const> members) -> worker_choice;
     auto update_startable_workers(core::time_point now) -> void;
     [[nodiscard]] auto has_waited_long(
         job_entry const& job, step_entry const& step,
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -383,7 +383,8 @@
 
 auto dispatcher::implementation::choose_worker(
     job_entry& job, step_entry& step, dispatch_task const& task,
-    queue_config const& queue, core::time_point now) -> worker_choice
+    queue_config const& queue, core::time_point now,
+    std::span<dispatch_worker* const> members) -> worker_choice
 {
     auto const& spec = job.spec(step);
     auto need = spec.need;
@@ -436,7 +437,10 @@
                            it.name.step == step.step &&
                            it.name.occurrence == step.occurrence;
                 });
-            if (same >= static_cast<std::ptrdiff_t>(spec.max_per_worker))
+            auto const chosen =
+                std::count(members.begin(), members.end(), worker);
+            if (same + chosen >=
+                static_cast<std::ptrdiff_t>(spec.max_per_worker))
             {
                 continue;
             }
@@ -524,7 +528,7 @@
                 continue;
             }
         }
-        auto const choice = choose_worker(job, step, task, *queue, now);
+        auto const choice = choose_worker(job, step, task, *queue, now, {});
         if (choice.beside_suspect)
         {
             suspects_wait = true;
@@ -568,7 +572,8 @@
     for (auto const index : step.ready_tasks)
     {
         auto* const worker =
-            choose_worker(job, step, job.tasks[index], *queue, now).worker;
+            choose_worker(job, step, job.tasks[index], *queue, now, chosen)
+                .worker;
         if (worker == nullptr)
         {
             break;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 namespace core = godwitcleat::core;
@@ -389,6 +390,28 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a gang that exceeds its limit of tasks per worker.
+TEST(dispatch, a_gang_keeps_its_limit_per_worker)
+{
+    auto const world = two_workers();
+    auto plan = tests::make_plan("g1", 3, 1000);
+    plan.steps.front().gang = true;
+    plan.steps.front().max_per_worker = 1;
+    ASSERT_TRUE(world->submit(plan));
+    world->run_for(1000);
+    EXPECT_TRUE(world->starts.empty());
+    world->add_worker("w3", worker_capacity);
+    world->run_for(3000);
+    auto used = std::set<std::string>{};
+    for (auto const& it : world->starts)
+    {
+        used.insert(worker_of(it));
+    }
+    EXPECT_EQ(used.size(), 3U);
+    EXPECT_EQ(world->starts.size(), 3U);
+    EXPECT_EQ(world->phase("g1"), plan_phase::completed);
+}
+
 // Guards against a long-running task that is not restarted after it ended.
 TEST(dispatch, a_long_running_task_is_started_again)
 {
