Dispatch: a step may name an earlier step twice

Cause: build_steps() and release_runnable_steps() count each number, complete_step() took each step off once. It now takes it off as often as it is named, which also holds for jobs that are stored already.

dispatch.a_step_may_name_an_earlier_step_twice failed on (one start of two, the job stays active) and passes.

--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -395,11 +395,14 @@
     {
         auto& next = job->steps[i];
         auto const& after = job->spec(next).after;
-        if (std::find(after.begin(), after.end(), step.step) == after.end())
+        auto const named = static_cast<std::uint32_t>(
+            std::count(after.begin(), after.end(), step.step));
+        if (named == 0)
         {
             continue;
         }
-        if (--next.unfinished_dependencies == 0)
+        next.unfinished_dependencies -= named;
+        if (next.unfinished_dependencies == 0)
         {
             release_step(job, next);
         }
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -65,6 +65,20 @@
     EXPECT_TRUE(world->violations.empty());
 }
 
+// Guards against a step that waits for ever because it names a step twice.
+TEST(dispatch, a_step_may_name_an_earlier_step_twice)
+{
+    auto const world = two_workers();
+    auto plan = tests::make_plan("j1", 1, 1000);
+    plan.steps.push_back(plan.steps.front());
+    plan.steps.back().after = {0, 0};
+    ASSERT_TRUE(world->submit(plan));
+    world->run_for(2000);
+    EXPECT_EQ(world->phase("j1"), plan_phase::completed);
+    EXPECT_EQ(world->starts.size(), 2U);
+    EXPECT_TRUE(world->violations.empty());
+}
+
 // Guards against a second job or run when a submit is repeated.
 TEST(dispatch, a_repeated_submit_is_the_same_job)
 {
