Ownership: a view that arrives while the keeper is destroyed is not taken

Cause: the handler of the watched range keeps the range alive, not the keeper that it calls through a plain pointer. Instances with several threads could meet it when they stop. Change: the keeper passes a guarded handler, as for its calls of the store; it begins to follow in start(), when it is held by a shared pointer. term_fixture.a_destroyed_keeper_takes_no_view fails before (heap-use-after-free) and passes 3 of 3.

--- a/coordination/term_base.cpp
+++ b/coordination/term_base.cpp
@@ -80,12 +80,19 @@
         , self(std::move(own))
         , settings(figures)
         , hooks(std::move(calls))
-        , followed(
-              target, loop, clock, log, live_prefix, {},
-              [this](range_entries const& it) { take_live(it); })
     {
     }
 
+    /** Begins to follow what the instances write; once. */
+    auto follow() -> void
+    {
+        followed.emplace(
+            target, loop, clock, log, live_prefix, watched_range_settings{},
+            guarded([](auto& keeper, range_entries const& it)
+                    { keeper.take_live(it); }));
+        followed->start();
+    }
+
     /** Returns true if no other process owns the jobs; needs the lock. */
     [[nodiscard]] auto is_free() const -> bool
     {
@@ -209,7 +216,7 @@
     transport::timer_handle renew_timer;
     transport::timer_handle write_timer;
     transport::timer_handle restore_timer;
-    watched_range followed;
+    std::optional<watched_range> followed;
 };
 
 auto term_keeper::implementation::take_members(range_entries const& entries)
@@ -943,7 +950,7 @@
 
 auto term_keeper::start() -> void
 {
-    implementation_->followed.start();
+    implementation_->follow();
 }
 
 auto term_keeper::leave(std::function<void()> on_done) -> void
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -460,6 +461,38 @@
     EXPECT_EQ(it.acquired.load(), 1U);
 }
 
+// Guards against an instance that stops while its view of the others arrives.
+TEST_F(term_fixture, a_destroyed_keeper_takes_no_view)
+{
+    auto gated = gated_store{store};
+    auto arrives = std::promise<void>{};
+    auto destroyed = std::promise<void>{};
+    auto const log = core::logger{
+        [&](std::string_view line)
+        {
+            if (line.find("Store answers again.") != std::string_view::npos)
+            {
+                arrives.set_value();
+                destroyed.get_future().wait_for(3s);
+            }
+        },
+        core::log_level::info};
+    gated.fail_watches = true;
+    {
+        auto const term = std::make_unique<coordination::term_keeper>(
+            gated, loop, core::suspend_aware_clock(), log, "p/",
+            protocol::owner_record{
+                core::instance_id{"first"}, "first-boot", "127.0.0.1:1", {}, 0},
+            coordination::term_settings{}, coordination::term_hooks{});
+        term->start();
+        gated.fail_watches = false;
+        ASSERT_EQ(arrives.get_future().wait_for(3s), std::future_status::ready);
+    }
+    destroyed.set_value();
+    std::this_thread::sleep_for(100ms);
+    EXPECT_FALSE(store.peek("p/live/owner"));
+}
+
 // Guards against a new owner that waits for the leases of workers longer than
 // the former owner can have granted them.
 TEST_F(term_fixture, a_new_owner_is_told_when_the_former_one_last_wrote)
