--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -117,6 +117,9 @@
     auto load(
         std::string const& prefix, core::epoch number, std::string_view problem,
         Take take) -> void;
+    /** Changes what is loaded; false if the load is of a former term. */
+    template <class Change>
+    auto take_loaded(core::epoch number, Change const& change) -> bool;
 
     dispatch_host_parts parts;
     core::logger log;
@@ -224,25 +227,37 @@
             }));
 }
 
+template <class Change>
+auto dispatch_host::implementation::take_loaded(
+    core::epoch number, Change const& change) -> bool
+{
+    auto const lock = std::scoped_lock{mutex};
+    if (active_term != number)
+    {
+        return false;
+    }
+    change(loading);
+    return true;
+}
+
 auto dispatch_host::implementation::load_jobs(core::epoch number) -> void
 {
     load<state::plan_record>(
         settings.key_prefix + "job/", number, "A stored job cannot be read.",
         [number](auto& self, auto values)
         {
+            auto const take = [&](state::dispatch_snapshot& loaded)
             {
-                auto const lock = std::scoped_lock{self.mutex};
-                if (self.active_term != number)
-                {
-                    return;
-                }
-                self.loading.jobs.clear();
+                loaded.jobs.clear();
                 for (auto& [key, record] : values)
                 {
-                    self.loading.jobs.push_back(std::move(record));
+                    loaded.jobs.push_back(std::move(record));
                 }
+            };
+            if (self.take_loaded(number, take))
+            {
+                self.load_progress(number);
             }
-            self.load_progress(number);
         });
 }
 
@@ -253,20 +268,19 @@
         prefix, number, "Stored progress cannot be read.",
         [number, n = prefix.size()](auto& self, auto values)
         {
+            auto const take = [&](state::dispatch_snapshot& loaded)
             {
-                auto const lock = std::scoped_lock{self.mutex};
-                if (self.active_term != number)
-                {
-                    return;
-                }
-                self.loading.progress.clear();
+                loaded.progress.clear();
                 for (auto& [key, progress] : values)
                 {
-                    self.loading.progress.emplace_back(
+                    loaded.progress.emplace_back(
                         core::job_id{key.substr(n)}, std::move(progress));
                 }
+            };
+            if (self.take_loaded(number, take))
+            {
+                self.load_workers(number);
             }
-            self.load_workers(number);
         });
 }
 
@@ -294,15 +308,15 @@
                     {
                         self.log.error("Stored workers cannot be read.");
                     }
-                    auto const lock = std::scoped_lock{self.mutex};
-                    if (self.active_term != number)
-                    {
-                        return;
-                    }
-                    self.loading.workers_written_by = written_by;
-                    self.loading.workers_readable = known.has_value();
-                    self.loading.workers =
-                        known.value_or(std::vector<state::stored_worker>{});
+                    self.take_loaded(
+                        number,
+                        [&](state::dispatch_snapshot& loaded)
+                        {
+                            loaded.workers_written_by = written_by;
+                            loaded.workers_readable = known.has_value();
+                            loaded.workers = known.value_or(
+                                std::vector<state::stored_worker>{});
+                        });
                 }
                 self.activate(number);
             }));
