Dispatch: one search for a crash of a worker at one moment

has_crashed() and was_stopped() were the same but for one condition, which is now an argument. No change of behaviour; dispatch_crash_test (39), dispatch_restart_test (14) and dispatch_take_over_test (39) pass.

--- a/state/dispatch_verdicts.cpp
+++ b/state/dispatch_verdicts.cpp
@@ -105,23 +105,17 @@
     }
 }
 
-auto crash_judge::has_crashed(
-    worker_row const& row, worker_crash const& crash) const -> bool
+auto crash_judge::has_crash(
+    worker_row const& row, worker_crash const& crash, bool announced) const
+    -> bool
 {
     return std::any_of(
         row.crashes.begin(), row.crashes.end(),
         [&](auto i)
-        { return !crashes_[i].announced && crashes_[i].overlaps(crash); });
-}
-
-// Returns true if the worker may have been stopped as planned at that moment.
-auto crash_judge::was_stopped(
-    worker_row const& row, worker_crash const& crash) const -> bool
-{
-    return std::any_of(
-        row.crashes.begin(), row.crashes.end(),
-        [&](auto i)
-        { return crashes_[i].announced && crashes_[i].overlaps(crash); });
+        {
+            auto const& it = crashes_[i];
+            return it.announced == announced && it.overlaps(crash);
+        });
 }
 
 auto crash_judge::judge(std::size_t index, core::time_point now) const
@@ -133,12 +127,12 @@
     for (auto const& row : rows_.at(crash.service))
     {
         auto& group = row.group == crash_groups_[index] ? here : elsewhere;
-        if (has_crashed(row, crash))
+        if (has_crash(row, crash, false))
         {
             ++group.crashed;
             continue;
         }
-        if (was_stopped(row, crash))
+        if (has_crash(row, crash, true))
         {
             continue;
         }
--- a/state/dispatch_verdicts_internal.hpp
+++ b/state/dispatch_verdicts_internal.hpp
@@ -69,10 +69,11 @@
         core::service_id const& service,
         core::data_centre_id const& data_centre) -> std::uint32_t;
     auto add_rows(worker_map const& workers, former_map const& former) -> void;
-    [[nodiscard]] auto
-    has_crashed(worker_row const& row, worker_crash const& crash) const -> bool;
-    [[nodiscard]] auto
-    was_stopped(worker_row const& row, worker_crash const& crash) const -> bool;
+    /** Returns true if the worker may have crashed, or been stopped as
+     *  @p announced, at one moment with @p crash. */
+    [[nodiscard]] auto has_crash(
+        worker_row const& row, worker_crash const& crash, bool announced) const
+        -> bool;
     auto count_jobs(std::size_t index) -> void;
 
     std::deque<worker_crash> const& crashes_;
