Dispatch: jobs that are never refused do not look for room

admit() looked at the waiting steps and at the runs of all workers before it asked whether the job may be refused at all, and worked the critical path and the objective out twice. Both come once now, and the question first. What is accepted, refused and counted is the same; dispatch_admission_test (4), dispatch_calm_load_test, dispatch_overload_test (6), dispatch_load_test (7) and dispatch_test (58) pass. The time saved was not measured.

--- a/state/dispatch_admission.cpp
+++ b/state/dispatch_admission.cpp
@@ -86,26 +86,30 @@
 {
     auto const now_ms = hooks.unix_ms();
     auto const tasks = first_tasks_of(plan);
-    auto const start_wait = to_ms(queue.backlog.expected_wait(tasks));
-    auto const room = room_backlog_for(plan, config, queue);
-    auto const room_wait = to_ms(room.expected_wait);
     auto const accept = [&]
     {
         queue.backlog.waiting_tasks +=
             queue.backlog.waiting_tasks > 0 ? tasks : 0;
         return true;
     };
-    auto const waits = start_wait > 0 || room_wait > 0;
-    if (!waits || !may_be_refused(plan, now_ms))
+    if (!may_be_refused(plan, now_ms))
+    {
+        return accept();
+    }
+    auto const path = critical_path_ms(plan);
+    auto const objective = objective_ms(path, config);
+    auto const start_wait = to_ms(queue.backlog.expected_wait(tasks));
+    auto const room =
+        room_backlog_for(plan.steps.front(), objective, config, queue);
+    auto const room_wait = to_ms(room.expected_wait);
+    if (start_wait == 0 && room_wait == 0)
     {
         return accept();
     }
     auto const known = refused_jobs.find(plan.id.value);
     auto const begin = known == refused_jobs.end() ? now_ms : known->second;
-    auto const path = critical_path_ms(plan);
     auto const work = static_cast<std::int64_t>(
         queue.run_time_factor * static_cast<double>(path));
-    auto const objective = objective_ms(path, config);
     auto const end = now_ms - begin + work; // If it starts at once.
     auto const late_left = late_factor * objective - end;
     auto const start_left = work > objective ? late_left : objective - end;
@@ -173,18 +177,16 @@
 }
 
 auto dispatcher::implementation::room_backlog_for(
-    job_plan const& plan, queue_config const& config,
+    plan_step const& first, std::int64_t objective, queue_config const& config,
     queue_state const& queue) const -> room_backlog
 {
     auto result = room_backlog{};
-    auto const& first = plan.steps.front();
     if (!needs_any_room(first) || !lacks_room(first, config))
     {
         return result;
     }
     auto work = 0.0; // In milli-cores times milliseconds.
     auto const now_ms = hooks.unix_ms();
-    auto const objective = objective_ms(critical_path_ms(plan), config);
     for (auto const& it : ready_steps)
     {
         auto const& step = it.job->steps[it.step];
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -892,11 +892,12 @@
     [[nodiscard]] auto
     lacks_room(plan_step const& step, queue_config const& config) const -> bool;
     /** Returns those waiting tasks of the queue that are due no later after
-     *  their submit than a new job is; nothing if the first tasks of that job
-     *  find room at once. */
+     *  their submit than a new job with step @p first and this time objective,
+     *  in ms; nothing if the tasks of that step find room at once. */
     [[nodiscard]] auto room_backlog_for(
-        job_plan const& plan, queue_config const& config,
-        queue_state const& queue) const -> room_backlog;
+        plan_step const& first, std::int64_t objective,
+        queue_config const& config, queue_state const& queue) const
+        -> room_backlog;
     /** Returns what long-running tasks and tasks of jobs with a shorter time
      *  objective than @p objective, in ms, leave of the workers that are large
      *  enough for @p need. */
