--- a/standins/soak/soak_faults.hpp
+++ b/standins/soak/soak_faults.hpp
@@ -143,15 +143,21 @@
     auto draw_instance() -> instance&
     {
         auto& drawn = *fleet_.all[random_.below(fleet_.all.size())];
-        auto const owner = random_.below(10) < 6 ? store_.owner() : "";
+        auto* const owner = random_.below(10) < 6 ? find_owner() : nullptr;
+        return owner != nullptr ? *owner : drawn;
+    }
+
+    auto find_owner() -> instance*
+    {
+        auto const name = store_.owner();
         for (auto const& it : fleet_.all)
         {
-            if (it->name == owner)
+            if (it->name == name)
             {
-                return *it;
+                return it.get();
             }
         }
-        return drawn;
+        return nullptr;
     }
 
     auto draw_worker() -> soak_worker&
@@ -404,13 +410,10 @@
 
     auto kill_owner() -> void
     {
-        for (auto const& it : fleet_.all)
+        if (auto* const it = find_owner())
         {
-            if (it->name == store_.owner())
-            {
-                check_.fault(it->name + " gets signal 9");
-                fleet_.send(*it, SIGKILL);
-            }
+            check_.fault(it->name + " gets signal 9");
+            fleet_.send(*it, SIGKILL);
         }
     }
 
