Tests: one forwarding store, one host without workers, one way to name the workers of a data centre

dispatch_host_test.cpp and term_test.cpp passed the same calls of a store on, and dispatch_host_test.cpp and job_router_test.cpp made the same host (tests/support/job_owner_base.hpp has both now); two cases of dispatch_crash_test.cpp picked the workers of a data centre in the same loop. The held reads of dispatch_host_test.cpp no longer refer to the caller's variables.

--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -96,6 +97,18 @@
         }
     }
 
+    /** Returns the workers in the data centre of worker @p id. */
+    auto beside(std::string const& id) -> std::vector<std::string>
+    {
+        auto const& place = world.worker(id).info.data_centre;
+        auto result = std::vector<std::string>{};
+        std::copy_if(
+            ids_.begin(), ids_.end(), std::back_inserter(result),
+            [&](auto const& it)
+            { return world.worker(it).info.data_centre == place; });
+        return result;
+    }
+
     /** Begins a term whose owner hears @p first before all others. */
     auto begin_term_at(std::string const& first) -> void
     {
@@ -948,16 +961,10 @@
         for (auto i = 0; i < 6; ++i)
         {
             auto const id = last_worker_of(it.world, "good0.0.0.0");
-            for (auto w = 0; w < 18; ++w)
+            for (auto const& other : it.beside(id))
             {
-                auto const other = fmt::format("w{}", w);
-                auto& worker = it.world.worker(other);
-                if (worker.info.data_centre ==
-                    it.world.worker(id).info.data_centre)
-                {
-                    it.crash(other);
-                    worker.listed = listed;
-                }
+                it.crash(other);
+                it.world.worker(other).listed = listed;
             }
             it.run_for(15'000);
         }
@@ -983,12 +990,9 @@
             };
             crash(first, 8000);
             auto away_ms = std::int64_t{8000};
-            for (auto w = 0; w < 18; ++w)
+            for (auto const& other : it.beside(first))
             {
-                auto const other = fmt::format("w{}", w);
-                auto const is_here = it.world.worker(other).info.data_centre ==
-                                     it.world.worker(first).info.data_centre;
-                if (is_here && other != first)
+                if (other != first)
                 {
                     away_ms += 1200;
                     crash(other, away_ms);
--- a/tests/dispatch_host_test.cpp
+++ b/tests/dispatch_host_test.cpp
@@ -2,6 +2,7 @@
 #include "coordination/coordination.hpp"
 #include "standins/support/memory_store_base.hpp"
 #include "tests/support/dispatch_world_base.hpp"
+#include "tests/support/job_owner_base.hpp"
 #include "tests/support/transport_fixture_base.hpp"
 
 #include <gtest/gtest.h>
@@ -28,15 +29,11 @@
 constexpr auto prefix = "godwitcleat/00/";
 
 /** Ranges of jobs and their progress are read at once; the answers are held. */
-class holding_store : public coordination::store
+class holding_store : public tests::forwarding_store
 {
 public:
-    explicit holding_store(coordination::store& target)
-        : target_(target)
-    {
-    }
-
-    using store::range;
+    using forwarding_store::forwarding_store;
+    using forwarding_store::range;
     auto range(
         coordination::store_query query,
         handler<coordination::store_range> on_done) -> void override
@@ -46,47 +43,18 @@
             query.key.starts_with(std::string{prefix} + "progress/");
         target_.range(
             std::move(query),
-            [&](auto answer)
+            [this, is_job_read, on_done = std::move(on_done)](auto answer)
             {
                 if (!is_job_read)
                 {
                     return on_done(std::move(answer));
                 }
                 auto const lock = std::scoped_lock{mutex_};
-                held_.emplace_back(
-                    [answer = std::move(answer), on_done = std::move(on_done)]
-                    { on_done(answer); });
+                held_.emplace_back([answer = std::move(answer), on_done]
+                                   { on_done(answer); });
             });
     }
 
-    auto commit(
-        coordination::store_transaction transaction,
-        handler<coordination::store_commit> on_done) -> void override
-    {
-        target_.commit(std::move(transaction), std::move(on_done));
-    }
-
-    auto grant(
-        core::duration time_to_live, handler<coordination::store_lease> on_done)
-        -> void override
-    {
-        target_.grant(time_to_live, std::move(on_done));
-    }
-
-    auto keep_alive(
-        coordination::store_lease lease,
-        handler<coordination::store_lease> on_done) -> void override
-    {
-        target_.keep_alive(lease, std::move(on_done));
-    }
-
-    auto revoke(
-        coordination::store_lease lease,
-        handler<coordination::store_lease> on_done) -> void override
-    {
-        target_.revoke(lease, std::move(on_done));
-    }
-
     /** Passes the newest or the oldest held answer on; false if there is none.
      */
     auto release(bool newest) -> bool
@@ -112,7 +80,6 @@
     }
 
 private:
-    coordination::store& target_;
     std::mutex mutex_;
     std::deque<std::function<void()>> held_;
 };
@@ -153,22 +120,8 @@
     transport::reactor loop{1};
     standins::memory_store memory{core::suspend_aware_clock()};
     holding_store store{memory};
-    coordination::dispatch_host host{
-        {store,
-         loop,
-         core::suspend_aware_clock(),
-         core::null_logger(),
-         metrics,
-         {[](auto const&, auto const&) {},
-          [](auto const&, auto const&) {
-          }},
-         [](bool) {},
-         []
-         {
-             return core::time_point{};
-         }},
-        {core::instance_id{"a"}, "boot-a", "127.0.0.1:1", {}, 0},
-        {}};
+    coordination::dispatch_host host =
+        tests::host_without_workers(store, loop, metrics, "a");
 };
 
 } // namespace
--- a/tests/job_router_test.cpp
+++ b/tests/job_router_test.cpp
@@ -2,6 +2,7 @@
 #include "coordination/coordination.hpp"
 #include "standins/support/memory_store_base.hpp"
 #include "tests/support/dispatch_world_base.hpp"
+#include "tests/support/job_owner_base.hpp"
 #include "tests/support/transport_fixture_base.hpp"
 
 #include <gtest/gtest.h>
@@ -33,26 +34,6 @@
         loop.stop();
     }
 
-    auto host_of(std::string name) -> coordination::dispatch_host
-    {
-        return {
-            {store,
-             loop,
-             core::suspend_aware_clock(),
-             core::null_logger(),
-             metrics,
-             {[](auto const&, auto const&) {},
-              [](auto const&, auto const&) {
-              }},
-             [](bool) {},
-             []
-             {
-                 return core::time_point{};
-             }},
-            {core::instance_id{name}, "boot-" + name, "127.0.0.1:1", {}, 0},
-            {}};
-    }
-
     /** The one owns the jobs, and the other knows it. */
     auto start() -> void
     {
@@ -88,8 +69,10 @@
     core::metrics metrics;
     transport::reactor loop{1};
     standins::memory_store store{core::suspend_aware_clock()};
-    coordination::dispatch_host owner = host_of("owner");
-    coordination::dispatch_host other = host_of("other");
+    coordination::dispatch_host owner =
+        tests::host_without_workers(store, loop, metrics, "owner");
+    coordination::dispatch_host other =
+        tests::host_without_workers(store, loop, metrics, "other");
 };
 
 } // namespace
--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -1,6 +1,7 @@
 /** @file term_test.cpp Tests of the ownership of the jobs. */
 #include "coordination/coordination.hpp"
 #include "standins/support/memory_store_base.hpp"
+#include "tests/support/job_owner_base.hpp"
 #include "transport/transport.hpp"
 
 #include <gtest/gtest.h>
@@ -21,6 +22,7 @@
 namespace coordination = godwitcleat::coordination;
 namespace protocol = godwitcleat::protocol;
 namespace standins = godwitcleat::standins;
+namespace tests = godwitcleat::tests;
 namespace transport = godwitcleat::transport;
 using namespace std::chrono_literals;
 
@@ -28,15 +30,11 @@
 {
 
 /** Passes calls on; grants and commits can be held back or lose answers. */
-class gated_store : public coordination::store
+class gated_store : public tests::forwarding_store
 {
 public:
-    explicit gated_store(coordination::store& target)
-        : target_(target)
-    {
-    }
-
-    using store::range;
+    using forwarding_store::forwarding_store;
+    using forwarding_store::range;
     auto range(
         coordination::store_query query,
         handler<coordination::store_range> on_done) -> void override
@@ -117,13 +115,6 @@
         target_.keep_alive(lease, std::move(on_done));
     }
 
-    auto revoke(
-        coordination::store_lease lease,
-        handler<coordination::store_lease> on_done) -> void override
-    {
-        target_.revoke(lease, std::move(on_done));
-    }
-
     auto reached_by(std::int64_t revision) const
         -> std::optional<core::time_point> override
     {
@@ -157,8 +148,6 @@
             on_done(std::move(answer));
         };
     }
-
-    coordination::store& target_;
 };
 
 struct keeper
