Bound the memory and connections that callers can take

Cause: a process kept every byte of every request in progress, on any listener, without an account, and accepted as many connections as it had descriptors. Change: one memory budget for all listeners (a quarter of the instance's memory, an eighth of it for small requests); while it is used up, the request with the most bytes for the longest time is answered 503 and closed, and one that was handed over is never ended. Bodies have a least rate. Connections are limited by the descriptors of the process; for one more, the quietest connection is closed, so that ordinary callers still come in. Metrics and one log line a second.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -15,6 +15,7 @@
 #include "coordination/instance_list_base.hpp"
 #include "coordination/job_router_base.hpp"
 #include "coordination/key_func.hpp"
+#include "coordination/line_budget_base.hpp"
 #include "coordination/ownership_base.hpp"
 #include "coordination/peer_changes_func.hpp"
 #include "coordination/peer_server_base.hpp"
--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -310,6 +310,21 @@
             {
                 auto& it = settings_;
                 read_number(reader, "threads", it.threads, 1, 256, "threads");
+                read_number(
+                    reader, "memory_mb", it.memory_mb, 0, 1 << 20, "MB");
+                read_number(
+                    reader, "request_memory_mb", it.request_memory_mb, 0,
+                    1 << 20, "MB");
+                read_number(
+                    reader, "connections", it.connections, 0, 1'000'000,
+                    "connections");
+                read_number(
+                    reader, "connections_per_address",
+                    it.connections_per_address, 0, 1'000'000, "connections");
+                read_number(
+                    reader, "min_body_rate", it.min_body_bytes_per_s, 1,
+                    1 << 30, "bytes per second");
+                read_ms(reader, "body_grace_ms", it.body_grace, 100, 600'000);
                 read_number(
                     reader, "timeline_events", it.timeline_events, 1,
                     10'000'000, "events");
@@ -404,6 +419,18 @@
     check(before.store == now.store, "[store] addresses");
     check(before.store_timeout == now.store_timeout, "[store] timeout_ms");
     check(before.threads == now.threads, "[limits] threads");
+    check(before.memory_mb == now.memory_mb, "[limits] memory_mb");
+    check(
+        before.request_memory_mb == now.request_memory_mb,
+        "[limits] request_memory_mb");
+    check(before.connections == now.connections, "[limits] connections");
+    check(
+        before.connections_per_address == now.connections_per_address,
+        "[limits] connections_per_address");
+    check(
+        before.min_body_bytes_per_s == now.min_body_bytes_per_s,
+        "[limits] min_body_rate");
+    check(before.body_grace == now.body_grace, "[limits] body_grace_ms");
     check(
         before.most_in_flight == now.most_in_flight,
         "[gateway] most_in_flight");
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -70,6 +70,17 @@
 
     std::optional<hosted_settings> hosted; ///< Set if [hosted] is given.
 
+    /** Memory of the instance in MB; 0: that of the machine. */
+    std::size_t memory_mb = 0;
+    /** Memory for requests in progress in MB; 0: a quarter of the instance's.
+     */
+    std::size_t request_memory_mb = 0;
+    /** Connections of callers; 0: by the descriptors of the process. */
+    std::size_t connections = 0;
+    std::size_t connections_per_address = 0; ///< Of callers; 0: no limit.
+    std::size_t min_body_bytes_per_s = std::size_t{16} * 1024;
+    core::duration body_grace = std::chrono::seconds{5};
+
     std::size_t threads = 2;
     std::size_t timeline_events = 20'000;
     core::duration drain_delay = std::chrono::seconds{2};
--- a/programs/godwitcleatd/daemon_base.cpp
+++ b/programs/godwitcleatd/daemon_base.cpp
@@ -177,10 +177,8 @@
 
 auto entry_daemon::listen() -> std::optional<bool>
 {
-    auto limits = transport::http_server_limits{};
-    limits.connections = settings_.most_in_flight;
     gateway_listener_ = transport::http_server::listen(
-        loop_, settings_.gateway, limits,
+        loop_, settings_.gateway, limits_.for_callers(),
         [this](auto request, auto reply)
         {
             if (request.target == "/ready")
@@ -198,7 +196,7 @@
         return std::nullopt;
     }
     control_listener_ = transport::http_server::listen(
-        loop_, settings_.control, {},
+        loop_, settings_.control, limits_.for_workers(),
         [this](auto request, auto reply)
         { control_server_.handle(request, std::move(reply)); });
     if (!control_listener_)
@@ -206,7 +204,7 @@
         return std::nullopt;
     }
     peer_listener_ = transport::frame_server::listen(
-        loop_, settings_.peer, {},
+        loop_, settings_.peer, limits_.for_peers(),
         [this](auto payload, auto reply)
         { peer_server_.handle(payload, std::move(reply)); });
     if (!peer_listener_)
--- a/programs/godwitcleatd/daemon_base.hpp
+++ b/programs/godwitcleatd/daemon_base.hpp
@@ -4,6 +4,7 @@
 
 #include "coordination/coordination.hpp"
 #include "core/core.hpp"
+#include "programs/godwitcleatd/listener_limits_base.hpp"
 #include "transport/transport.hpp"
 
 #include <atomic>
@@ -105,6 +106,8 @@
     std::mutex former_holders_mutex_;
     std::map<core::shard_id, former_holders> former_holders_;
 
+    listener_limits limits_{
+        settings_, now_, log_.with_prefix("listener"), metrics_};
     transport::reactor loop_;
     transport::http_client platform_client_;
     transport::http_client backend_client_;
--- a/programs/godwitcleatd/daemon_control.cpp
+++ b/programs/godwitcleatd/daemon_control.cpp
@@ -71,6 +71,7 @@
     };
     hooks.metrics = [this]
     {
+        limits_.report_use();
         return metrics_.text();
     };
     hooks.timeline = [this](auto after)
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -217,18 +217,17 @@
         }
         reply(std::move(response));
     };
-    auto limits = transport::http_server_limits{};
-    limits.connections = settings_.most_in_flight;
     gateway_listener_ = transport::http_server::listen(
-        loop_, settings_.gateway, limits,
+        loop_, settings_.gateway, limits_.for_callers(),
         [this](auto const& request, auto reply)
         { api_.handle(request, std::move(reply)); });
     readiness_listener_ = transport::http_server::listen(
-        loop_, settings_.hosted->readiness, {}, handle_readiness);
+        loop_, settings_.hosted->readiness, limits_.for_checks(),
+        handle_readiness);
     control_listener_ = transport::http_server::listen(
-        loop_, settings_.control, {}, handle_control);
+        loop_, settings_.control, limits_.for_checks(), handle_control);
     peer_listener_ = transport::frame_server::listen(
-        loop_, settings_.peer, {},
+        loop_, settings_.peer, limits_.for_peers(),
         [this](auto const& payload, auto reply)
         { router_.handle_frame(payload, std::move(reply)); });
     if (!gateway_listener_ || !readiness_listener_ || !control_listener_ ||
@@ -247,7 +246,7 @@
         return;
     }
     metrics_listener_ = transport::http_server::listen(
-        loop_, *settings_.hosted->metrics, {},
+        loop_, *settings_.hosted->metrics, limits_.for_checks(),
         [this](auto const& request, auto const& reply)
         {
             constexpr int not_found = 404;
@@ -277,6 +276,7 @@
             "config_age_seconds",
             std::chrono::duration<double>(now_() - *confirmed).count());
     }
+    limits_.report_use();
     set_process_metrics(metrics_);
     auto text = metrics_.text();
     // Queue names are external input, so they are written to the page only and
--- a/programs/godwitcleatd/hosted_daemon_base.hpp
+++ b/programs/godwitcleatd/hosted_daemon_base.hpp
@@ -5,6 +5,7 @@
 #include "coordination/coordination.hpp"
 #include "core/core.hpp"
 #include "platform/platform.hpp"
+#include "programs/godwitcleatd/listener_limits_base.hpp"
 #include "transport/transport.hpp"
 
 #include <atomic>
@@ -70,6 +71,8 @@
     std::atomic<bool> leaving_ = false;
     core::metrics metrics_;
 
+    listener_limits limits_{
+        settings_, now_, log_.with_prefix("listener"), metrics_};
     transport::reactor loop_;
     transport::http_client store_client_;
     transport::http_client worker_client_;
--- a/tests/uncontrolled_callers_test.cpp
+++ b/tests/uncontrolled_callers_test.cpp
@@ -84,7 +84,7 @@
         }
     }
 
-    tests::daemon_process daemon{{256, ""}};
+    tests::daemon_process daemon{{256, "memory_mb = 64\n"}};
 };
 
 } // namespace
--- a/transport/frame_base.hpp
+++ b/transport/frame_base.hpp
@@ -5,12 +5,14 @@
 #include "core/core.hpp"
 #include "transport/closing_pointer_base.hpp"
 #include "transport/endpoint_type.hpp"
+#include "transport/memory_budget_base.hpp"
 #include "transport/reactor_base.hpp"
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace godwitcleat::transport
 {
@@ -19,6 +21,7 @@
 struct frame_limits
 {
     std::size_t frame_bytes = std::size_t{4} * 1024 * 1024;
+    /** For one more, the connection is closed that has been idle longest. */
     std::size_t connections = 256;
     std::size_t in_flight_per_connection = 1024;
     /** Longest time without a frame, within one frame or within one write. */
@@ -28,6 +31,10 @@
     core::duration probe_after = std::chrono::milliseconds{300};
     /** It closes the connection if nothing arrives for this long after it. */
     core::duration probe_timeout = std::chrono::milliseconds{700};
+    /** Of a server: counts the bytes of received frames; null: no limit. */
+    std::shared_ptr<memory_budget> budget;
+    /** Of a server: called each time that a limit closes a connection. */
+    std::function<void(std::string_view limit)> on_limit;
 };
 
 /** Sends the reply payload; must be called at most once. */
--- a/transport/frame_connection_base.cpp
+++ b/transport/frame_connection_base.cpp
@@ -150,11 +150,29 @@
         close(ec.message());
         return;
     }
+    if (!hold_input(input_.size() + n))
+    {
+        close("no memory is left for the frame");
+        return;
+    }
     input_.append(chunk_.data(), n);
     take_frames();
+    if (!closed_ && hold_input(input_.size()))
+    {
+        shrink_input();
+    }
     read();
 }
 
+auto frame_connection::shrink_input() -> void
+{
+    constexpr auto kept_bytes = std::size_t{64} * 1024;
+    if (input_.empty() && input_.capacity() > kept_bytes)
+    {
+        input_.shrink_to_fit();
+    }
+}
+
 auto frame_connection::take_frames() -> void
 {
     taking_ = true;
--- a/transport/frame_internal.hpp
+++ b/transport/frame_internal.hpp
@@ -87,6 +87,13 @@
     /** True while requests are open, so that the connection is kept. */
     [[nodiscard]] virtual auto is_busy() const -> bool = 0;
 
+    /** Holds @p bytes of received frames that are not taken yet; false closes
+     *  the connection. */
+    [[nodiscard]] virtual auto hold_input(std::size_t /*bytes*/) -> bool
+    {
+        return true;
+    }
+
     [[nodiscard]] auto socket() -> boost::asio::ip::tcp::socket&
     {
         return socket_;
@@ -101,6 +108,8 @@
     auto read() -> void;
     auto on_read(boost::system::error_code ec, std::size_t n) -> void;
     auto take_frames() -> void;
+    /** Frees the memory of large frames that were taken. */
+    auto shrink_input() -> void;
     auto take_frame() -> bool;
     auto write() -> void;
     auto on_write(boost::system::error_code ec) -> void;
--- a/transport/frame_server_base.cpp
+++ b/transport/frame_server_base.cpp
@@ -5,6 +5,7 @@
 #include "transport/reactor_internal.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <mutex>
 #include <set>
 
@@ -31,6 +32,13 @@
     auto add(tcp::socket socket) -> void;
     auto remove(std::shared_ptr<server_connection> const& connection) -> void;
     auto close() -> void;
+    auto report(std::string_view limit) const -> void
+    {
+        if (limits.on_limit)
+        {
+            limits.on_limit(limit);
+        }
+    }
 
     frame_limits limits;
     frame_handler handler;
@@ -38,6 +46,11 @@
     std::atomic<bool> closed{false};
     std::mutex mutex; ///< Guards the connections.
     std::set<std::shared_ptr<server_connection>> connections;
+
+private:
+    /** Returns the connection that has been idle for longest, or null.
+     *  @pre `mutex` is held */
+    auto take_quietest() -> std::shared_ptr<server_connection>;
 };
 
 /** One connection; all members are used on its strand only. */
@@ -51,9 +64,50 @@
     {
     }
 
-    auto reply(std::uint64_t number, std::string_view payload) -> void
+    /** Counts the bytes from now on. */
+    auto open_account() -> void
     {
-        --in_flight_;
+        auto const evict = [weak = weak_from_this()]
+        {
+            if (auto const self = weak.lock())
+            {
+                self->post([it = static_cast<server_connection*>(self.get())]
+                           { it->close_for("memory"); });
+            }
+        };
+        memory_.emplace(limits().budget, true, evict);
+    }
+
+    /** Closes the connection because a limit is reached. */
+    auto close_for(std::string_view limit) -> void
+    {
+        if (!closed())
+        {
+            server_->report(limit);
+            close("a limit of the server is reached");
+        }
+    }
+
+    /** Returns when it last got a frame; std::nullopt with requests open. */
+    [[nodiscard]] auto quiet_since() const -> std::optional<core::time_point>
+    {
+        auto const result = core::time_point{core::duration{quiet_since_}};
+        return result == core::time_point{} ? std::nullopt
+                                            : std::optional{result};
+    }
+
+    /** Marks it as chosen to be closed. */
+    auto mark_busy() -> void
+    {
+        quiet_since_ = 0;
+    }
+
+    /** Replies to a request of @p bytes. */
+    auto
+    reply(std::uint64_t number, std::size_t bytes, std::string_view payload)
+        -> void
+    {
+        note_end(bytes);
         if (payload.size() > limits().frame_bytes)
         {
             close("the reply exceeds the limit");
@@ -64,15 +118,53 @@
     }
 
     /** A handler that drops its reply leaves the request without one. */
-    auto abandon() -> void
+    auto abandon(std::size_t bytes) -> void
     {
-        --in_flight_;
+        note_end(bytes);
         resume();
     }
 
 private:
     auto on_frame(std::uint64_t number, std::string payload) -> bool override;
 
+    auto note_end(std::size_t bytes) -> void
+    {
+        --in_flight_;
+        in_flight_bytes_ -= bytes;
+        if (in_flight_ == 0)
+        {
+            quiet_since_ = now().time_since_epoch().count();
+            if (memory_)
+            {
+                memory_->begin();
+            }
+        }
+    }
+
+    /** Received bytes, and those of requests that have no reply yet. */
+    [[nodiscard]] auto hold_input(std::size_t bytes) -> bool override
+    {
+        if (!memory_)
+        {
+            return true;
+        }
+        if (bytes == 0 && in_flight_ == 0)
+        {
+            memory_->end();
+            return true;
+        }
+        if (in_flight_ == 0 && memory_->bytes() == 0)
+        {
+            memory_->begin();
+        }
+        if (memory_->resize(bytes + in_flight_bytes_))
+        {
+            return true;
+        }
+        server_->report("memory");
+        return false;
+    }
+
     auto on_handed_over(std::uint64_t /*number*/) -> void override {}
 
     auto on_closed(std::string_view /*reason*/) -> void override
@@ -91,8 +183,19 @@
         return in_flight_ > 0;
     }
 
+    static auto now() -> core::time_point
+    {
+        return core::time_point{std::chrono::steady_clock::now()};
+    }
+
     std::shared_ptr<frame_server_state> server_;
+    std::optional<budget_share> memory_; ///< Set by open_account().
     std::size_t in_flight_ = 0;
+    /** Of the requests that have no reply yet. */
+    std::size_t in_flight_bytes_ = 0;
+    /** As core::time_point; 0: requests are open. */
+    std::atomic<core::duration::rep> quiet_since_ =
+        now().time_since_epoch().count();
 };
 
 /** Answers one request at most once. */
@@ -101,9 +204,10 @@
 public:
     frame_reply_once(
         std::shared_ptr<server_connection> const& connection,
-        std::uint64_t number)
+        std::uint64_t number, std::size_t bytes)
         : connection_(connection)
         , number_(number)
+        , bytes_(bytes)
     {
     }
 
@@ -112,7 +216,8 @@
         auto const connection = connection_.lock();
         if (!used_.exchange(true) && connection)
         {
-            connection->post([it = connection.get()] { it->abandon(); });
+            connection->post([it = connection.get(), bytes = bytes_]
+                             { it->abandon(bytes); });
         }
     }
 
@@ -127,14 +232,15 @@
             return;
         }
         connection->post([it = connection.get(), number = number_,
-                          content = std::move(payload)]
-                         { it->reply(number, content); });
+                          bytes = bytes_, content = std::move(payload)]
+                         { it->reply(number, bytes, content); });
     }
 
 private:
     // Weak, because a reply may be kept for longer than the reactor lives.
     std::weak_ptr<server_connection> connection_;
     std::uint64_t number_;
+    std::size_t bytes_; ///< Of the request.
     std::atomic<bool> used_{false};
 };
 
@@ -151,11 +257,18 @@
         return true;
     }
     ++in_flight_;
+    auto const bytes = payload.size();
+    in_flight_bytes_ += bytes;
+    if (memory_)
+    {
+        memory_->protect();
+    }
+    quiet_since_ = 0;
     auto const self =
         std::static_pointer_cast<server_connection>(shared_from_this());
     server_->handler(
         std::move(payload),
-        [once = std::make_shared<frame_reply_once>(self, number)](
+        [once = std::make_shared<frame_reply_once>(self, number, bytes)](
             std::string content) { once->send(std::move(content)); });
     return true;
 }
@@ -163,17 +276,57 @@
 auto frame_server_state::add(tcp::socket socket) -> void
 {
     auto connection = std::shared_ptr<server_connection>{};
+    auto quietest = std::shared_ptr<server_connection>{};
     {
         auto const lock = std::scoped_lock{mutex};
-        if (closed || connections.size() >= limits.connections)
+        if (closed)
         {
             return;
         }
-        connection = std::make_shared<server_connection>(
-            std::move(socket), shared_from_this());
-        connections.insert(connection);
+        auto const is_full = connections.size() >= limits.connections;
+        quietest = is_full ? take_quietest() : nullptr;
+        if (!is_full || quietest)
+        {
+            connection = std::make_shared<server_connection>(
+                std::move(socket), shared_from_this());
+            connections.insert(connection);
+        }
+    }
+    if (quietest)
+    {
+        quietest->post([it = quietest.get()]
+                       { it->close_for("peer_connections"); });
+    }
+    if (!connection)
+    {
+        return report("peer_connections");
+    }
+    connection->post(
+        [it = connection.get()]
+        {
+            it->open_account();
+            it->start();
+        });
+}
+
+auto frame_server_state::take_quietest() -> std::shared_ptr<server_connection>
+{
+    auto result = std::shared_ptr<server_connection>{};
+    auto longest = core::time_point::max();
+    for (auto const& it : connections)
+    {
+        auto const since = it->quiet_since();
+        if (since && *since < longest)
+        {
+            longest = *since;
+            result = it;
+        }
+    }
+    if (result)
+    {
+        result->mark_busy(); // It is not taken again.
     }
-    connection->post([it = connection.get()] { it->start(); });
+    return result;
 }
 
 auto frame_server_state::remove(
--- a/transport/http_base.hpp
+++ b/transport/http_base.hpp
@@ -6,12 +6,14 @@
 #include "transport/closing_pointer_base.hpp"
 #include "transport/endpoint_type.hpp"
 #include "transport/http_type.hpp"
+#include "transport/memory_budget_base.hpp"
 #include "transport/reactor_base.hpp"
 
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace godwitcleat::transport
 {
@@ -21,10 +23,23 @@
 {
     std::size_t header_bytes = std::size_t{16} * 1024;
     std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
-    std::size_t connections = 4096; ///< More are closed at once.
+    /** For one more, the connection is closed that has waited longest for a
+     *  request or for the rest of one, but at least for 1 s for the rest and
+     * for 2 s after a response; if there is none, the new one. */
+    std::size_t connections = 4096;
+    std::size_t connections_per_address = 0; ///< More are closed; 0: no limit.
     core::duration read_timeout = std::chrono::seconds{10}; ///< One request.
+    /** Within `read_timeout`, a body has to arrive at this rate or faster once
+     *  `body_grace` has passed since the request began. */
+    std::size_t min_body_bytes_per_s = std::size_t{16} * 1024;
+    core::duration body_grace = std::chrono::seconds{5};
     core::duration idle_timeout = std::chrono::seconds{60};
     core::duration write_timeout = std::chrono::seconds{30}; ///< One response.
+    /** Counts the bytes of requests and responses; null: without limit. */
+    std::shared_ptr<memory_budget> budget;
+    /** Called each time that a limit closes a connection or refuses a request.
+     *  Called on threads of the reactor. */
+    std::function<void(std::string_view limit)> on_limit;
 };
 
 /**
@@ -39,7 +54,7 @@
 /**
  * Serves HTTP/1.1 with keep-alive; one request at a time on a connection.
  * Malformed or oversized requests get 400, 413 or 431 and a closed
- * connection.
+ * connection, requests for which there is no memory 503.
  */
 class http_server
 {
--- a/transport/http_internal.hpp
+++ b/transport/http_internal.hpp
@@ -28,15 +28,25 @@
 constexpr auto idle_buffer_bytes = std::size_t{4} * 1024;
 constexpr auto max_read_bytes = std::size_t{64} * 1024;
 
+/** Returns the most bytes that the next read of a body yields. */
+template <class Parser>
+auto next_read_bytes(
+    boost::beast::flat_buffer const& buffer, Parser const& parser)
+    -> std::size_t
+{
+    auto const left = parser.content_length_remaining();
+    auto const wanted = left ? *left : std::uint64_t{max_read_bytes};
+    return std::max<std::size_t>(
+        std::min<std::uint64_t>(wanted, max_read_bytes), buffer.size());
+}
+
 /** Makes room for the rest of a body; @p parser has read the header. */
 template <class Parser>
 auto reserve_for_body(boost::beast::flat_buffer& buffer, Parser const& parser)
     -> void
 {
-    auto const left = parser.content_length_remaining();
-    auto const wanted = left ? *left : std::uint64_t{max_read_bytes};
-    buffer.reserve(std::min<std::uint64_t>(
-        std::max<std::uint64_t>(wanted, idle_buffer_bytes), max_read_bytes));
+    buffer.reserve(
+        std::max(next_read_bytes(buffer, parser), idle_buffer_bytes));
 }
 
 /** Frees what reserve_for_body() has added; keeps unread bytes. */
--- a/transport/http_server_base.cpp
+++ b/transport/http_server_base.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <limits>
+#include <map>
 #include <set>
 
 namespace godwitcleat::transport
@@ -37,6 +39,54 @@
 // the connection under the request.
 constexpr auto first_request_time = std::chrono::seconds{1};
 
+// A request that finds no memory waits for that of an ended one.
+constexpr auto memory_retry = std::chrono::milliseconds{20};
+constexpr auto max_memory_wait = std::chrono::seconds{1};
+constexpr std::string_view retry_after_s = "1";
+
+// A request whose rest has not arrived for this long gives way to a new
+// connection.
+constexpr auto max_quiet_request = std::chrono::seconds{1};
+// So does one that has served requests and had none for this long; callers
+// often send several, one after the other.
+constexpr auto min_idle_time = std::chrono::seconds{2};
+
+auto now() -> core::time_point
+{
+    return core::time_point{std::chrono::steady_clock::now()};
+}
+
+/** When a connection was last active, for a look from other threads. */
+class quiet_time
+{
+public:
+    /** It may be closed for another one after @p time. */
+    auto set_quiet(core::duration time) -> void
+    {
+        since_ = (now() + time).time_since_epoch().count();
+    }
+
+    /** Its request is in progress. */
+    auto set_busy() -> void
+    {
+        since_ = never;
+    }
+
+    /** Returns the time since when it may be closed for another one, or
+     *  std::nullopt. */
+    [[nodiscard]] auto since() const -> std::optional<core::time_point>
+    {
+        auto const result = core::time_point{core::duration{since_.load()}};
+        return result <= now() ? std::optional{result} : std::nullopt;
+    }
+
+private:
+    static constexpr auto never =
+        std::numeric_limits<core::duration::rep>::max();
+
+    std::atomic<core::duration::rep> since_ = never;
+};
+
 auto status_of(error_code ec) -> std::optional<http::status>
 {
     if (ec == http::error::body_limit)
@@ -71,6 +121,15 @@
     auto end_keep_alive() -> void;
     auto close_listener() -> void;
     auto close() -> void;
+    /** Closes the connection that has been quiet for longest, if any is. */
+    auto close_quietest() -> void;
+    auto report(std::string_view limit) const -> void
+    {
+        if (limits.on_limit)
+        {
+            limits.on_limit(limit);
+        }
+    }
 
     http_server_limits limits;
     http_handler handler;
@@ -81,6 +140,13 @@
     std::atomic<bool> closed{false};       ///< No further call of the handler.
     std::mutex mutex;                      ///< Guards the connections.
     std::set<std::shared_ptr<http_connection>> connections;
+    std::map<std::string, std::size_t> connections_by_address;
+
+private:
+    /** @pre `mutex` is held */
+    auto take_quietest() -> std::shared_ptr<http_connection>;
+    /** @pre `mutex` is held */
+    auto may_add(std::string const& address) const -> bool;
 };
 
 /** One connection; all members are used on its strand only. */
@@ -88,11 +154,14 @@
 {
 public:
     http_connection(
-        tcp::socket socket, std::shared_ptr<http_server_state> server)
+        tcp::socket socket, std::string remote_address,
+        std::shared_ptr<http_server_state> server)
         : stream_(std::move(socket))
         , idle_timer_(stream_.get_executor())
+        , memory_timer_(stream_.get_executor())
         , buffer_(server->limits.header_bytes + read_ahead_bytes)
         , server_(std::move(server))
+        , remote_address_(std::move(remote_address))
     {
         buffer_.reserve(idle_buffer_bytes);
     }
@@ -122,17 +191,47 @@
 
     auto start() -> void
     {
-        auto ec = error_code{};
-        auto const remote = stream_.socket().remote_endpoint(ec);
-        if (ec)
+        if (closed_)
         {
-            close();
             return;
         }
-        remote_address_ = remote.address().to_string();
+        auto const evict = [weak = weak_from_this()]
+        {
+            if (auto const self = weak.lock())
+            {
+                self->dispatch([](http_connection& it) { it.evict(); });
+            }
+        };
+        memory_.emplace(server_->limits.budget, false, evict);
         wait_for_request();
     }
 
+    [[nodiscard]] auto remote_address() const -> std::string const&
+    {
+        return remote_address_;
+    }
+
+    /** Returns the state that other threads may look at. */
+    [[nodiscard]] auto quiet() -> quiet_time&
+    {
+        return quiet_;
+    }
+
+    /** Closes the connection for a new one, unless a request has arrived. */
+    auto close_for_another() -> void
+    {
+        if (closed_)
+        {
+            return;
+        }
+        if (reading_ || (idle_ && is_quiet(stream_.socket())))
+        {
+            server_->report("connections");
+            return close();
+        }
+        server_->close_quietest();
+    }
+
     /** Closes the connection unless a request has arrived or is due. */
     auto close_when_quiet() -> void
     {
@@ -156,9 +255,11 @@
     auto close() -> void
     {
         idle_ = false;
+        reading_ = false;
         closed_ = true;
         stream_.close();
         idle_timer_.cancel();
+        memory_timer_.cancel();
         end_request();
         server_->remove(shared_from_this());
     }
@@ -169,6 +270,10 @@
         {
             return;
         }
+        if (memory_)
+        {
+            memory_->force(response.body.size());
+        }
         auto const asked = std::string_view{response.headers.get("Connection")};
         keep_alive_ = keep_alive_ && asked != "close";
         write(to_beast(std::move(response), to_head_));
@@ -183,6 +288,7 @@
             return;
         }
         idle_ = true;
+        quiet_.set_quiet(unused_ ? core::duration{} : min_idle_time);
         auto const self = shared_from_this();
         // Waiting without reading leaves the input in the socket, so that
         // close_if_idle can tell whether a request has arrived.
@@ -230,11 +336,21 @@
     {
         unused_ = false;
         begin_request();
+        reading_ = true;
+        quiet_.set_quiet(max_quiet_request);
+        begun_at_ = now();
+        memory_->begin();
+        if (!memory_->resize(server_->limits.header_bytes))
+        {
+            return read_header_later();
+        }
         parser_.emplace();
         parser_->header_limit(
             static_cast<std::uint32_t>(server_->limits.header_bytes));
         parser_->body_limit(server_->limits.body_bytes);
-        stream_.expires_after(server_->limits.read_timeout);
+        stream_.expires_at(begun_at_ + server_->limits.read_timeout);
+        memory_wait_begun_.reset();
+        read_pending_ = true;
         http::async_read_header(
             stream_, buffer_, *parser_,
             [self = shared_from_this()](error_code ec, std::size_t)
@@ -243,6 +359,11 @@
 
     auto on_header(error_code ec) -> void
     {
+        read_pending_ = false;
+        if (!reading_)
+        {
+            return; // It was ended meanwhile.
+        }
         if (ec)
         {
             refuse(ec);
@@ -264,11 +385,121 @@
 
     auto read_body() -> void
     {
+        parser_->eager(true);
+        if (parser_->is_done())
+        {
+            handle();
+            return;
+        }
         reserve_for_body(buffer_, *parser_);
-        http::async_read(
+        read_some();
+    }
+
+    /** Reads the next bytes of the body if there is memory for them. */
+    auto read_some() -> void
+    {
+        if (closed_ || !reading_)
+        {
+            return;
+        }
+        auto const received = parser_->get().body().size();
+        if (!memory_->resize(
+                received + buffer_.capacity() +
+                next_read_bytes(buffer_, *parser_)))
+        {
+            return read_some_later();
+        }
+        memory_wait_begun_.reset();
+        stream_.expires_at(body_deadline(received));
+        read_pending_ = true;
+        http::async_read_some(
             stream_, buffer_, *parser_,
             [self = shared_from_this()](error_code ec, std::size_t)
-            { ec ? self->refuse(ec) : self->handle(); });
+            { self->on_some(ec); });
+    }
+
+    auto on_some(error_code ec) -> void
+    {
+        read_pending_ = false;
+        if (!reading_)
+        {
+            return; // It was ended meanwhile.
+        }
+        if (ec == beast::error::timeout)
+        {
+            server_->report("body_rate");
+        }
+        if (ec)
+        {
+            refuse(ec);
+        }
+        else if (parser_->is_done())
+        {
+            handle();
+        }
+        else
+        {
+            read_some();
+        }
+    }
+
+    [[nodiscard]] auto body_deadline(std::size_t received) const
+        -> std::chrono::steady_clock::time_point
+    {
+        auto const& limits = server_->limits;
+        auto const rate = static_cast<double>(
+            std::max<std::size_t>(limits.min_body_bytes_per_s, 1));
+        auto const at_rate =
+            limits.body_grace + std::chrono::duration_cast<core::duration>(
+                                    std::chrono::duration<double>{
+                                        static_cast<double>(received) / rate});
+        return begun_at_ + std::min(limits.read_timeout, at_rate);
+    }
+
+    auto read_header_later() -> void
+    {
+        wait_for_memory([](http_connection& it) { it.read_header(); });
+    }
+
+    auto read_some_later() -> void
+    {
+        wait_for_memory([](http_connection& it) { it.read_some(); });
+    }
+
+    /** Tries again soon, as another request may have been ended; refuses the
+     *  request after max_memory_wait. */
+    template <class Task>
+    auto wait_for_memory(Task task) -> void
+    {
+        memory_wait_begun_ = memory_wait_begun_.value_or(now());
+        if (now() - *memory_wait_begun_ >= max_memory_wait)
+        {
+            return evict();
+        }
+        stream_.expires_never();
+        memory_timer_.expires_after(memory_retry);
+        memory_timer_.async_wait(
+            [self = shared_from_this(), task](error_code ec)
+            {
+                if (!ec && !self->closed_ && self->reading_)
+                {
+                    task(*self);
+                }
+            });
+    }
+
+    /** Refuses a request that is not read yet, so that its bytes are freed. */
+    auto evict() -> void
+    {
+        if (closed_ || !reading_)
+        {
+            return;
+        }
+        server_->report("memory");
+        // What is under way must not go on with the freed parser.
+        auto ignored = error_code{};
+        stream_.socket().cancel(ignored);
+        refuse_with(http::status::service_unavailable);
     }
 
     auto refuse(error_code ec) -> void
@@ -279,10 +510,22 @@
             close();
             return;
         }
+        refuse_with(*status);
+    }
+
+    auto refuse_with(http::status status) -> void
+    {
+        reading_ = false;
+        quiet_.set_busy();
+        memory_timer_.cancel();
         keep_alive_ = false;
         to_head_ = false;
         auto response = http_response{};
-        response.status = static_cast<int>(*status);
+        response.status = static_cast<int>(status);
+        if (status == http::status::service_unavailable)
+        {
+            response.headers.set("Retry-After", retry_after_s);
+        }
         write(to_beast(std::move(response), false));
     }
 
@@ -293,6 +536,9 @@
             close();
             return;
         }
+        reading_ = false;
+        quiet_.set_busy();
+        memory_->protect();
         release_body_buffer(buffer_);
         auto message = parser_->release();
         keep_alive_ = message.keep_alive();
@@ -329,6 +575,10 @@
             wait_for_request();
             return;
         }
+        if (!read_pending_)
+        {
+            parser_.reset(); // May hold the body of a refused request.
+        }
         stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
         stream_.expires_after(linger_time);
         linger(0);
@@ -360,6 +610,10 @@
 
     auto end_request() -> void
     {
+        if (memory_)
+        {
+            memory_->end();
+        }
         if (counted_)
         {
             counted_ = false;
@@ -369,15 +623,22 @@
 
     beast::tcp_stream stream_;
     asio::steady_timer idle_timer_;
+    asio::steady_timer memory_timer_;
     beast::flat_buffer buffer_;
     std::shared_ptr<http_server_state> server_;
     std::string remote_address_;
     std::optional<http::request_parser<http::string_body>> parser_;
     beast_response response_;
     std::array<char, 4096> scrap_{};
-    bool unused_ = true;   ///< No request has begun.
-    bool idle_ = false;    ///< Waits for the first byte of a request.
-    bool counted_ = false; ///< Is part of the server's in_flight.
+    std::optional<budget_share> memory_; ///< Set by start().
+    std::optional<core::time_point> memory_wait_begun_;
+    std::chrono::steady_clock::time_point begun_at_; ///< Of the request.
+    quiet_time quiet_;
+    bool reading_ = false;      ///< A request has begun and is not whole.
+    bool read_pending_ = false; ///< An operation uses the parser.
+    bool unused_ = true;        ///< No request has begun.
+    bool idle_ = false;         ///< Waits for the first byte of a request.
+    bool counted_ = false;      ///< Is part of the server's in_flight.
     bool closed_ = false;
     bool keep_alive_ = false;
     bool to_head_ = false;
@@ -433,25 +694,97 @@
 
 auto http_server_state::add(tcp::socket socket) -> void
 {
+    auto ec = error_code{};
+    auto const remote = socket.remote_endpoint(ec);
+    if (ec)
+    {
+        return;
+    }
+    auto address = remote.address().to_string();
     auto connection = std::shared_ptr<http_connection>{};
+    auto quietest = std::shared_ptr<http_connection>{};
     {
         auto const lock = std::scoped_lock{mutex};
-        if (closed || connections.size() >= limits.connections)
+        if (closed)
         {
             return;
         }
-        connection = std::make_shared<http_connection>(
-            std::move(socket), shared_from_this());
-        connections.insert(connection);
+        auto const may_come = may_add(address);
+        auto const is_full = connections.size() >= limits.connections;
+        quietest = may_come && is_full ? take_quietest() : nullptr;
+        if (may_come && (!is_full || quietest))
+        {
+            ++connections_by_address[address];
+            connection = std::make_shared<http_connection>(
+                std::move(socket), std::move(address), shared_from_this());
+            connections.insert(connection);
+        }
+    }
+    if (quietest)
+    {
+        quietest->dispatch([](http_connection& it) { it.close_for_another(); });
+    }
+    if (!connection)
+    {
+        return report("connections");
     }
     connection->dispatch([](http_connection& it) { it.start(); });
 }
 
+auto http_server_state::may_add(std::string const& address) const -> bool
+{
+    auto const it = connections_by_address.find(address);
+    return limits.connections_per_address == 0 ||
+           it == connections_by_address.end() ||
+           it->second < limits.connections_per_address;
+}
+
+auto http_server_state::take_quietest() -> std::shared_ptr<http_connection>
+{
+    auto result = std::shared_ptr<http_connection>{};
+    auto longest = core::time_point::max();
+    for (auto const& it : connections)
+    {
+        auto const since = it->quiet().since();
+        if (since && *since < longest)
+        {
+            longest = *since;
+            result = it;
+        }
+    }
+    if (result)
+    {
+        result->quiet().set_busy(); // It is not taken again.
+    }
+    return result;
+}
+
+auto http_server_state::close_quietest() -> void
+{
+    auto quietest = std::shared_ptr<http_connection>{};
+    {
+        auto const lock = std::scoped_lock{mutex};
+        quietest = take_quietest();
+    }
+    if (quietest)
+    {
+        quietest->dispatch([](http_connection& it) { it.close_for_another(); });
+    }
+}
+
 auto http_server_state::remove(
     std::shared_ptr<http_connection> const& connection) -> void
 {
     auto const lock = std::scoped_lock{mutex};
-    connections.erase(connection);
+    if (connections.erase(connection) == 0)
+    {
+        return;
+    }
+    auto const it = connections_by_address.find(connection->remote_address());
+    if (it != connections_by_address.end() && --it->second == 0)
+    {
+        connections_by_address.erase(it);
+    }
 }
 
 auto http_server_state::end_keep_alive() -> void
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -7,6 +7,7 @@
 #include "transport/frame_base.hpp"
 #include "transport/http_base.hpp"
 #include "transport/http_type.hpp"
+#include "transport/memory_budget_base.hpp"
 #include "transport/reactor_base.hpp"
 
 #endif
