Customers on the hosted path: keys, limits and shares

Change: the configuration lists customers with keys, weights and limits. The instance that gets a call checks its key; the owner charges each run that may be at work to its customer, starts nothing above a limit, places customers beyond their share last, and refuses a customer's jobs by its own backlog first. A new owner counts what may run unseen. An instance that the store turns away asks others for a newer configuration.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_COORDINATION_COORDINATION_HPP
 
 #include "coordination/admission_base.hpp"
+#include "coordination/config_exchange_base.hpp"
 #include "coordination/config_follower_base.hpp"
 #include "coordination/control_base.hpp"
 #include "coordination/daemon_settings_base.hpp"
--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -58,6 +58,14 @@
     };
 }
 
+auto no_such_job(core::job_id const& job) -> protocol::job_answer
+{
+    auto answer = protocol::job_answer{};
+    answer.error = core::error_kind::not_found;
+    answer.message = fmt::format("job {} does not exist", job.value);
+    return answer;
+}
+
 // So that a lease is hardly shorter than its limit while the store answers.
 constexpr auto idle_writes_per_lease = 10;
 
@@ -106,6 +114,7 @@
     auto written(core::epoch number, write_result result) -> void;
     auto report_counts(core::time_point now) -> void;
     auto report_queues() -> void;
+    auto report_customers() -> void;
     auto submit(protocol::job_call call, reply on_answer) -> void;
     auto finish_leaving() -> void;
     /**
@@ -676,6 +685,7 @@
                    {"loop_delay_ms", loop_delay_ms},
                    {"start_time_ms", start_time_ms}});
     report_queues();
+    report_customers();
 }
 
 auto dispatch_host::implementation::report_queues() -> void
@@ -697,6 +707,28 @@
     }
 }
 
+auto dispatch_host::implementation::report_customers() -> void
+{
+    constexpr auto max_lines = 20;
+    auto lines_written = 0;
+    for (auto const& it : dispatcher->customer_counts())
+    {
+        if (it.waiting_tasks == 0 || ++lines_written > max_lines)
+        {
+            continue;
+        }
+        log.info(
+            "Tasks of a customer wait.",
+            {{"customer", it.customer.value},
+             {"tasks", it.waiting_tasks},
+             {"cpu_milli", it.running.cpu_milli},
+             {"cpu_milli_limit", it.limit.cpu_milli},
+             {"weight", fmt::format("{:g}", it.weight)},
+             {"beyond_share", it.beyond_share},
+             {"refused_jobs", it.refused_jobs}});
+    }
+}
+
 auto dispatch_host::implementation::submit(
     protocol::job_call call, reply on_answer) -> void
 {
@@ -708,7 +740,7 @@
     }
     dispatcher->submit(
         std::move(*call.plan), parts.clock(),
-        answer_when_stored(std::move(on_answer)));
+        answer_when_stored(std::move(on_answer)), std::move(call.customer));
 }
 
 auto dispatch_host::implementation::finish_leaving() -> void
@@ -846,6 +878,14 @@
         return on_answer(error_answer(core::last_reason()));
     }
     auto answer = protocol::job_answer{};
+    auto const names_job = call.kind == protocol::job_call_kind::cancel ||
+                           call.kind == protocol::job_call_kind::phase;
+    if (names_job &&
+        !it.dispatcher->may_access(call.job, call.queue, call.customer))
+    {
+        // As for an unknown job, so that ids of other customers do not show.
+        return on_answer(no_such_job(call.job));
+    }
     switch (call.kind)
     {
     case protocol::job_call_kind::submit:
@@ -855,7 +895,7 @@
     case protocol::job_call_kind::cancel:
         it.dispatcher->cancel(
             call.job, it.parts.clock(),
-            answer_when_stored(std::move(on_answer)));
+            answer_when_stored(std::move(on_answer)), call.customer);
         it.request_pump();
         return;
     case protocol::job_call_kind::phase:
@@ -865,14 +905,17 @@
         }
         else
         {
-            answer.error = core::error_kind::not_found;
-            answer.message =
-                fmt::format("job {} does not exist", call.job.value);
+            answer = no_such_job(call.job);
         }
         break;
     case protocol::job_call_kind::count:
         answer.waiting = it.dispatcher->pending(call.queue);
         break;
+    case protocol::job_call_kind::config:
+        answer.error = core::error_kind::invalid_input;
+        answer.message = "the owner of the jobs keeps no configuration; ask "
+                         "the instance";
+        break;
     }
     on_answer(std::move(answer));
 }
@@ -886,6 +929,15 @@
                : std::map<state::queue_id, std::uint64_t>{};
 }
 
+auto dispatch_host::customer_counts() const
+    -> std::vector<state::customer_count>
+{
+    auto const lock = std::scoped_lock{implementation_->mutex};
+    return implementation_->dispatcher
+               ? implementation_->dispatcher->customer_counts()
+               : std::vector<state::customer_count>{};
+}
+
 auto dispatch_host::owner() const -> std::optional<protocol::owner_record>
 {
     return implementation_->term.owner();
--- a/coordination/dispatch_host_base.hpp
+++ b/coordination/dispatch_host_base.hpp
@@ -91,6 +91,11 @@
     [[nodiscard]] auto pending_by_queue() const
         -> std::map<state::queue_id, std::uint64_t>;
 
+    /** Returns what customers have running and waiting; empty on other
+     *  instances. */
+    [[nodiscard]] auto customer_counts() const
+        -> std::vector<state::customer_count>;
+
     /** Returns the owner that the store names, if any. */
     [[nodiscard]] auto owner() const -> std::optional<protocol::owner_record>;
 
--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -21,6 +21,7 @@
     case protocol::job_call_kind::cancel: return "cancel";
     case protocol::job_call_kind::phase: return "phase";
     case protocol::job_call_kind::count: return "count";
+    case protocol::job_call_kind::config: return "config";
     }
     return "unknown";
 }
@@ -76,13 +77,15 @@
 
 job_router::job_router(
     dispatch_host& host, frame_call call_peer, transport::reactor& loop,
-    core::clock clock, core::logger log, job_router_settings settings)
+    core::clock clock, core::logger log, job_router_settings settings,
+    config_source config)
     : host_(host)
     , call_peer_(std::move(call_peer))
     , loop_(loop)
     , clock_(std::move(clock))
     , log_(std::move(log))
     , settings_(settings)
+    , config_(std::move(config))
 {
 }
 
@@ -328,6 +331,13 @@
         answer.message = core::last_reason().message;
         return reply(protocol::encode(answer));
     }
+    if (call->kind == protocol::job_call_kind::config)
+    {
+        // Answered here, because each instance has its own configuration.
+        auto const answer =
+            config_ ? config_(call->config_version) : protocol::job_answer{};
+        return reply(protocol::encode(answer));
+    }
     auto on_answer = [reply = std::move(reply)](auto const& answer)
     {
         reply(protocol::encode(answer));
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -36,6 +37,9 @@
     core::duration refuse_after = std::chrono::milliseconds{600};
 };
 
+/** Returns the answer to a config call. */
+using config_source = std::function<protocol::job_answer(std::uint64_t known)>;
+
 /**
  * Returns the answer to a caller whose call the owner has answered. A refusal
  * is not passed on as such if an earlier try of the call may still reach the
@@ -55,7 +59,8 @@
 public:
     job_router(
         dispatch_host& host, frame_call call_peer, transport::reactor& loop,
-        core::clock clock, core::logger log, job_router_settings settings);
+        core::clock clock, core::logger log, job_router_settings settings,
+        config_source config = {});
 
     /**
      * Answers @p call within @p budget. Errors besides those of the owner:
@@ -99,6 +104,7 @@
     core::clock clock_;
     core::logger log_;
     job_router_settings settings_;
+    config_source config_;
     std::atomic<std::size_t> next_member_ = 0;
     std::mutex lines_mutex_; ///< Of the member below.
     line_budget lines_;
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <sys/resource.h>
@@ -128,7 +129,8 @@
               peer_client_.call(
                   endpoint, std::move(payload), timeout, std::move(on_done));
           },
-          loop_, now_, log_.with_prefix("router"), {})
+          loop_, now_, log_.with_prefix("router"), {},
+          [this](auto known) { return directory_.config_above(known); })
     , api_(
           [this](auto call, auto time_limit, auto on_answer)
           { router_.route(std::move(call), time_limit, std::move(on_answer)); },
@@ -138,6 +140,14 @@
           {settings_.hosted->worker_notice,
            settings_.hosted->data_centre_notice},
           directory_hooks())
+    , config_exchange_(
+          loop_, now_, log_.with_prefix("config"), metrics_,
+          [this](auto const& endpoint, auto payload, auto timeout, auto on_done)
+          {
+              peer_client_.call(
+                  endpoint, std::move(payload), timeout, std::move(on_done));
+          },
+          config_exchange_hooks(), {})
 {
 }
 
@@ -188,6 +198,41 @@
         }};
 }
 
+// The owner comes first, because it has to reach the store.
+auto hosted_daemon::config_exchange_hooks()
+    -> coordination::config_exchange_hooks
+{
+    auto const instances = [this]
+    {
+        auto result = std::vector<transport::endpoint>{};
+        auto const add = [&result](protocol::owner_record const& it)
+        {
+            if (auto where = transport::parse_endpoint(it.address))
+            {
+                result.push_back(std::move(*where));
+            }
+        };
+        auto const owner = host_.owner();
+        if (owner && owner->instance != settings_.name)
+        {
+            add(*owner);
+        }
+        for (auto const& it : host_.members())
+        {
+            add(it);
+        }
+        return result;
+    };
+    return {
+        [this] { return directory_.has_customers(); },
+        [this] { return directory_.config_confirmed_at(); },
+        [this] { return directory_.config_version(); }, instances,
+        [this](auto const& document)
+        {
+            directory_.take_config(document);
+        }};
+}
+
 auto hosted_daemon::is_ready() const -> bool
 {
     return !leaving_ && api_.has_queues();
@@ -293,6 +338,34 @@
             "godwitcleat_queue_jobs_waiting{{queue=\"{}\"}} {}\n",
             escape_label_value(queue.value), jobs);
     }
+    return text + customer_metrics();
+}
+
+// Names of customers are external input as well.
+auto hosted_daemon::customer_metrics() const -> std::string
+{
+    constexpr auto max_customers = std::size_t{100};
+    auto text = std::string{};
+    auto counts = host_.customer_counts();
+    counts.resize(std::min(counts.size(), max_customers));
+    for (auto const& it : counts)
+    {
+        auto const add = [&](std::string_view name, auto value)
+        {
+            text += fmt::format(
+                "godwitcleat_customer_{}{{customer=\"{}\"}} {}\n", name,
+                escape_label_value(it.customer.value), value);
+        };
+        add("running_cpu_milli", it.running.cpu_milli);
+        add("running_memory_mb", it.running.memory_mb);
+        add("limit_cpu_milli", it.limit.cpu_milli);
+        add("limit_memory_mb", it.limit.memory_mb);
+        add("waiting_tasks", it.waiting_tasks);
+        add("refused_jobs", it.refused_jobs);
+        add("weight", it.weight);
+        add("use_by_weight", it.use_by_weight);
+        add("beyond_share", it.beyond_share ? 1 : 0);
+    }
     return text;
 }
 
@@ -311,6 +384,7 @@
     listen_for_metrics();
     watch_settings_file();
     directory_.start();
+    config_exchange_.start();
     host_.start();
     return true;
 }
--- a/programs/godwitcleatd/hosted_daemon_base.hpp
+++ b/programs/godwitcleatd/hosted_daemon_base.hpp
@@ -49,6 +49,7 @@
     }
 
 private:
+    auto config_exchange_hooks() -> coordination::config_exchange_hooks;
     auto host_parts() -> coordination::dispatch_host_parts;
     auto directory_hooks() -> platform::directory_hooks;
     auto make_owner_record() const -> protocol::owner_record;
@@ -57,6 +58,7 @@
     auto finish_drain(std::function<void()> on_done) -> void;
     auto listen_for_metrics() -> void;
     auto metrics_page() -> std::string;
+    auto customer_metrics() const -> std::string;
     auto watch_settings_file() -> void;
     auto reload(std::string_view cause) -> void;
     auto apply_settings(coordination::daemon_settings settings) -> void;
@@ -82,6 +84,7 @@
     coordination::job_router router_;
     platform::job_api api_;
     platform::directory directory_;
+    coordination::config_exchange config_exchange_;
     std::optional<transport::http_server> gateway_listener_;
     std::optional<transport::http_server> control_listener_;
     std::optional<transport::http_server> readiness_listener_;
--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -14,7 +14,7 @@
     static_cast<int>(state::plan_phase::cancelled) + 1;
 template <>
 inline constexpr int
-    enum_size<job_call_kind> = static_cast<int>(job_call_kind::count) + 1;
+    enum_size<job_call_kind> = static_cast<int>(job_call_kind::config) + 1;
 
 auto visit_members(is<state::plan_step> auto& value, auto&& visit) -> void
 {
@@ -54,6 +54,7 @@
     visit("accepted_ms", value.accepted_ms);
     visit("stores_workers", value.stores_workers);
     visit("service", value.service);
+    visit("customer", value.customer);
 }
 
 auto visit_members(is<state::task_progress> auto& value, auto&& visit) -> void
@@ -109,6 +110,8 @@
     visit("job", value.job);
     visit("plan", value.plan);
     visit("relayed", value.relayed);
+    visit("customer", value.customer);
+    visit("config_version", value.config_version);
 }
 
 auto visit_members(is<job_answer> auto& value, auto&& visit) -> void
@@ -118,6 +121,8 @@
     visit("phase", value.phase);
     visit("waiting", value.waiting);
     visit("retry_after_s", value.retry_after_s);
+    visit("config_version", value.config_version);
+    visit("config", value.config);
 }
 
 auto visit_members(is<owner_record> auto& value, auto&& visit) -> void
--- a/protocol/plan_message_type.hpp
+++ b/protocol/plan_message_type.hpp
@@ -18,7 +18,8 @@
     submit, ///< Accept `plan`.
     cancel, ///< Cancel `job`.
     phase,  ///< Tell the phase of `job`.
-    count   ///< Tell how many jobs of `queue` wait for their first start.
+    count,  ///< Tell how many jobs of `queue` wait for their first start.
+    config  ///< Return a configuration above `config_version`.
 };
 
 /** A call that the owner of the jobs answers. */
@@ -29,6 +30,8 @@
     core::job_id job;
     std::optional<state::job_plan> plan; ///< Of a submit.
     bool relayed = false; ///< Sent by an instance that is not its origin.
+    state::customer_id customer;      ///< By its key; empty: it had none.
+    std::uint64_t config_version = 0; ///< Of a config call: known by it.
 };
 
 /** The owner's answer. */
@@ -38,7 +41,9 @@
     std::string message; ///< Set with an error; names the remedy.
     state::plan_phase phase = state::plan_phase::queued;
     std::uint64_t waiting = 0;
-    std::int64_t retry_after_s = 0; ///< When to submit again; 0: not known.
+    std::int64_t retry_after_s = 0;   ///< When to submit again; 0: not known.
+    std::uint64_t config_version = 0; ///< Of `config`; 0: none is newer.
+    std::string config;               ///< The document as the store holds it.
 };
 
 /** The owner of the jobs, as the store names it. */
--- a/state/dispatch_admission.cpp
+++ b/state/dispatch_admission.cpp
@@ -60,6 +60,12 @@
            step.need.cpu_milli > 0;
 }
 
+// Returns true if tasks have waited for a part of the time that is left.
+auto is_observed(core::duration waited, std::int64_t left_ms) -> bool
+{
+    return to_ms(waited) * 100 >= left_ms * observed_percent;
+}
+
 auto to_duration(double seconds) -> core::duration
 {
     return std::chrono::duration_cast<core::duration>(
@@ -68,21 +74,30 @@
 
 } // namespace
 
-auto start_backlog::expected_wait(std::uint64_t tasks) const -> core::duration
+auto start_backlog::expected_wait(
+    std::uint64_t tasks, std::uint64_t waiting) const -> core::duration
 {
     constexpr auto max_wait_s = std::chrono::duration<double>{max_wait}.count();
-    if (waiting_tasks == 0 || waited_s < min_waited_s)
+    if (waiting == 0 || waited_s < min_waited_s)
     {
         return {};
     }
-    auto const ahead = static_cast<double>(waiting_tasks + tasks);
+    auto const ahead = static_cast<double>(waiting + tasks);
     auto const wait = starts > 0.0 ? ahead * waited_s / starts : max_wait_s;
     return to_duration(std::min(wait, max_wait_s));
 }
 
+auto retry_after(std::int64_t wait_ms, std::int64_t left_ms, std::int64_t max_s)
+    -> std::int64_t
+{
+    auto const excess_ms = wait_ms - std::max<std::int64_t>(left_ms, 0);
+    return std::clamp(
+        (excess_ms + ms_per_s - 1) / ms_per_s, std::int64_t{1}, max_s);
+}
+
 auto dispatcher::implementation::admit(
-    job_plan const& plan, queue_config const& config, queue_state& queue)
-    -> bool
+    job_plan const& plan, queue_config const& config, queue_state& queue,
+    customer_account& account) -> bool
 {
     auto const now_ms = hooks.unix_ms();
     auto const tasks = first_tasks_of(plan);
@@ -96,18 +111,25 @@
     {
         return accept();
     }
+    auto const held_back =
+        uses_customers() &&
+        (shares.would_be_beyond_share(account) ||
+         !customer_shares::fits(account, plan.steps.front().need));
+    if (held_back)
+    {
+        return admit_for_customer(plan, config, queue, account);
+    }
     auto const path = critical_path_ms(plan);
     auto const objective = objective_ms(path, config);
-    auto const start_wait = to_ms(queue.backlog.expected_wait(tasks));
+    auto const start_wait = to_ms(start_wait_for(tasks, queue, account));
     auto const room =
-        room_backlog_for(plan.steps.front(), objective, config, queue);
+        room_backlog_for(plan.steps.front(), objective, config, queue, account);
     auto const room_wait = to_ms(room.expected_wait);
     if (start_wait == 0 && room_wait == 0)
     {
         return accept();
     }
-    auto const known = refused_jobs.find(plan.id.value);
-    auto const begin = known == refused_jobs.end() ? now_ms : known->second;
+    auto const begin = first_submitted_ms(plan.id, now_ms);
     auto const work = static_cast<std::int64_t>(
         queue.run_time_factor * static_cast<double>(path));
     auto const end = now_ms - begin + work; // If it starts at once.
@@ -115,10 +137,6 @@
     auto const start_left = work > objective ? late_left : objective - end;
     // What is late by now may still end with partial value.
     auto const room_left = end > objective ? late_left : objective - end;
-    auto const is_observed = [](core::duration waited, std::int64_t left_ms)
-    {
-        return to_ms(waited) * 100 >= left_ms * observed_percent;
-    };
     auto const starts_late =
         start_wait * 100 > start_left * accepted_percent && start_wait > 0 &&
         is_observed(to_duration(queue.backlog.mean_wait_s), start_left);
@@ -129,26 +147,85 @@
         refused_jobs.erase(plan.id.value);
         return accept();
     }
-    if (known == refused_jobs.end() && refused_jobs.size() < max_refused_jobs)
-    {
-        refused_jobs.emplace(plan.id.value, now_ms);
-    }
+    remember_refused(plan.id, now_ms);
     refuse(
         plan, starts_late ? start_wait : room_wait,
         starts_late ? start_left : room_left);
     return false;
 }
 
+auto dispatcher::implementation::start_wait_for(
+    std::uint64_t tasks, queue_state const& queue,
+    customer_account const& account) const -> core::duration
+{
+    auto const& backlog = queue.backlog;
+    if (!uses_customers() || backlog.waiting_tasks == 0)
+    {
+        return backlog.expected_wait(tasks, backlog.waiting_tasks);
+    }
+    auto waiting = std::uint64_t{0};
+    auto const now_ms = hooks.unix_ms();
+    for (auto const& it : ready_steps)
+    {
+        auto const& step = it.job->steps[it.step];
+        if (it.job->queue == &queue && is_first(it.job->spec(step)) &&
+            is_schedulable(it, now_ms) && goes_before(*it.job, account) &&
+            rank_of(it, now_ms).urgency() == step_urgency::in_time)
+        {
+            waiting += step.ready_tasks.size();
+        }
+    }
+    return backlog.expected_wait(tasks, waiting);
+}
+
+auto dispatcher::implementation::admit_for_customer(
+    job_plan const& plan, queue_config const& config, queue_state& queue,
+    customer_account& account) -> bool
+{
+    auto const now_ms = hooks.unix_ms();
+    auto const path = critical_path_ms(plan);
+    auto const objective = objective_ms(path, config);
+    auto const work = static_cast<std::int64_t>(
+        queue.run_time_factor * static_cast<double>(path));
+    auto const end = now_ms - first_submitted_ms(plan.id, now_ms) + work;
+    auto const left =
+        (end > objective ? late_factor * objective : objective) - end;
+    auto const backlog = customer_backlog_of(account);
+    auto const wait = to_ms(backlog.expected_wait);
+    if (wait <= left || !is_observed(backlog.waited, left))
+    {
+        refused_jobs.erase(plan.id.value);
+        return true;
+    }
+    remember_refused(plan.id, now_ms);
+    ++totals.jobs_refused;
+    refuse_for_customer(plan, account, wait, left);
+    return false;
+}
+
+auto dispatcher::implementation::first_submitted_ms(
+    core::job_id const& job, std::int64_t now_ms) const -> std::int64_t
+{
+    auto const known = refused_jobs.find(job.value);
+    return known == refused_jobs.end() ? now_ms : known->second;
+}
+
+auto dispatcher::implementation::remember_refused(
+    core::job_id const& job, std::int64_t now_ms) -> void
+{
+    if (refused_jobs.size() < max_refused_jobs)
+    {
+        refused_jobs.try_emplace(job.value, now_ms);
+    }
+}
+
 auto dispatcher::implementation::refuse(
     job_plan const& plan, std::int64_t wait_ms, std::int64_t left_ms) -> void
 {
     ++totals.jobs_refused;
     auto reason = core::failure{};
     reason.kind = core::error_kind::no_capacity;
-    reason.retry_after_s = std::clamp(
-        (wait_ms - std::max<std::int64_t>(left_ms, 0) + ms_per_s - 1) /
-            ms_per_s,
-        std::int64_t{1}, max_retry_after_s);
+    reason.retry_after_s = retry_after(wait_ms, left_ms, max_retry_after_s);
     reason.message = fmt::format(
         "the job would wait {} ms for its first task and not end in time; "
         "submit it again in {} s",
@@ -178,7 +255,8 @@
 
 auto dispatcher::implementation::room_backlog_for(
     plan_step const& first, std::int64_t objective, queue_config const& config,
-    queue_state const& queue) const -> room_backlog
+    queue_state const& queue, customer_account const& account) const
+    -> room_backlog
 {
     auto result = room_backlog{};
     if (!needs_any_room(first) || !lacks_room(first, config))
@@ -192,8 +270,8 @@
         auto const& step = it.job->steps[it.step];
         auto const& spec = it.job->spec(step);
         if (it.job->queue == &queue && !step.ready_tasks.empty() &&
-            needs_any_room(spec) && spec.need.fits_in(first.need) &&
-            is_schedulable(it, now_ms) &&
+            goes_before(*it.job, account) && needs_any_room(spec) &&
+            spec.need.fits_in(first.need) && is_schedulable(it, now_ms) &&
             objective_ms(it.job->critical_path_ms, config) <= objective)
         {
             work += static_cast<double>(step.ready_tasks.size()) *
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -102,16 +102,27 @@
     implementation_->schedule_due = true;
 }
 
-auto dispatcher::submit(job_plan plan, core::time_point now, completion on_done)
-    -> void
+auto dispatcher::submit(
+    job_plan plan, core::time_point now, completion on_done,
+    customer_id customer) -> void
 {
-    implementation_->submit(std::move(plan), now, std::move(on_done));
+    implementation_->submit(
+        std::move(plan), now, std::move(on_done), std::move(customer));
 }
 
 auto dispatcher::cancel(
-    core::job_id const& job, core::time_point now, completion on_done) -> void
+    core::job_id const& job, core::time_point now, completion on_done,
+    customer_id customer) -> void
+{
+    implementation_->cancel(job, now, std::move(on_done), std::move(customer));
+}
+
+auto dispatcher::may_access(
+    core::job_id const& job, queue_id const& queue,
+    customer_id const& customer) const -> bool
 {
-    implementation_->cancel(job, now, std::move(on_done));
+    auto const it = implementation_->find_job(job.value);
+    return !it || implementation_->may_access(*it, queue, customer);
 }
 
 auto dispatcher::reject_unstored(std::string_view cause) -> void
@@ -247,4 +258,11 @@
     return implementation_->queue_counts();
 }
 
+auto dispatcher::customer_counts() const -> std::vector<customer_count>
+{
+    return implementation_->uses_customers()
+               ? implementation_->customer_counts()
+               : std::vector<customer_count>{};
+}
+
 } // namespace godwitcleat::state
--- a/state/dispatch_base.hpp
+++ b/state/dispatch_base.hpp
@@ -3,6 +3,7 @@
 #define GODWITCLEAT_STATE_DISPATCH_BASE_HPP
 
 #include "core/core.hpp"
+#include "state/customer_type.hpp"
 #include "state/dispatch_type.hpp"
 #include "state/plan_type.hpp"
 #include "state/queue_type.hpp"
@@ -98,6 +99,19 @@
     task_counts starts; ///< Starts since construction.
 };
 
+/** What a customer has running and waiting. */
+struct customer_count
+{
+    customer_id customer; ///< Empty: jobs without a customer.
+    double weight = 1.0;
+    core::resources limit;   ///< 0: none.
+    core::resources running; ///< Runs that may be at work.
+    std::uint64_t waiting_tasks = 0;
+    std::uint64_t refused_jobs = 0; ///< For its own backlog.
+    double use_by_weight = 0.0;     ///< customer_shares::normalised_use().
+    bool beyond_share = false;
+};
+
 /**
  * Queues the tasks of jobs, places them on workers and tracks their runs.
  *
@@ -154,16 +168,25 @@
     /**
      * Accepts a job. Repeating the submit of a known job succeeds as soon as
      * the job is stored. Fails with invalid_input, not_found (no such queue)
-     * or no_capacity; in these cases the job never runs.
+     * no_capacity, quota_exceeded (its customer's own backlog is too long) or
+     * conflict (the id is that of another customer's job); in these cases the
+     * job never runs.
      */
-    auto submit(job_plan plan, core::time_point now, completion on_done)
-        -> void;
+    auto submit(
+        job_plan plan, core::time_point now, completion on_done,
+        customer_id customer = {}) -> void;
 
     /** Cancels a job; succeeds if its phase is already final. Fails with
      *  not_found. */
-    auto
-    cancel(core::job_id const& job, core::time_point now, completion on_done)
-        -> void;
+    auto cancel(
+        core::job_id const& job, core::time_point now, completion on_done,
+        customer_id customer = {}) -> void;
+
+    /** Returns true if a call of @p customer on @p queue may name the job; so
+     *  it may if the job is not known. */
+    [[nodiscard]] auto may_access(
+        core::job_id const& job, queue_id const& queue,
+        customer_id const& customer) const -> bool;
 
     /**
      * Rejects, with unavailable, the jobs whose record was not yet part of a
@@ -223,6 +246,10 @@
     [[nodiscard]] auto queue_counts() const
         -> std::map<queue_id, queue_task_counts>;
 
+    /** Returns the customers with jobs or in the configuration; none if the
+     *  configuration has no customers. */
+    [[nodiscard]] auto customer_counts() const -> std::vector<customer_count>;
+
 private:
     struct implementation;
     std::unique_ptr<implementation> implementation_;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -2,6 +2,7 @@
 #ifndef GODWITCLEAT_STATE_DISPATCH_INTERNAL_HPP
 #define GODWITCLEAT_STATE_DISPATCH_INTERNAL_HPP
 
+#include "state/customer_shares_base.hpp"
 #include "state/dispatch_base.hpp"
 #include "state/interference_base.hpp"
 #include "state/start_window_base.hpp"
@@ -139,9 +140,10 @@
 struct step_rank
 {
     step_group group = step_group::long_running;
-    std::uint32_t priority = 0;  ///< Of its queue; 0 if the step is expired.
-    std::uint32_t late = 0;      ///< 1 if it cannot end in time.
-    std::uint32_t not_begun = 1; ///< 0 if the job has started.
+    std::uint32_t beyond_share = 0; ///< 1: its customer is beyond its share.
+    std::uint32_t priority = 0;     ///< Of its queue; 0 if the step is expired.
+    std::uint32_t late = 0;         ///< 1 if it cannot end in time.
+    std::uint32_t not_begun = 1;    ///< 0 if the job has started.
     std::int64_t order_ms = 0;
 
     auto operator<=>(step_rank const&) const = default; // NOLINT
@@ -167,9 +169,10 @@
     double starts = 0.0;      ///< Starts of first steps in that time; decays.
     double mean_wait_s = 0.0; ///< Of the tasks that were started last.
 
-    /** Returns the time until @p tasks more have been started after those that
-     *  wait; 0 if new tasks do not wait. */
-    [[nodiscard]] auto expected_wait(std::uint64_t tasks) const
+    /** Returns the time until @p tasks more have been started after @p waiting
+     *  ones; 0 if new tasks do not wait. */
+    [[nodiscard]] auto
+    expected_wait(std::uint64_t tasks, std::uint64_t waiting) const
         -> core::duration;
 };
 
@@ -220,6 +223,7 @@
 {
     plan_record record;
     queue_state* queue = nullptr; ///< Owned by implementation::queue_states.
+    customer_account* account = nullptr; ///< Owned by implementation::shares.
     plan_phase phase = plan_phase::queued;
     plan_phase stored_phase = plan_phase::queued; ///< Phase that callers see.
     std::vector<dispatch_task> tasks;
@@ -612,14 +616,14 @@
     bool beside_suspect = false; ///< It fits, but beside suspect runs only.
 };
 
-struct string_hash
-{
-    using is_transparent = void;
-    auto operator()(std::string_view text) const noexcept -> std::size_t
-    {
-        return std::hash<std::string_view>{}(text);
-    }
-};
+/** Returns what a run counts in the account of its customer. Best-effort runs
+ *  reserve no processors on their worker, but use them. */
+auto charged_need(run_entry const& run) -> core::resources;
+
+/** Returns after how many seconds a job that would wait for @p wait_ms and may
+ *  wait for less than @p left_ms is worth submitting again. */
+auto retry_after(std::int64_t wait_ms, std::int64_t left_ms, std::int64_t max_s)
+    -> std::int64_t;
 
 /** Returns the settings of the interference model of tail latencies. */
 auto tail_model_settings() -> interference_settings;
@@ -649,14 +653,15 @@
     auto
     finish_job(job_pointer const& job, plan_phase phase, core::time_point now)
         -> void;
-    auto submit(job_plan plan, core::time_point now, completion on_done)
-        -> void;
-    auto
-    cancel(core::job_id const& id, core::time_point now, completion on_done)
-        -> void;
+    auto submit(
+        job_plan plan, core::time_point now, completion on_done,
+        customer_id customer) -> void;
+    auto cancel(
+        core::job_id const& id, core::time_point now, completion on_done,
+        customer_id customer) -> void;
     auto cancel_unknown_job(
-        core::job_id const& id, core::time_point now, completion on_done)
-        -> void;
+        core::job_id const& id, core::time_point now, completion on_done,
+        customer_id customer) -> void;
     auto find_job(std::string_view id) const -> job_pointer;
     static auto find_queue(job_entry const& job) -> queue_config const*
     {
@@ -855,7 +860,7 @@
     [[nodiscard]] static auto
     is_schedulable(ready_step const& it, std::int64_t now_ms) -> bool;
     /** @pre is_schedulable(it, now_ms) */
-    [[nodiscard]] static auto rank_of(ready_step const& it, std::int64_t now_ms)
+    [[nodiscard]] auto rank_of(ready_step const& it, std::int64_t now_ms) const
         -> step_rank;
     [[nodiscard]] auto queue_counts() const
         -> std::map<queue_id, queue_task_counts>;
@@ -872,6 +877,42 @@
         std::vector<step_flow>& flows, step_flow& flow, std::size_t starts)
         -> void;
 
+    // Customers (dispatch_customers.cpp)
+    /** Counts a run in the account of its customer. */
+    static auto charge(run_entry const& run) -> void;
+    /** Reverts charge(). */
+    static auto discharge(run_entry const& run) -> void;
+    [[nodiscard]] auto uses_customers() const -> bool;
+    /** Returns true if a task of the step, or a whole gang, may start within
+     *  the limit of the job's customer. */
+    [[nodiscard]] auto
+    is_within_limit(job_entry const& job, plan_step const& spec) const -> bool;
+    [[nodiscard]] auto is_beyond_share(job_entry const& job) const -> bool;
+    /** Returns true unless tasks of the job are placed after those of a
+     * customer because of the shares. */
+    [[nodiscard]] auto
+    goes_before(job_entry const& job, customer_account const& account) const
+        -> bool;
+    /** See dispatcher::may_access(). */
+    [[nodiscard]] auto may_access(
+        job_entry const& job, queue_id const& queue,
+        customer_id const& customer) const -> bool;
+    /** Compares the use of the customers whose tasks wait. */
+    auto compare_customers(std::int64_t now_ms) -> void;
+    auto update_capacity() -> void;
+    /** Counts what may run on workers that this owner has not heard yet. */
+    auto update_unseen() -> void;
+    auto report_limit(ready_step const& it, core::time_point now) -> void;
+    /** Returns the customer's own waiting work by what it can rely on. */
+    [[nodiscard]] auto
+    customer_backlog_of(customer_account const& account) const -> room_backlog;
+    /** Sets core::last_reason() for a job that would wait for @p wait_ms behind
+     *  other jobs of its customer and may wait for less than @p left_ms. */
+    auto refuse_for_customer(
+        job_plan const& plan, customer_account& account, std::int64_t wait_ms,
+        std::int64_t left_ms) -> void;
+    [[nodiscard]] auto customer_counts() const -> std::vector<customer_count>;
+
     // Admission of jobs (dispatch_admission.cpp)
     /**
      * Returns true if a new job is accepted. Else core::last_reason() is set:
@@ -879,9 +920,19 @@
      * accepted only if it is expected to end within its time objective, counted
      * from its first submit.
      */
-    auto
-    admit(job_plan const& plan, queue_config const& config, queue_state& queue)
-        -> bool;
+    auto admit(
+        job_plan const& plan, queue_config const& config, queue_state& queue,
+        customer_account& account) -> bool;
+    /** As admit(), by the backlog of the job's customer. */
+    auto admit_for_customer(
+        job_plan const& plan, queue_config const& config, queue_state& queue,
+        customer_account& account) -> bool;
+    /** Returns when a job was first submitted, in Unix time. */
+    [[nodiscard]] auto
+    first_submitted_ms(core::job_id const& job, std::int64_t now_ms) const
+        -> std::int64_t;
+    /** Remembers when a refused job was first submitted. */
+    auto remember_refused(core::job_id const& job, std::int64_t now_ms) -> void;
     /** Sets core::last_reason() for a job that would wait for @p wait_ms and
      *  may wait for less than @p left_ms. */
     auto
@@ -896,8 +947,13 @@
      *  in ms; nothing if the tasks of that step find room at once. */
     [[nodiscard]] auto room_backlog_for(
         plan_step const& first, std::int64_t objective,
-        queue_config const& config, queue_state const& queue) const
-        -> room_backlog;
+        queue_config const& config, queue_state const& queue,
+        customer_account const& account) const -> room_backlog;
+    /** Returns the wait until @p tasks more first tasks of the queue have been
+     *  started; 0 if new tasks do not wait. */
+    [[nodiscard]] auto start_wait_for(
+        std::uint64_t tasks, queue_state const& queue,
+        customer_account const& account) const -> core::duration;
     /** Returns what long-running tasks and tasks of jobs with a shorter time
      *  objective than @p objective, in ms, leave of the workers that are large
      *  enough for @p need. */
@@ -1107,6 +1163,8 @@
     core::time_point last_pass_at; ///< Time of the last take_orders().
     interference_model interference{tail_model_settings()};
     std::map<queue_id, queue_state> queue_states;
+    customer_shares shares;
+    bool has_unseen = false; ///< An account may have unseen runs.
     core::time_point offered_decayed_at;
     core::time_point backlogs_measured_at;
     /** When jobs that were refused were first submitted, in Unix time. */
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -115,6 +115,7 @@
         }
     }
     recovering = !stored.jobs.empty();
+    update_unseen();
 }
 
 auto dispatcher::implementation::add_job(plan_record record) -> job_pointer
@@ -122,6 +123,7 @@
     auto job = std::make_shared<job_entry>();
     job->record = std::move(record);
     job->queue = &queue_state_of(job->record.plan.queue);
+    job->account = &shares.account_of(job->record.customer);
     build_steps(*job);
     jobs.emplace(job->record.plan.id.value, job);
     return job;
@@ -433,10 +435,18 @@
 }
 
 auto dispatcher::implementation::submit(
-    job_plan plan, core::time_point now, completion on_done) -> void
+    job_plan plan, core::time_point now, completion on_done,
+    customer_id customer) -> void
 {
     if (auto const job = find_job(plan.id.value))
     {
+        if (!may_access(*job, plan.queue, customer))
+        {
+            core::fail(
+                core::error_kind::conflict,
+                "another customer's job has this id; choose another one");
+            return on_done(false);
+        }
         job->submitted = true;
         if (job->record_stored)
         {
@@ -462,12 +472,13 @@
     {
         count_offered(state, plan);
     }
-    if (!admit(plan, queue->second, state))
+    if (!admit(plan, queue->second, state, shares.account_of(customer)))
     {
         return on_done(false);
     }
     auto const job = add_job(
-        {std::move(plan), term, hooks.unix_ms(), true, queue->second.service});
+        {std::move(plan), term, hooks.unix_ms(), true, queue->second.service,
+         std::move(customer)});
     job->submitted = true;
     event(
         "Job was submitted.", {{"job", job->record.plan.id.value},
@@ -483,12 +494,14 @@
 }
 
 auto dispatcher::implementation::cancel(
-    core::job_id const& id, core::time_point now, completion on_done) -> void
+    core::job_id const& id, core::time_point now, completion on_done,
+    customer_id customer) -> void
 {
     auto const job = find_job(id.value);
     if (!job)
     {
-        return cancel_unknown_job(id, now, std::move(on_done));
+        return cancel_unknown_job(
+            id, now, std::move(on_done), std::move(customer));
     }
     if (!is_final(job->phase))
     {
@@ -506,10 +519,12 @@
 // The write also shows that this instance is still the owner, so that no other
 // owner knows the job.
 auto dispatcher::implementation::cancel_unknown_job(
-    core::job_id const& id, core::time_point now, completion on_done) -> void
+    core::job_id const& id, core::time_point now, completion on_done,
+    customer_id customer) -> void
 {
     auto record = plan_record{};
     record.plan.id = id;
+    record.customer = std::move(customer);
     record.accepted_term = term;
     record.accepted_ms = hooks.unix_ms();
     auto const job = add_job(std::move(record));
@@ -556,6 +571,10 @@
         return;
     }
     queues = std::move(table);
+    if (queues->customers)
+    {
+        shares.set_customers(*queues->customers);
+    }
     for (auto& [id, it] : queue_states)
     {
         auto const found = queues->queues.find(id);
--- a/state/dispatch_order.cpp
+++ b/state/dispatch_order.cpp
@@ -38,15 +38,16 @@
 }
 
 auto dispatcher::implementation::rank_of(
-    ready_step const& it, std::int64_t now_ms) -> step_rank
+    ready_step const& it, std::int64_t now_ms) const -> step_rank
 {
     auto const& job = *it.job;
     auto const& step = job.steps[it.step];
     auto const& queue = *find_queue(job);
+    auto const beyond = is_beyond_share(job) ? 1U : 0U;
     auto const begin = std::max(job.record.accepted_ms, step.not_before_ms);
     if (job.spec(step).long_running)
     {
-        return {step_group::long_running, queue.priority, 0, 0, begin};
+        return {step_group::long_running, beyond, queue.priority, 0, 0, begin};
     }
     auto const objective = objective_ms(job.critical_path_ms, queue);
     auto const end =
@@ -57,12 +58,11 @@
     auto const late = begin + late_factor * objective;
     if (end > late)
     {
-        return {step_group::expired, 0, 0, 0, due};
+        return {step_group::expired, beyond, 0, 0, 0, due};
     }
     auto const not_begun = job.start_ordered || job.started ? 0U : 1U;
-    return {
-        step_group::valuable, queue.priority, end > due ? 1U : 0U, not_begun,
-        due};
+    return {step_group::valuable, beyond,    queue.priority,
+            end > due ? 1U : 0U,  not_begun, due};
 }
 
 auto dispatcher::implementation::count_offered(
@@ -145,26 +145,35 @@
 auto dispatcher::implementation::next_flow(std::vector<step_flow>& flows)
     -> step_flow*
 {
-    auto* best = static_cast<step_flow*>(nullptr);
     auto const owed = [](step_flow const& it)
     {
         return it.owed_starts != nullptr && *it.owed_starts >= 1.0
                    ? *it.owed_starts
                    : 0.0;
     };
-    for (auto& it : flows)
+    auto const goes_first = [&](step_flow const& left, step_flow const& right)
     {
-        if (it.is_empty())
+        auto const& a = left.steps[left.next].first;
+        auto const& b = right.steps[right.next].first;
+        if (a.beyond_share != b.beyond_share)
         {
-            continue;
+            return a.beyond_share < b.beyond_share;
+        }
+        auto const a_long_running = a.group == step_group::long_running;
+        if (a_long_running != (b.group == step_group::long_running))
+        {
+            return a_long_running;
         }
-        if (it.steps[it.next].first.group == step_group::long_running)
+        if (owed(left) != owed(right))
         {
-            return &it;
+            return owed(left) > owed(right);
         }
-        if (best == nullptr || owed(it) > owed(*best) ||
-            (owed(it) == owed(*best) &&
-             it.steps[it.next] < best->steps[best->next]))
+        return left.steps[left.next] < right.steps[right.next];
+    };
+    auto* best = static_cast<step_flow*>(nullptr);
+    for (auto& it : flows)
+    {
+        if (!it.is_empty() && (best == nullptr || goes_first(it, *best)))
         {
             best = &it;
         }
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -142,6 +142,11 @@
     }
     worker.estimates_valid = false;
     worker.used += run.need;
+    charge(run);
+    if (recovering && run.job && run.job->restored)
+    {
+        run.job->account->found += charged_need(run);
+    }
     worker.serving_runs += run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs += run.uses_spare_cpu ? 1 : 0;
     worker.suspect_runs += run.suspect ? 1 : 0;
@@ -241,6 +246,7 @@
         worker.best_effort_ended_at = now;
     }
     worker.used -= run.need;
+    discharge(run);
     worker.serving_runs -= run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs -= run.uses_spare_cpu ? 1 : 0;
     worker.suspect_runs -= run.suspect ? 1 : 0;
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -177,6 +177,7 @@
             return !step.in_ready_steps;
         });
     measure_backlogs(now);
+    compare_customers(hooks.unix_ms());
     auto flows = make_flows(hooks.unix_ms());
     mostly_free = is_mostly_free();
     update_startable_workers(now);
@@ -202,6 +203,11 @@
         {
             continue;
         }
+        if (!is_within_limit(*it.job, spec))
+        {
+            report_limit(it, now);
+            continue;
+        }
         auto const waiting = step.ready_tasks.size();
         auto const placed =
             spec.gang ? place_gang(it, now) : place_step(it, now);
@@ -511,6 +517,10 @@
     auto suspects_wait = std::optional<bool>{};
     for (auto i = step.ready_tasks.size(); starts_left > 0 && i-- > 0;)
     {
+        if (!is_within_limit(job, spec))
+        {
+            break; // Another worker would not help.
+        }
         auto const index = step.ready_tasks[i];
         auto& task = job.tasks[index];
         if (is_backing_off(spec, task, now))
@@ -624,6 +634,7 @@
     starts_left -= std::min<std::size_t>(starts_left, 1);
     auto run = make_run(job, index, number, now);
     worker.used += run.need;
+    charge(run);
     worker.serving_runs += run.tail_target_ms > 0 ? 1 : 0;
     worker.best_effort_runs += run.uses_spare_cpu ? 1 : 0;
     worker.suspect_runs += run.suspect ? 1 : 0;
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -139,6 +139,7 @@
         update_retired(*worker, now);
     }
     forget_lost_workers(now);
+    update_capacity();
     if (worker_list_changed)
     {
         commit_at(now);
@@ -781,6 +782,7 @@
 auto dispatcher::implementation::tick(core::time_point now) -> void
 {
     decay_offered(now);
+    shares.advance(now);
     forget_refused_jobs();
     for (auto& [id, worker] : workers)
     {
@@ -799,6 +801,7 @@
     settle_crashes(now);
     update_stored_leases(now);
     finish_recovery(now);
+    update_unseen();
     forget_lost_workers(now);
     adapt_poll_pause(now);
     expire_old_jobs(now);
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -76,6 +76,7 @@
     bool stores_workers = false;
     /** Service of its queue at that time; empty: not known. */
     core::service_id service;
+    customer_id customer; ///< Its owner; empty: none.
 
     auto operator==(plan_record const&) const -> bool = default;
 };
--- a/state/queue_type.hpp
+++ b/state/queue_type.hpp
@@ -3,10 +3,12 @@
 #define GODWITCLEAT_STATE_QUEUE_TYPE_HPP
 
 #include "core/core.hpp"
+#include "state/customer_type.hpp"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace godwitcleat::state
@@ -29,6 +31,7 @@
     std::int64_t allowance_ms = 0;
     std::int64_t timeout_ms = 0; ///< Timeout of a request; 0: none.
     bool needs_advice = false;   ///< Starts need an external approval.
+    bool is_open = false;        ///< Calls need no key, also with customers.
 
     auto operator==(queue_config const&) const -> bool = default;
 };
@@ -39,6 +42,8 @@
     std::uint64_t version = 0; ///< 0: no configuration was received yet.
     std::map<queue_id, queue_config> queues;
     std::size_t max_body_bytes = std::size_t{256} * 1024;
+    /** Unset: calls need no key, and jobs have no limits and shares. */
+    std::optional<customer_table> customers;
 
     auto operator==(queue_table const&) const -> bool = default;
 };
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -4,6 +4,8 @@
 
 #include "state/absence_func.hpp"
 #include "state/config_type.hpp"
+#include "state/customer_shares_base.hpp"
+#include "state/customer_type.hpp"
 #include "state/dispatch_base.hpp"
 #include "state/dispatch_type.hpp"
 #include "state/engine_base.hpp"
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -102,6 +102,18 @@
     set_queues();
 }
 
+auto dispatch_world::set_customers(state::customer_table customers) -> void
+{
+    ++queues_.version;
+    checked_limits.clear();
+    for (auto const& [id, it] : customers.customers)
+    {
+        checked_limits[id] = it.limit;
+    }
+    queues_.customers = std::move(customers);
+    set_queues();
+}
+
 auto dispatch_world::set_service(core::service_id service) -> void
 {
     auto queue = queues_.queues.at(state::queue_id{"q"});
@@ -542,6 +554,7 @@
         violations.push_back(fmt::format(
             "{} exceeds the capacity of {}", name, worker.info.worker.value));
     }
+    check_limit(order.task);
     if (done_.contains(name))
     {
         violations.push_back(
@@ -566,6 +579,57 @@
     }
 }
 
+auto dispatch_world::check_limit(state::task_name const& task) -> void
+{
+    auto const customer = customer_of_.find(task.job.value);
+    auto const limit = customer == customer_of_.end()
+                           ? checked_limits.end()
+                           : checked_limits.find(customer->second);
+    if (limit == checked_limits.end())
+    {
+        return;
+    }
+    auto const used = running_of(customer->second) + charged_need(task);
+    auto const exceeds = [](std::int64_t amount, std::int64_t most)
+    {
+        return most > 0 && amount > most;
+    };
+    if (exceeds(used.cpu_milli, limit->second.cpu_milli) ||
+        exceeds(used.memory_mb, limit->second.memory_mb) ||
+        exceeds(used.accelerators, limit->second.accelerators))
+    {
+        violations.push_back(fmt::format(
+            "{} exceeds the limit of customer {}", text_of(task),
+            customer->second.value));
+    }
+}
+
+auto dispatch_world::running_of(state::customer_id const& customer) const
+    -> core::resources
+{
+    auto result = core::resources{};
+    for (auto const& [id, worker] : workers_)
+    {
+        for (auto const& run : worker.runs)
+        {
+            auto const it = customer_of_.find(run.task.job.value);
+            if (it != customer_of_.end() && it->second == customer)
+            {
+                result += charged_need(run.task);
+            }
+        }
+    }
+    return result;
+}
+
+auto dispatch_world::charged_need(state::task_name const& name) const
+    -> core::resources
+{
+    auto const it = plans_.find(name.job.value);
+    return it == plans_.end() ? core::resources{}
+                              : it->second.steps.at(name.step).need;
+}
+
 auto dispatch_world::is_in_stored_list(
     state::task_name const& task, state::listed_worker const& worker) const
     -> bool
@@ -774,11 +838,13 @@
     }
 }
 
-auto dispatch_world::submit(state::job_plan plan) -> bool
+auto dispatch_world::submit(state::job_plan plan, state::customer_id customer)
+    -> bool
 {
     auto stored_now = std::make_shared<std::optional<bool>>();
     submit(
-        std::move(plan), [stored_now](bool result) { *stored_now = result; });
+        std::move(plan), [stored_now](bool result) { *stored_now = result; },
+        std::move(customer));
     for (auto i = 0; i < 10 && !*stored_now; ++i)
     {
         step();
@@ -787,10 +853,13 @@
 }
 
 auto dispatch_world::submit(
-    state::job_plan plan, state::dispatcher::completion on_done) -> void
+    state::job_plan plan, state::dispatcher::completion on_done,
+    state::customer_id customer) -> void
 {
     plans_[plan.id.value] = plan;
-    owner->submit(std::move(plan), now(), std::move(on_done));
+    customer_of_[plan.id.value] = customer;
+    owner->submit(
+        std::move(plan), now(), std::move(on_done), std::move(customer));
 }
 
 auto dispatch_world::cancel(std::string const& id) -> bool
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -74,8 +74,8 @@
  * Each start is checked: a task must not run in two places at a time, nor after
  * its completion was acknowledged; the capacity of a worker must not be
  * exceeded; nothing may start in a drained data centre, nor on a worker that
- * the stored list lacks; and a long-running task must not start on a worker
- * that the store does not name for it.
+ * the stored list lacks; a long-running task must not start on a worker that
+ * the store does not name for it; and no customer may exceed its limit.
  */
 class dispatch_world
 {
@@ -86,6 +86,7 @@
         -> fake_dispatch_worker&;
     auto worker(std::string const& id) -> fake_dispatch_worker&;
     auto add_queue(state::queue_config queue) -> void;
+    auto set_customers(state::customer_table customers) -> void;
     /** Moves queue "q" to another service. */
     auto set_service(core::service_id service) -> void;
 
@@ -111,14 +112,20 @@
     auto carry_out_delayed(std::string const& id) -> void;
 
     /** Submits a job; returns true if it was stored within 100 ms. */
-    auto submit(state::job_plan plan) -> bool;
+    auto submit(state::job_plan plan, state::customer_id customer = {}) -> bool;
     /** Submits a job; @p on_done is called by a later run_for(), or at once. */
-    auto submit(state::job_plan plan, state::dispatcher::completion on_done)
-        -> void;
+    auto submit(
+        state::job_plan plan, state::dispatcher::completion on_done,
+        state::customer_id customer = {}) -> void;
     auto cancel(std::string const& id) -> bool;
     [[nodiscard]] auto phase(std::string const& id) const
         -> std::optional<state::plan_phase>;
 
+    /** Returns what the runs of a customer need on all workers; of best-effort
+     *  ones their declared processors. */
+    [[nodiscard]] auto running_of(state::customer_id const& customer) const
+        -> core::resources;
+
     /** Returns the number of runs on all workers. */
     [[nodiscard]] auto running() const -> std::size_t;
 
@@ -129,6 +136,8 @@
     std::function<std::int64_t(fake_dispatch_worker const&, fake_run const&)>
         measurement_of;
     std::vector<std::string> violations;
+    /** Limits by which starts are checked; set_customers() sets them. */
+    std::map<state::customer_id, core::resources> checked_limits;
     std::vector<std::string> starts; ///< TASK@WORKER of each started run.
     std::size_t holds = 0;           ///< Holds that the dispatcher has made.
     bool store_down = false;
@@ -207,6 +216,9 @@
         fake_dispatch_worker const& worker, state::run_order const& order)
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
+    auto check_limit(state::task_name const& task) -> void;
+    /** Returns need_of(), with the declared processors of best-effort tasks. */
+    auto charged_need(state::task_name const& name) const -> core::resources;
     /** Returns true if the store shows that the task may run on workers of
      *  @p service. */
     [[nodiscard]] auto is_service_stored(
@@ -241,6 +253,7 @@
     std::optional<std::vector<state::listed_worker>> last_listed_;
     state::queue_table queues_;
     std::map<std::string, state::job_plan> plans_;
+    std::map<std::string, state::customer_id> customer_of_; ///< By job.
     std::set<std::string> done_; ///< Tasks with an acknowledged completion.
 };
 
--- a/tests/support/played_load_base.cpp
+++ b/tests/support/played_load_base.cpp
@@ -127,7 +127,8 @@
                 std::erase_if(
                     open_, [&](open_job const& it) { return it.id == id; });
             }
-        });
+        },
+        classes_[load].customer);
 }
 
 auto played_load::step() -> void
--- a/tests/support/played_load_base.hpp
+++ b/tests/support/played_load_base.hpp
@@ -26,9 +26,10 @@
     std::int64_t run_ms = 1000;
     std::int64_t declared_run_ms = 1000;
     core::resources need{1000, 100, 0}; ///< Of each task.
+    state::customer_id customer;
 };
 
-/** What became of the jobs of a queue. */
+/** What became of the jobs of a load_class. */
 struct load_result
 {
     int jobs = 0;
@@ -53,6 +54,12 @@
      */
     played_load(dispatch_world& world, std::vector<load_class> classes);
 
+    /** Sets how many jobs of class @p load arrive. */
+    auto set_rate(std::size_t load, double jobs_per_s) -> void
+    {
+        classes_.at(load).jobs_per_s = jobs_per_s;
+    }
+
     /** Submits jobs for @p ms, at @p factor times their rates. */
     auto run_for(std::int64_t ms, double factor = 1.0) -> void;
 
@@ -62,6 +69,12 @@
     [[nodiscard]] auto result_of(std::string const& queue) const
         -> load_result const&;
 
+    /** Returns what became of the jobs of class @p load. */
+    [[nodiscard]] auto result_at(std::size_t load) const -> load_result const&
+    {
+        return results_.at(load);
+    }
+
     /** Returns the share of the tasks of all jobs whose job has credit. */
     [[nodiscard]] auto whole() const -> double;
 
