--- a/state/customer_shares_base.cpp
+++ b/state/customer_shares_base.cpp
@@ -87,13 +87,15 @@
     }
 }
 
+// Jobs without a customer have no weight: they are not compared, and go in the
+// order that they have in a configuration without customers.
 auto customer_shares::compare() -> void
 {
     contending_use_ = 0.0;
     contending_weight_ = 0.0;
     for (auto const& [id, account] : accounts_)
     {
-        if (account.contends)
+        if (account.contends && !id.empty())
         {
             contending_use_ += normalised_use(account) * account.weight;
             contending_weight_ += account.weight;
@@ -114,14 +116,15 @@
 auto customer_shares::is_beyond_share(customer_account const& account) const
     -> bool
 {
-    return is_above_mean(
-        normalised_use(account), contending_use_, contending_weight_);
+    return !account.customer.empty() &&
+           is_above_mean(
+               normalised_use(account), contending_use_, contending_weight_);
 }
 
 auto customer_shares::would_be_beyond_share(
     customer_account const& account) const -> bool
 {
-    if (account.contends)
+    if (account.contends || account.customer.empty())
     {
         return is_beyond_share(account);
     }
--- a/state/dispatch_customers.cpp
+++ b/state/dispatch_customers.cpp
@@ -78,6 +78,7 @@
     job_entry const& job, customer_account const& account) const -> bool
 {
     return !uses_customers() || job.account == &account ||
+           job.record.customer.empty() || account.customer.empty() ||
            shares.normalised_use(*job.account) <=
                shares.normalised_use(account);
 }
--- a/tests/dispatch_customers_test.cpp
+++ b/tests/dispatch_customers_test.cpp
@@ -174,6 +174,19 @@
     EXPECT_NEAR(part, 0.25, 0.05);
 }
 
+// Guards against jobs of open queues, which have no customer, that wait behind
+// all customers because they have no weight.
+TEST(dispatch_customers, jobs_without_a_customer_go_as_before)
+{
+    auto const world = world_of_customers();
+    world->behaviour_of = slow_tasks;
+    ASSERT_TRUE(world->submit(wide_plan("open", 200)));
+    world->run_for(500);
+    ASSERT_TRUE(world->submit(wide_plan("later", 200), customer(0)));
+    world->run_for(1800); // The first runs have ended.
+    EXPECT_EQ(world->phase("later"), state::plan_phase::queued);
+}
+
 // Guards against a customer with little recent use that waits behind others.
 TEST(dispatch_customers, who_has_used_little_goes_first)
 {
