--- a/experiments/customers/main.cpp
+++ b/experiments/customers/main.cpp
@@ -151,7 +151,7 @@
     return [shares](auto& customers, int now_ms)
     {
         constexpr auto milli = 1000;
-        shares->set_capacity({cores * milli, 0, 0});
+        shares->set_capacity({std::int64_t{cores} * milli, 0, 0});
         auto const account_of = [&](std::size_t i) -> state::customer_account&
         {
             return shares->account_of(state::customer_id{std::to_string(i)});
--- a/transport/frame_server_base.cpp
+++ b/transport/frame_server_base.cpp
@@ -24,7 +24,7 @@
 struct frame_server_state : std::enable_shared_from_this<frame_server_state>
 {
     frame_server_state(frame_limits bounds, frame_handler call)
-        : limits(bounds)
+        : limits(std::move(bounds))
         , handler(std::move(call))
     {
     }
@@ -368,7 +368,8 @@
     reactor& loop, endpoint const& where, frame_limits limits,
     frame_handler handler) -> std::optional<frame_server>
 {
-    auto state = std::make_shared<implementation>(limits, std::move(handler));
+    auto state =
+        std::make_shared<implementation>(std::move(limits), std::move(handler));
     if (!listen_for(state, *loop.internal().context, where))
     {
         return std::nullopt;
--- a/transport/http_server_base.cpp
+++ b/transport/http_server_base.cpp
@@ -111,7 +111,7 @@
 struct http_server_state : std::enable_shared_from_this<http_server_state>
 {
     http_server_state(http_server_limits bounds, http_handler call)
-        : limits(bounds)
+        : limits(std::move(bounds))
         , handler(std::move(call))
     {
     }
@@ -837,7 +837,8 @@
     reactor& loop, endpoint const& where, http_server_limits limits,
     http_handler handler) -> std::optional<http_server>
 {
-    auto state = std::make_shared<implementation>(limits, std::move(handler));
+    auto state =
+        std::make_shared<implementation>(std::move(limits), std::move(handler));
     if (!listen_for(state, *loop.internal().context, where))
     {
         return std::nullopt;
