--- a/transport/http_server_base.cpp
+++ b/transport/http_server_base.cpp
@@ -47,6 +47,9 @@
 // A request whose rest has not arrived for this long gives way to a new
 // connection.
 constexpr auto max_quiet_request = std::chrono::seconds{1};
+// So does one whose caller has not read its response for this long. Callers
+// wait for 3 s.
+constexpr auto max_quiet_response = std::chrono::seconds{5};
 // So does one that has served requests and had none for this long; callers
 // often send several, one after the other.
 constexpr auto min_idle_time = std::chrono::seconds{2};
@@ -224,7 +227,7 @@
         {
             return;
         }
-        if (reading_ || (idle_ && is_quiet(stream_.socket())))
+        if (reading_ || writing_ || (idle_ && is_quiet(stream_.socket())))
         {
             server_->report("connections");
             return close();
@@ -377,10 +380,14 @@
         }
         static constexpr std::string_view proceed =
             "HTTP/1.1 100 Continue\r\n\r\n";
+        proceeding_ = true;
         asio::async_write(
             stream_, asio::buffer(proceed.data(), proceed.size()),
             [self = shared_from_this()](error_code failed, std::size_t)
-            { failed ? self->close() : self->read_body(); });
+            {
+                self->proceeding_ = false;
+                failed ? self->close() : self->read_body();
+            });
     }
 
     auto read_body() -> void
@@ -496,6 +503,10 @@
             return;
         }
         server_->report("memory");
+        if (proceeding_)
+        {
+            return close(); // A second write must not overtake that one.
+        }
         // What is under way must not go on with the freed parser.
         auto ignored = error_code{};
         stream_.socket().cancel(ignored);
@@ -555,6 +566,8 @@
         keep_alive_ = keep_alive_ && !server_->last_request;
         message.keep_alive(keep_alive_);
         response_ = std::move(message);
+        writing_ = true;
+        quiet_.set_quiet(max_quiet_response);
         stream_.expires_after(server_->limits.write_timeout);
         http::async_write(
             stream_, response_,
@@ -572,6 +585,7 @@
         }
         if (keep_alive_)
         {
+            writing_ = false;
             wait_for_request();
             return;
         }
@@ -636,6 +650,8 @@
     quiet_time quiet_;
     bool reading_ = false;      ///< A request has begun and is not whole.
     bool read_pending_ = false; ///< An operation uses the parser.
+    bool proceeding_ = false;   ///< Writes that the body may come.
+    bool writing_ = false;      ///< A response, or waits after the last one.
     bool unused_ = true;        ///< No request has begun.
     bool idle_ = false;         ///< Waits for the first byte of a request.
     bool counted_ = false;      ///< Is part of the server's in_flight.
