Customers: jobs without a key share one weight; long-running tasks and 5% of the starts are not held back

Compared, a customer whose long-running tasks keep it beyond its share got no start while starts were scarce. Change: one account of weight 1 for them; a long-running task that has waited for 2 s is not held back, and 5% of the starts go to customers beyond their share.

--- a/state/customer_shares_base.cpp
+++ b/state/customer_shares_base.cpp
@@ -87,15 +87,15 @@
     }
 }
 
-// Jobs without a customer have no weight: they are not compared, and go in the
-// order that they have in a configuration without customers.
+// All jobs without a customer share one account of weight 1, so that callers
+// without a key cannot push out customers through an open queue.
 auto customer_shares::compare() -> void
 {
     contending_use_ = 0.0;
     contending_weight_ = 0.0;
     for (auto const& [id, account] : accounts_)
     {
-        if (account.contends && !id.empty())
+        if (account.contends)
         {
             contending_use_ += normalised_use(account) * account.weight;
             contending_weight_ += account.weight;
@@ -116,15 +116,14 @@
 auto customer_shares::is_beyond_share(customer_account const& account) const
     -> bool
 {
-    return !account.customer.empty() &&
-           is_above_mean(
-               normalised_use(account), contending_use_, contending_weight_);
+    return is_above_mean(
+        normalised_use(account), contending_use_, contending_weight_);
 }
 
 auto customer_shares::would_be_beyond_share(
     customer_account const& account) const -> bool
 {
-    if (account.contends || account.customer.empty())
+    if (account.contends)
     {
         return is_beyond_share(account);
     }
--- a/state/dispatch_customers.cpp
+++ b/state/dispatch_customers.cpp
@@ -12,6 +12,12 @@
 namespace
 {
 
+// A long-running task has to be at work again soon, whatever its customer uses.
+constexpr auto max_long_running_wait = std::chrono::seconds{2};
+// Share of the starts of customers beyond their share, so that a customer
+// whose long-running tasks keep it there still starts others.
+constexpr auto beyond_percent = 5;
+constexpr auto max_beyond_owed = 8.0;
 constexpr auto report_interval = std::chrono::seconds{1};
 // A customer's own backlog is known, so that a longer wait than for other
 // refusals is still true.
@@ -74,11 +80,33 @@
     return uses_customers() && shares.is_beyond_share(*job.account);
 }
 
+auto dispatcher::implementation::is_held_back(
+    job_entry const& job, step_entry const& step) const -> bool
+{
+    return is_beyond_share(job) &&
+           !(job.spec(step).long_running &&
+             last_pass_at - step.ready_since >= max_long_running_wait);
+}
+
+auto dispatcher::implementation::charge_tiers(
+    step_rank const& rank, std::size_t starts) -> void
+{
+    auto const n = static_cast<double>(starts);
+    if (rank.beyond_share != 0)
+    {
+        beyond_owed_starts = std::max(beyond_owed_starts - n, 0.0);
+    }
+    else if (uses_customers())
+    {
+        beyond_owed_starts = std::min(
+            beyond_owed_starts + n * beyond_percent / 100.0, max_beyond_owed);
+    }
+}
+
 auto dispatcher::implementation::goes_before(
     job_entry const& job, customer_account const& account) const -> bool
 {
     return !uses_customers() || job.account == &account ||
-           job.record.customer.empty() || account.customer.empty() ||
            shares.normalised_use(*job.account) <=
                shares.normalised_use(account);
 }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -870,8 +870,10 @@
     /** Returns the steps that may be placed, by queue. Long-running ones form
      *  a flow of their own, as do expired ones. */
     auto make_flows(std::int64_t now_ms) -> std::vector<step_flow>;
-    /** Returns the flow whose next step is placed, or null. */
-    static auto next_flow(std::vector<step_flow>& flows) -> step_flow*;
+    /** Returns the flow whose next step is placed, or null. @p beyond_first:
+     *  steps of customers beyond their share go before the others. */
+    static auto next_flow(std::vector<step_flow>& flows, bool beyond_first)
+        -> step_flow*;
     /** Charges @p starts to the guaranteed share of @p flow. */
     static auto charge_starts(
         std::vector<step_flow>& flows, step_flow& flow, std::size_t starts)
@@ -888,6 +890,12 @@
     [[nodiscard]] auto
     is_within_limit(job_entry const& job, plan_step const& spec) const -> bool;
     [[nodiscard]] auto is_beyond_share(job_entry const& job) const -> bool;
+    /** Returns true if tasks of the step are placed after those of customers
+     *  within their share. */
+    [[nodiscard]] auto
+    is_held_back(job_entry const& job, step_entry const& step) const -> bool;
+    /** Counts what customers beyond their share are owed of the starts. */
+    auto charge_tiers(step_rank const& rank, std::size_t starts) -> void;
     /** Returns true unless tasks of the job are placed after those of a
      * customer because of the shares. */
     [[nodiscard]] auto
@@ -1164,6 +1172,7 @@
     interference_model interference{tail_model_settings()};
     std::map<queue_id, queue_state> queue_states;
     customer_shares shares;
+    double beyond_owed_starts = 0.0;
     bool has_unseen = false; ///< An account may have unseen runs.
     core::time_point offered_decayed_at;
     core::time_point backlogs_measured_at;
--- a/state/dispatch_order.cpp
+++ b/state/dispatch_order.cpp
@@ -43,7 +43,7 @@
     auto const& job = *it.job;
     auto const& step = job.steps[it.step];
     auto const& queue = *find_queue(job);
-    auto const beyond = is_beyond_share(job) ? 1U : 0U;
+    auto const beyond = is_held_back(job, step) ? 1U : 0U;
     auto const begin = std::max(job.record.accepted_ms, step.not_before_ms);
     if (job.spec(step).long_running)
     {
@@ -142,8 +142,8 @@
     return flows;
 }
 
-auto dispatcher::implementation::next_flow(std::vector<step_flow>& flows)
-    -> step_flow*
+auto dispatcher::implementation::next_flow(
+    std::vector<step_flow>& flows, bool beyond_first) -> step_flow*
 {
     auto const owed = [](step_flow const& it)
     {
@@ -157,7 +157,8 @@
         auto const& b = right.steps[right.next].first;
         if (a.beyond_share != b.beyond_share)
         {
-            return a.beyond_share < b.beyond_share;
+            return beyond_first ? a.beyond_share > b.beyond_share
+                                : a.beyond_share < b.beyond_share;
         }
         auto const a_long_running = a.group == step_group::long_running;
         if (a_long_running != (b.group == step_group::long_running))
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -189,7 +189,7 @@
         [now](auto const& it) { return now < it.second->reserved_until; }));
     while (starts_left > 0)
     {
-        auto* const flow = next_flow(flows);
+        auto* const flow = next_flow(flows, beyond_owed_starts >= 1.0);
         if (flow == nullptr)
         {
             break;
@@ -214,6 +214,7 @@
         auto const started = waiting - step.ready_tasks.size();
         it.job->queue->starts[rank.urgency()] += started;
         charge_starts(flows, *flow, started);
+        charge_tiers(rank, started);
         count_first_starts(it, rank, started, now);
         if (placed)
         {
