--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -27,6 +27,12 @@
 // A host that is down does not answer a connection attempt; the router then
 // tries another instance.
 constexpr auto peer_connect_timeout = std::chrono::milliseconds{300};
+// A document of 1 MB takes 0.8 s on a link of 10 Mbit/s, and the store's own
+// answer may be on its way over that link. Asked after 2.5 s, another instance
+// has answered within 6 s.
+constexpr auto exchange_settings = coordination::config_exchange_settings{
+    std::chrono::milliseconds{2500}, std::chrono::milliseconds{500},
+    std::chrono::milliseconds{3000}};
 constexpr auto max_waiting_orders = std::size_t{512};
 
 auto set_process_metrics(core::metrics& metrics) -> void
@@ -147,7 +153,7 @@
               peer_client_.call(
                   endpoint, std::move(payload), timeout, std::move(on_done));
           },
-          config_exchange_hooks(), {})
+          config_exchange_hooks(), exchange_settings)
 {
 }
 
