--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace coordination = godwitcleat::coordination;
@@ -517,7 +518,9 @@
 // settings.
 TEST_F(hosted_fixture, settings_are_reloaded_with_and_without_a_signal)
 {
-    auto const path = testing::TempDir() + "reload.ini";
+    // Of this process, as the tests of another build may run beside it.
+    auto const path =
+        testing::TempDir() + fmt::format("reload-{}.ini", ::getpid());
     auto lines = std::make_shared<std::string>();
     auto mutex = std::make_shared<std::mutex>();
     auto const log = core::logger{
