--- a/transport/frame_client_base.cpp
+++ b/transport/frame_client_base.cpp
@@ -29,7 +29,7 @@
 {
     frame_client_state(asio::io_context& loop, frame_limits bounds)
         : context(loop)
-        , limits(bounds)
+        , limits(std::move(bounds))
     {
     }
 
@@ -392,8 +392,8 @@
 };
 
 frame_client::frame_client(reactor& loop, frame_limits limits)
-    : implementation_(
-          std::make_shared<implementation>(*loop.internal().context, limits))
+    : implementation_(std::make_shared<implementation>(
+          *loop.internal().context, std::move(limits)))
 {
 }
 
