Customers: a new owner counts unseen runs only with customers in the configuration

Found by reading: while a new owner recovers, each tick looked at all tasks of all jobs, in deployments without customers too, where nothing uses the result. The count is now made when a configuration with customers arrives, before the first start, and in ticks only then. dispatch_customers_test 18 of 18, dispatch_take_over_test 39 of 39, dispatch_test 58 of 58 on arm64.

--- a/state/dispatch_customers.cpp
+++ b/state/dispatch_customers.cpp
@@ -160,7 +160,7 @@
 // No more can run unseen than the workers that have not answered can hold.
 auto dispatcher::implementation::update_unseen() -> void
 {
-    if (!recovering && !has_unseen)
+    if (!uses_customers() || (!recovering && !has_unseen))
     {
         return;
     }
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -115,7 +115,6 @@
         }
     }
     recovering = !stored.jobs.empty();
-    update_unseen();
 }
 
 auto dispatcher::implementation::add_job(plan_record record) -> job_pointer
@@ -574,6 +573,7 @@
     if (queues->customers)
     {
         shares.set_customers(*queues->customers);
+        update_unseen(); // Before the first start of a new owner.
     }
     for (auto& [id, it] : queue_states)
     {
