--- a/transport/frame_server_base.cpp
+++ b/transport/frame_server_base.cpp
@@ -46,11 +46,6 @@
     std::atomic<bool> closed{false};
     std::mutex mutex; ///< Guards the connections.
     std::set<std::shared_ptr<server_connection>> connections;
-
-private:
-    /** Returns the connection that has been idle for longest, or null.
-     *  @pre `mutex` is held */
-    auto take_quietest() -> std::shared_ptr<server_connection>;
 };
 
 /** One connection; all members are used on its strand only. */
@@ -62,6 +57,7 @@
         : frame_connection(std::move(socket), server->limits)
         , server_(std::move(server))
     {
+        quiet_.set_quiet({});
     }
 
     /** Counts the bytes from now on. */
@@ -88,18 +84,11 @@
         }
     }
 
-    /** Returns when it last got a frame; std::nullopt with requests open. */
-    [[nodiscard]] auto quiet_since() const -> std::optional<core::time_point>
-    {
-        auto const result = core::time_point{core::duration{quiet_since_}};
-        return result == core::time_point{} ? std::nullopt
-                                            : std::optional{result};
-    }
-
-    /** Marks it as chosen to be closed. */
-    auto mark_busy() -> void
+    /** Returns the state that other threads may look at: quiet while no
+     *  request is open. */
+    [[nodiscard]] auto quiet() -> quiet_time&
     {
-        quiet_since_ = 0;
+        return quiet_;
     }
 
     /** Replies to a request of @p bytes. */
@@ -133,7 +122,7 @@
         in_flight_bytes_ -= bytes;
         if (in_flight_ == 0)
         {
-            quiet_since_ = now().time_since_epoch().count();
+            quiet_.set_quiet({});
             if (memory_)
             {
                 memory_->begin();
@@ -183,19 +172,12 @@
         return in_flight_ > 0;
     }
 
-    static auto now() -> core::time_point
-    {
-        return core::time_point{std::chrono::steady_clock::now()};
-    }
-
     std::shared_ptr<frame_server_state> server_;
     std::optional<budget_share> memory_; ///< Set by open_account().
     std::size_t in_flight_ = 0;
     /** Of the requests that have no reply yet. */
     std::size_t in_flight_bytes_ = 0;
-    /** As core::time_point; 0: requests are open. */
-    std::atomic<core::duration::rep> quiet_since_ =
-        now().time_since_epoch().count();
+    quiet_time quiet_;
 };
 
 /** Answers one request at most once. */
@@ -263,7 +245,7 @@
     {
         memory_->protect();
     }
-    quiet_since_ = 0;
+    quiet_.set_busy();
     auto const self =
         std::static_pointer_cast<server_connection>(shared_from_this());
     server_->handler(
@@ -284,7 +266,7 @@
             return;
         }
         auto const is_full = connections.size() >= limits.connections;
-        quietest = is_full ? take_quietest() : nullptr;
+        quietest = is_full ? take_quietest(connections) : nullptr;
         if (!is_full || quietest)
         {
             connection = std::make_shared<server_connection>(
@@ -309,26 +291,6 @@
         });
 }
 
-auto frame_server_state::take_quietest() -> std::shared_ptr<server_connection>
-{
-    auto result = std::shared_ptr<server_connection>{};
-    auto longest = core::time_point::max();
-    for (auto const& it : connections)
-    {
-        auto const since = it->quiet_since();
-        if (since && *since < longest)
-        {
-            longest = *since;
-            result = it;
-        }
-    }
-    if (result)
-    {
-        result->mark_busy(); // It is not taken again.
-    }
-    return result;
-}
-
 auto frame_server_state::remove(
     std::shared_ptr<server_connection> const& connection) -> void
 {
--- a/transport/listener_internal.hpp
+++ b/transport/listener_internal.hpp
@@ -2,13 +2,18 @@
 #ifndef GODWITCLEAT_TRANSPORT_LISTENER_INTERNAL_HPP
 #define GODWITCLEAT_TRANSPORT_LISTENER_INTERNAL_HPP
 
+#include "core/core.hpp"
 #include "transport/endpoint_type.hpp"
 
 #include <boost/asio.hpp>
 
+#include <atomic>
+#include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace godwitcleat::transport
@@ -21,6 +26,68 @@
 /** Returns true if the peer has sent nothing and has not closed. */
 auto is_quiet(boost::asio::ip::tcp::socket& socket) -> bool;
 
+/** When a connection was last active, for a look from other threads. */
+class quiet_time
+{
+public:
+    /** It may be closed for another one after @p time. */
+    auto set_quiet(core::duration time) -> void
+    {
+        since_ = (now() + time).time_since_epoch().count();
+    }
+
+    /** Its request is in progress. */
+    auto set_busy() -> void
+    {
+        since_ = never;
+    }
+
+    /** Returns the time since when it may be closed for another one, or
+     *  std::nullopt. */
+    [[nodiscard]] auto since() const -> std::optional<core::time_point>
+    {
+        auto const result = core::time_point{core::duration{since_.load()}};
+        return result <= now() ? std::optional{result} : std::nullopt;
+    }
+
+private:
+    static constexpr auto never =
+        std::numeric_limits<core::duration::rep>::max();
+
+    static auto now() -> core::time_point
+    {
+        return core::time_point{std::chrono::steady_clock::now()};
+    }
+
+    std::atomic<core::duration::rep> since_ = never;
+};
+
+/**
+ * Returns the one of @p connections that has been quiet for longest, marked as
+ * busy so that it is not taken again; null if none is quiet.
+ */
+template <class Connections>
+auto take_quietest(Connections const& connections) ->
+    typename Connections::value_type
+{
+    auto result = typename Connections::value_type{};
+    auto longest = core::time_point::max();
+    for (auto const& it : connections)
+    {
+        auto const since = it->quiet().since();
+        if (since && *since < longest)
+        {
+            longest = *since;
+            result = it;
+        }
+    }
+    if (result)
+    {
+        result->quiet().set_busy();
+    }
+    return result;
+}
+
 /** A listening socket. Thread-safe. */
 class listener : public std::enable_shared_from_this<listener>
 {
