term_test: wait for handlers that use a keeper before it is destroyed

Cause: at the end of a case its store was destroyed while a handler of the watched range ran on the loop's thread and called it. Daemons stop their loop before they destroy what its handlers use.

Change: the test's keeper waits for the loop's only thread before its members are destroyed.

--- a/tests/term_test.cpp
+++ b/tests/term_test.cpp
@@ -150,12 +150,37 @@
     }
 };
 
+/** Waits, when it is destroyed, until the loop's only thread has left the
+ *  handler that it is in. */
+class end_of_handlers
+{
+public:
+    explicit end_of_handlers(transport::reactor& loop)
+        : loop_(loop)
+    {
+    }
+
+    ~end_of_handlers()
+    {
+        auto const reached = std::make_shared<std::promise<void>>();
+        loop_.post([reached] { reached->set_value(); });
+        reached->get_future().wait();
+    }
+
+    end_of_handlers(end_of_handlers const&) = delete;
+    auto operator=(end_of_handlers const&) -> end_of_handlers& = delete;
+
+private:
+    transport::reactor& loop_;
+};
+
 struct keeper
 {
     keeper(
         coordination::store& target, transport::reactor& loop,
         std::string const& name, std::uint32_t cpu_milli = 0)
         : store(target)
+        , handlers(loop)
         , term(
               store, loop, core::suspend_aware_clock(), core::null_logger(),
               "p/",
@@ -182,6 +207,9 @@
     std::atomic<std::uint64_t> acquired = 0;
     std::atomic<bool> dated = false;
     std::atomic<core::time_point> last_write_by = core::time_point{};
+    /** A handler that has begun uses the members above after the end of the
+     *  term, as a daemon's handlers do until its loop stops. */
+    end_of_handlers handlers;
     coordination::term_keeper term;
 };
 
@@ -603,6 +631,7 @@
         ASSERT_TRUE(eventually([&] { return killed.acquired.load() == 1; }));
     }
     auto acquired = std::atomic<std::uint64_t>{0};
+    auto const handlers = end_of_handlers{loop};
     auto again = coordination::term_keeper{
         store,
         loop,
