Customers: starts beyond a share reach each queue

Cause: 5% of the starts go to customers beyond their share, but within a queue their steps came after all others, so that they started only once their jobs had lost their value.

Change: the steps of a queue form two lists, of customers within and beyond their share. A turn out of order takes at most the starts that are owed: a wide step took all room that was free (room_is_divided_by_weight failed with 0.5 instead of 0.25). Refusals are built by one function; accounts are not looked up again by their id.

--- a/state/customer_shares_base.cpp
+++ b/state/customer_shares_base.cpp
@@ -172,6 +172,11 @@
     return std::max<std::int64_t>(limited, 1);
 }
 
+auto customer_shares::accounts() -> std::map<customer_id, customer_account>&
+{
+    return accounts_;
+}
+
 auto customer_shares::accounts() const
     -> std::map<customer_id, customer_account> const&
 {
--- a/state/customer_shares_base.hpp
+++ b/state/customer_shares_base.hpp
@@ -99,6 +99,7 @@
     [[nodiscard]] auto entitled_cpu_milli(customer_account const& account) const
         -> std::int64_t;
 
+    [[nodiscard]] auto accounts() -> std::map<customer_id, customer_account>&;
     [[nodiscard]] auto accounts() const
         -> std::map<customer_id, customer_account> const&;
 
--- a/state/dispatch_admission.cpp
+++ b/state/dispatch_admission.cpp
@@ -198,7 +198,6 @@
         return true;
     }
     remember_refused(plan.id, now_ms);
-    ++totals.jobs_refused;
     refuse_for_customer(plan, account, wait, left);
     return false;
 }
@@ -219,18 +218,28 @@
     }
 }
 
-auto dispatcher::implementation::refuse(
-    job_plan const& plan, std::int64_t wait_ms, std::int64_t left_ms) -> void
+auto dispatcher::implementation::fail_refused(
+    core::error_kind kind, std::string_view cause, std::int64_t retry_after_s)
+    -> void
 {
     ++totals.jobs_refused;
     auto reason = core::failure{};
-    reason.kind = core::error_kind::no_capacity;
-    reason.retry_after_s = retry_after(wait_ms, left_ms, max_retry_after_s);
-    reason.message = fmt::format(
-        "the job would wait {} ms for its first task and not end in time; "
-        "submit it again in {} s",
-        wait_ms, reason.retry_after_s);
+    reason.kind = kind;
+    reason.retry_after_s = retry_after_s;
+    reason.message =
+        fmt::format("{}; submit it again in {} s", cause, retry_after_s);
     core::fail(reason);
+}
+
+auto dispatcher::implementation::refuse(
+    job_plan const& plan, std::int64_t wait_ms, std::int64_t left_ms) -> void
+{
+    fail_refused(
+        core::error_kind::no_capacity,
+        fmt::format(
+            "the job would wait {} ms for its first task and not end in time",
+            wait_ms),
+        retry_after(wait_ms, left_ms, max_retry_after_s));
     auto const& backlog = queue_state_of(plan.queue).backlog;
     event(
         "A job was refused.", {{"job", plan.id.value},
@@ -376,9 +385,9 @@
     {
         return; // What waits has been tried and found no room.
     }
-    for (auto const& flow : flows)
+    auto const count = [this](step_list const& list)
     {
-        for (auto const& [rank, i] : flow.steps)
+        for (auto const& [rank, i] : list.steps)
         {
             auto const& it = ready_steps[i];
             auto const& step = it.job->steps[it.step];
@@ -388,6 +397,11 @@
                 it.job->queue->backlog.waiting_tasks += step.ready_tasks.size();
             }
         }
+    };
+    for (auto const& flow : flows)
+    {
+        count(flow.within_share);
+        count(flow.beyond_share);
     }
 }
 
--- a/state/dispatch_customers.cpp
+++ b/state/dispatch_customers.cpp
@@ -164,9 +164,9 @@
     {
         return;
     }
-    for (auto const& [id, account] : shares.accounts())
+    for (auto& [id, account] : shares.accounts())
     {
-        shares.account_of(id).unseen = {};
+        account.unseen = {};
     }
     has_unseen = recovering;
     if (!recovering)
@@ -194,10 +194,9 @@
         unheard += worker->may_have_unknown_runs ? worker->info.capacity
                                                  : core::resources{};
     }
-    for (auto const& [id, account] : shares.accounts())
+    for (auto& [id, account] : shares.accounts())
     {
-        auto& it = shares.account_of(id);
-        customer_shares::set_unseen(it, smaller(it.unseen, unheard));
+        customer_shares::set_unseen(account, smaller(account.unseen, unheard));
     }
 }
 
@@ -259,14 +258,11 @@
     std::int64_t left_ms) -> void
 {
     ++account.refused;
-    auto reason = core::failure{};
-    reason.kind = core::error_kind::quota_exceeded;
-    reason.retry_after_s = retry_after(wait_ms, left_ms, max_retry_after_s);
-    reason.message = fmt::format(
-        "the customer's own jobs would make this one wait {} ms; submit it "
-        "again in {} s",
-        wait_ms, reason.retry_after_s);
-    core::fail(reason);
+    fail_refused(
+        core::error_kind::quota_exceeded,
+        fmt::format(
+            "the customer's own jobs would make this one wait {} ms", wait_ms),
+        retry_after(wait_ms, left_ms, max_retry_after_s));
     event(
         "A job was refused for its customer's share.",
         {{"job", plan.id.value},
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -203,18 +203,45 @@
     start_backlog backlog;
 };
 
+/** Steps that wait, by rank. */
+struct step_list
+{
+    std::vector<std::pair<step_rank, std::size_t>> steps;
+    std::size_t next = 0; ///< The first one that was not tried in this pass.
+
+    [[nodiscard]] auto is_empty() const -> bool
+    {
+        return next == steps.size();
+    }
+};
+
 /** The steps of a queue that wait, or the expired ones of all queues. */
 struct step_flow
 {
     queue_state* queue = nullptr; ///< Null: expired steps of all queues.
-    std::vector<std::pair<step_rank, std::size_t>> steps; ///< By rank.
-    std::size_t next = 0; ///< The first one that was not tried in this pass.
-    double share = 0.0;   ///< Guaranteed share of all starts.
+    step_list within_share; ///< Of customers that are not beyond their share.
+    step_list beyond_share;
+    double share = 0.0; ///< Guaranteed share of all starts.
     double* owed_starts = nullptr;
 
     [[nodiscard]] auto is_empty() const -> bool
     {
-        return next == steps.size();
+        return within_share.is_empty() && beyond_share.is_empty();
+    }
+
+    auto add(step_rank const& rank, std::size_t step) -> void
+    {
+        auto& list = rank.beyond_share != 0 ? beyond_share : within_share;
+        list.steps.emplace_back(rank, step);
+    }
+
+    /** Returns the list from which the next step comes.
+     *  @pre the flow is not empty */
+    [[nodiscard]] auto front(bool beyond_first) -> step_list&
+    {
+        auto const takes_beyond = within_share.is_empty() ||
+                                  (beyond_first && !beyond_share.is_empty());
+        return takes_beyond ? beyond_share : within_share;
     }
 };
 
@@ -941,6 +968,10 @@
         -> std::int64_t;
     /** Remembers when a refused job was first submitted. */
     auto remember_refused(core::job_id const& job, std::int64_t now_ms) -> void;
+    /** Counts a refused job and sets core::last_reason(). */
+    auto fail_refused(
+        core::error_kind kind, std::string_view cause,
+        std::int64_t retry_after_s) -> void;
     /** Sets core::last_reason() for a job that would wait for @p wait_ms and
      *  may wait for less than @p left_ms. */
     auto
--- a/state/dispatch_order.cpp
+++ b/state/dispatch_order.cpp
@@ -106,17 +106,17 @@
         {
             auto& flow =
                 rank.group == step_group::expired ? expired : long_running;
-            flow.steps.emplace_back(rank, i);
+            flow.add(rank, i);
             continue;
         }
         auto* const queue = it.job->queue;
         auto const [found, inserted] = flow_of.try_emplace(queue, flows.size());
         if (inserted)
         {
-            flows.push_back({queue, {}, 0, 0.0, &queue->owed_starts});
+            flows.push_back({queue, {}, {}, 0.0, &queue->owed_starts});
             offered += queue->offered_tasks;
         }
-        flows[found->second].steps.emplace_back(rank, i);
+        flows[found->second].add(rank, i);
     }
     for (auto& it : flows)
     {
@@ -125,19 +125,22 @@
                               : 1.0 / static_cast<double>(flows.size());
         it.share = part * guaranteed_percent / 100;
     }
-    if (!expired.steps.empty())
+    if (!expired.is_empty())
     {
         expired.share = static_cast<double>(expired_percent) / 100;
         expired.owed_starts = &expired_owed_starts;
         flows.push_back(std::move(expired));
     }
-    if (!long_running.steps.empty())
+    if (!long_running.is_empty())
     {
         flows.push_back(std::move(long_running));
     }
     for (auto& it : flows)
     {
-        std::sort(it.steps.begin(), it.steps.end());
+        for (auto* const list : {&it.within_share, &it.beyond_share})
+        {
+            std::sort(list->steps.begin(), list->steps.end());
+        }
     }
     return flows;
 }
@@ -151,10 +154,15 @@
                    ? *it.owed_starts
                    : 0.0;
     };
-    auto const goes_first = [&](step_flow const& left, step_flow const& right)
+    auto const front = [beyond_first](step_flow & it) -> auto const&
+    {
+        auto const& list = it.front(beyond_first);
+        return list.steps[list.next];
+    };
+    auto const goes_first = [&](step_flow& left, step_flow& right)
     {
-        auto const& a = left.steps[left.next].first;
-        auto const& b = right.steps[right.next].first;
+        auto const& a = front(left).first;
+        auto const& b = front(right).first;
         if (a.beyond_share != b.beyond_share)
         {
             return beyond_first ? a.beyond_share > b.beyond_share
@@ -169,7 +177,7 @@
         {
             return owed(left) > owed(right);
         }
-        return left.steps[left.next] < right.steps[right.next];
+        return front(left) < front(right);
     };
     auto* best = static_cast<step_flow*>(nullptr);
     for (auto& it : flows)
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -189,12 +189,14 @@
         [now](auto const& it) { return now < it.second->reserved_until; }));
     while (starts_left > 0)
     {
-        auto* const flow = next_flow(flows, beyond_owed_starts >= 1.0);
+        auto const beyond_first = beyond_owed_starts >= 1.0;
+        auto* const flow = next_flow(flows, beyond_first);
         if (flow == nullptr)
         {
             break;
         }
-        auto const& [rank, i] = flow->steps[flow->next++];
+        auto& list = flow->front(beyond_first);
+        auto const& [rank, i] = list.steps[list.next++];
         auto const it = ready_steps[i];
         auto const& step = it.job->steps[it.step];
         auto const& spec = it.job->spec(step);
@@ -209,9 +211,17 @@
             continue;
         }
         auto const waiting = step.ready_tasks.size();
+        auto const all_starts = starts_left;
+        if (beyond_first && rank.beyond_share != 0)
+        {
+            // A wide step would take all room out of turn.
+            starts_left = std::min(
+                starts_left, static_cast<std::size_t>(beyond_owed_starts));
+        }
         auto const placed =
             spec.gang ? place_gang(it, now) : place_step(it, now);
         auto const started = waiting - step.ready_tasks.size();
+        starts_left = all_starts - std::min(all_starts, started);
         it.job->queue->starts[rank.urgency()] += started;
         charge_starts(flows, *flow, started);
         charge_tiers(rank, started);
--- a/tests/dispatch_customers_test.cpp
+++ b/tests/dispatch_customers_test.cpp
@@ -236,6 +236,23 @@
     EXPECT_NE(world->phase("j1"), state::plan_phase::completed);
 }
 
+// Guards against jobs of a customer beyond its share that start only once they
+// have lost their value, because others of the same queue always wait.
+TEST(dispatch_customers, a_customer_beyond_its_share_starts_some_tasks_in_time)
+{
+    auto const world = world_with_scarce_starts();
+    auto const small = tests::make_plan("small", 4, 1000);
+    ASSERT_TRUE(world->submit(small, customer(0)));
+    auto const queue = tests::make_queue();
+    world->run_for(
+        static_cast<std::int64_t>(
+            queue.stretch *
+            static_cast<double>(small.steps.front().expected_run_ms)) +
+        queue.allowance_ms);
+    EXPECT_EQ(world->phase("small"), state::plan_phase::completed);
+    EXPECT_NE(world->phase("j1"), state::plan_phase::completed);
+}
+
 // Guards against a customer with little recent use that waits behind others.
 TEST(dispatch_customers, who_has_used_little_goes_first)
 {
