Soak and tests: customers, crowds, and a limit by address

The soak's even seeds have customers with limits and with keys that come and go (rules QUOTA and KEYS); seeds whose rest by 4 is 2 or 3 have crowds that keep to no limits, and each instance stays within 64 MB (rule MEMORY). The crowd moves to the stand-ins. New cases: connections of one address, whole bodies of many small JSON values, whose tree is not in the account of bytes. Crowd and bounds of the older cases are unchanged.

--- a/standins/soak/main.cpp
+++ b/standins/soak/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp Runs daemons under random faults and checks the rules. */
 #include "standins/soak/soak_clients.hpp"
+#include "standins/soak/soak_crowd.hpp"
 #include "standins/soak/soak_faults.hpp"
 #include "standins/support/main_func.hpp"
 
@@ -61,7 +62,8 @@
               store_.address, lease_limit_)
         , faults_(
               seed_, check_, store_, fleet_, workers_,
-              [this](auto const& place) { return make_worker(place); })
+              [this](auto const& place) { return make_worker(place); },
+              has_customers_)
     {
     }
 
@@ -80,7 +82,12 @@
         {
             {
                 auto const clients = soak::soak_clients{
-                    loop_, check_, gateways(), seed_, number("clients")};
+                    loop_,         check_, gateways(), seed_, number("clients"),
+                    has_customers_};
+                auto const crowd = has_crowd_
+                                       ? std::make_unique<soak::soak_crowd>(
+                                             check_, gateways(), seed_)
+                                       : nullptr;
                 auto const duration =
                     std::chrono::seconds{number("duration-s")};
                 wait(duration, true, [] { return false; });
@@ -212,12 +219,23 @@
     // what is cancelled stops.
     auto settle() -> void
     {
-        auto caller = soak::soak_caller{loop_, check_, gateways(), seed_};
+        // Jobs are hidden from other customers.
+        auto callers = std::vector<std::unique_ptr<soak::soak_caller>>{};
+        for (auto i = std::size_t{0}; i < soak::customer_limits.size(); ++i)
+        {
+            callers.push_back(std::make_unique<soak::soak_caller>(
+                loop_, check_, gateways(), seed_,
+                has_customers_ ? std::optional{i} : std::nullopt));
+        }
+        auto const caller_of = [&](std::string const& job) -> auto&
+        {
+            return *callers.at(check_.customer_of(job).value_or(0));
+        };
         auto const complete = [&]
         {
             for (auto const& it : check_.open(false))
             {
-                caller.ask(it);
+                caller_of(it).ask(it);
             }
             return check_.open(false).empty();
         };
@@ -233,7 +251,7 @@
         }
         for (auto const& it : check_.open(true))
         {
-            if (!caller.cancel(it))
+            if (!caller_of(it).cancel(it))
             {
                 check_.report("ACKS not cancelled", it);
             }
@@ -243,6 +261,8 @@
 
     cxxopts::ParseResult const& options_;
     std::uint64_t seed_;
+    bool const has_customers_ = seed_ % 2 == 0;
+    bool const has_crowd_ = seed_ % 4 >= 2;
     std::chrono::milliseconds lease_limit_{
         core::random_source{seed_}.below(4) == 0 ? 6000 : 10'000};
     std::filesystem::path folder_;
--- a/standins/soak/soak_check.hpp
+++ b/standins/soak/soak_check.hpp
@@ -3,11 +3,13 @@
 #define GODWITCLEAT_STANDINS_SOAK_SOAK_CHECK_HPP
 
 #include "core/core.hpp"
+#include "standins/soak/soak_customers.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <map>
 #include <mutex>
@@ -30,6 +32,8 @@
     int tasks = 1; ///< Of each step.
     std::int64_t cpu_milli = 500;
     bool lasts = false; ///< Long-running.
+    /** Index in customer_limits; unset in a run without customers. */
+    std::optional<std::size_t> customer;
 };
 
 /**
@@ -55,6 +59,40 @@
         write({{"event", "submit"}, {"job", job.id}, {"spec", job.spec}});
     }
 
+    /** Takes note of a configuration that is about to be written. */
+    auto configured(std::uint64_t version) -> void
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        auto const had_keys = !temporary_keys_gone_;
+        temporary_keys_gone_ = has_temporary_keys(version) ? std::nullopt
+                               : had_keys ? std::optional{clock_()}
+                                          : temporary_keys_gone_;
+    }
+
+    /** Checks the answer to a call with a key of @p kind that was sent at
+     *  @p sent. */
+    auto answered(
+        std::string const& id, key_kind kind, core::time_point sent, int status)
+        -> void
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        auto const denied = status == 401;
+        if (kind == key_kind::unknown && status == 200)
+        {
+            breach("KEYS an unknown key is served", id);
+        }
+        if (kind == key_kind::permanent && denied)
+        {
+            breach("KEYS a key is denied", id);
+        }
+        if (kind == key_kind::temporary && status == 200 &&
+            temporary_keys_gone_ && sent > *temporary_keys_gone_ + calm_bound &&
+            calm() > calm_bound)
+        {
+            breach("KEYS a removed key is served", id);
+        }
+    }
+
     /** @param refused the answer says that the job is not accepted. */
     auto submitted(std::string const& id, int status, bool refused) -> void
     {
@@ -148,7 +186,14 @@
         {
             breach("LIMIT on " + worker, task);
         }
-        runs_.push_back({task, worker, run, cpu, "", false});
+        auto const customer =
+            found == jobs_.end() ? std::nullopt : found->second.job.customer;
+        if (customer && (used_by_customer_.at(*customer) += cpu) >
+                            customer_limits.at(*customer))
+        {
+            breach(fmt::format("QUOTA of c{}", *customer), task);
+        }
+        runs_.push_back({task, worker, run, cpu, "", false, customer});
         by_task_[task].push_back(runs_.size() - 1);
         return runs_.size() - 1;
     }
@@ -159,6 +204,10 @@
         auto& it = runs_.at(index);
         it.how = how;
         used_[it.worker] -= it.cpu_milli;
+        if (it.customer)
+        {
+            used_by_customer_.at(*it.customer) -= it.cpu_milli;
+        }
         write(
             {{"event", "end"},
              {"task", it.task},
@@ -209,6 +258,13 @@
         breach(rule, about);
     }
 
+    [[nodiscard]] auto customer_of(std::string const& id) const
+        -> std::optional<std::size_t>
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        return jobs_.at(id).job.customer;
+    }
+
     /** Accepted jobs that are neither cancelled nor shown as completed. */
     [[nodiscard]] auto open(bool lasting) const -> std::vector<std::string>
     {
@@ -287,6 +343,7 @@
         std::int64_t cpu_milli = 0;
         std::string how; ///< Empty while it runs.
         bool noted = false;
+        std::optional<std::size_t> customer;
     };
 
     /** After the last fault, until the bounds of the rules hold. */
@@ -405,6 +462,9 @@
     std::vector<run_state> runs_;
     std::map<std::string, std::vector<std::size_t>> by_task_;
     std::map<std::string, std::int64_t> used_; ///< By worker, in milli-cores.
+    std::array<std::int64_t, customer_limits.size()> used_by_customer_{};
+    /** Since when no configuration has the temporary keys. */
+    std::optional<core::time_point> temporary_keys_gone_ = begun_;
     std::set<std::string> reported_;
     std::size_t breaches_ = 0;
 };
--- a/standins/soak/soak_clients.hpp
+++ b/standins/soak/soak_clients.hpp
@@ -17,9 +17,11 @@
 public:
     soak_caller(
         transport::reactor& loop, soak_check& check,
-        std::vector<transport::endpoint> gateways, std::uint64_t seed)
+        std::vector<transport::endpoint> gateways, std::uint64_t seed,
+        std::optional<std::size_t> customer)
         : check_(check)
         , gateways_(std::move(gateways))
+        , customer_(customer)
         , random_(seed)
         , client_(loop, {})
     {
@@ -39,7 +41,8 @@
                 !result.response &&
                 result.progress == transport::send_progress::nothing_written;
             check_.submitted(
-                job.id, status, unsent || status == 429 || status == 503);
+                job.id, status,
+                unsent || status == 401 || status == 429 || status == 503);
             if (status == 200 || status == 429 || status == 503)
             {
                 return status == 200; // A refused job is not sent again.
@@ -86,7 +89,8 @@
         auto const roll = random_.below(10);
         job.id = fmt::format("{:016x}", random_.below(~0ULL));
         job.tasks = static_cast<int>(1 + random_.below(4));
-        job.lasts = roll >= 7;
+        job.lasts = roll >= 7 && customer_ != short_customer;
+        job.customer = customer_;
         // Longer than a lease: some are at work on each worker at any time.
         auto const is_long = roll == 5 || roll == 6;
         job.steps =
@@ -144,11 +148,21 @@
             {"Host", "desk.example"},
             {"Godwitcleat-Deadline-Ms", std::to_string(deadline.count())}};
         request.body = std::move(body);
+        auto const key = customer_ ? draw_key() : key_kind::permanent;
+        if (customer_)
+        {
+            request.headers.set("X-Api-Key", key_of(*customer_, key));
+        }
+        auto const sent = core::system_clock()();
         auto done = std::promise<transport::http_result>{};
         client_.send(
             gateways_[home_], std::move(request), deadline + slack,
             [&done](auto result) { done.set_value(std::move(result)); });
         auto result = done.get_future().get();
+        if (customer_ && result.response)
+        {
+            check_.answered(id, key, sent, result.response->status);
+        }
         if (!result.response || result.response->status >= 500)
         {
             home_ = random_.below(gateways_.size());
@@ -156,6 +170,14 @@
         return result;
     }
 
+    auto draw_key() -> key_kind
+    {
+        auto const roll = random_.below(20);
+        return roll == 0   ? key_kind::unknown
+               : roll <= 2 ? key_kind::temporary
+                           : key_kind::permanent;
+    }
+
     auto pause(std::uint64_t most_ms) -> void
     {
         std::this_thread::sleep_for(
@@ -164,6 +186,7 @@
 
     soak_check& check_;
     std::vector<transport::endpoint> gateways_;
+    std::optional<std::size_t> customer_;
     core::random_source random_;
     transport::http_client client_;
     std::size_t home_ = random_.below(gateways_.size());
@@ -176,13 +199,17 @@
     soak_clients(
         transport::reactor& loop, soak_check& check,
         std::vector<transport::endpoint> const& gateways, std::uint64_t seed,
-        int count)
+        int count, bool has_customers)
     {
         constexpr auto seeds_per_run = 1000;
         for (auto i = 0; i < count; ++i)
         {
             auto it = std::make_shared<soak_caller>(
-                loop, check, gateways, seed * seeds_per_run + i);
+                loop, check, gateways, seed * seeds_per_run + i,
+                has_customers
+                    ? std::
+                          optional{static_cast<std::size_t>(i) % customer_limits.size()}
+                    : std::nullopt);
             threads_.emplace_back(
                 [this, it]
                 {
--- a/standins/soak/soak_faults.hpp
+++ b/standins/soak/soak_faults.hpp
@@ -19,8 +19,10 @@
 public:
     soak_faults(
         std::uint64_t seed, soak_check& check, soak_store& store,
-        soak_fleet& fleet, worker_list& workers, make_worker make)
+        soak_fleet& fleet, worker_list& workers, make_worker make,
+        bool has_customers)
         : restarts_only_(seed % 3 == 0)
+        , has_customers_(has_customers)
         , random_(seed)
         , check_(check)
         , store_(store)
@@ -86,12 +88,17 @@
         {
             routes.push_back(route("r2", "/more/"));
         }
-        auto const config = json{
+        auto config = json{
             {"version", version_},
             {"routes", routes},
             {"services", {{{"name", "svc"}, {"rejects-overload", false}}}},
             {"limits", {{"body-bytes", 65536}}}};
+        if (has_customers_)
+        {
+            config["tenants"] = customers_of(version_);
+        }
         check_.fault(fmt::format("configuration {}", version_));
+        check_.configured(version_);
         store_.put("op/config", config.dump());
     }
 
@@ -463,7 +470,8 @@
     }
 
     core::clock clock_ = core::system_clock();
-    bool restarts_only_; ///< Those of data centres alone, in some runs.
+    bool restarts_only_;       ///< Those of data centres alone, in some runs.
+    bool const has_customers_; ///< The configuration lists them.
     core::random_source random_;
     soak_check& check_;
     soak_store& store_;
--- a/standins/soak/soak_fleet.hpp
+++ b/standins/soak/soak_fleet.hpp
@@ -6,6 +6,7 @@
 #include "standins/soak/soak_check.hpp"
 #include "standins/soak/soak_link.hpp"
 #include "standins/support/hosted_gateway_base.hpp"
+#include "standins/support/process_memory_func.hpp"
 
 #include <csignal>
 #include <fcntl.h>
@@ -219,19 +220,25 @@
             "[store]\naddresses = {}\ntimeout_ms = 1000\n"
             "[hosted]\nreadiness = {}\nlease_limit_ms = {}\nstop_ms = 200\n"
             "worker_notice_ms = 2000\ndata_centre_notice_ms = 5000\n"
-            "[limits]\nthreads = 1\ndrain_delay_ms = {}\n"
+            "[limits]\nthreads = 1\nmemory_mb = {}\ndrain_delay_ms = {}\n"
             "drain_timeout_ms = 2800\n",
             it.name, it.data_centre, to_string(it.gateway), to_string(it.peer),
             to_string(it.peer_link.local()), to_string(it.control),
             to_string(it.store_link.local()), to_string(it.readiness),
-            lease_limit_.count(), drain_ms);
+            lease_limit_.count(), memory_mb, drain_ms);
     }
 
-    /** Notes ended processes; reports those that nobody asked to end. */
+    /** Notes ended processes; reports those that nobody asked to end, and those
+     *  that have outgrown their memory. */
     auto reap() -> void
     {
         for (auto const& it : all)
         {
+            if (standins::checks_memory && it->pid != 0 &&
+                standins::peak_memory_mb(it->pid) > memory_mb)
+            {
+                check_.report("MEMORY", it->name);
+            }
             auto status = 0;
             if (it->pid != 0 && waitpid(it->pid, &status, WNOHANG) == it->pid)
             {
@@ -246,6 +253,8 @@
     std::vector<std::unique_ptr<instance>> all;
 
 private:
+    static constexpr auto memory_mb = std::size_t{64}; ///< Of an instance.
+
     // Ports below the ephemeral ones, on a loopback address of this process, so
     // that soaks at the same time do not meet.
     auto free_endpoint() -> transport::endpoint
--- a/tests/support/caller_crowd_base.cpp
+++ b/standins/support/caller_crowd_base.cpp
@@ -1,5 +1,5 @@
 /** @file caller_crowd_base.cpp Callers that nobody controls. */
-#include "tests/support/caller_crowd_base.hpp"
+#include "standins/support/caller_crowd_base.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -11,7 +11,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace godwitcleat::tests
+namespace godwitcleat::standins
 {
 
 namespace
@@ -59,7 +59,8 @@
 }
 
 caller_crowd::caller_crowd(
-    transport::endpoint where, std::size_t connections, caller_script script)
+    transport::endpoint const& where, std::size_t connections,
+    caller_script script)
     : script_(std::move(script))
 {
     for (auto i = std::size_t{0}; i < connections; ++i)
@@ -140,4 +141,4 @@
         }));
 }
 
-} // namespace godwitcleat::tests
+} // namespace godwitcleat::standins
--- a/tests/support/caller_crowd_base.hpp
+++ b/standins/support/caller_crowd_base.hpp
@@ -1,6 +1,6 @@
 /** @file caller_crowd_base.hpp Callers that nobody controls. */
-#ifndef GODWITCLEAT_TESTS_SUPPORT_CALLER_CROWD_BASE_HPP
-#define GODWITCLEAT_TESTS_SUPPORT_CALLER_CROWD_BASE_HPP
+#ifndef GODWITCLEAT_STANDINS_SUPPORT_CALLER_CROWD_BASE_HPP
+#define GODWITCLEAT_STANDINS_SUPPORT_CALLER_CROWD_BASE_HPP
 
 #include "transport/transport.hpp"
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace godwitcleat::tests
+namespace godwitcleat::standins
 {
 
 /** What a connection of a crowd sends: `head` once, then `unit` many times. */
@@ -37,7 +37,7 @@
 {
 public:
     caller_crowd(
-        transport::endpoint where, std::size_t connections,
+        transport::endpoint const& where, std::size_t connections,
         caller_script script);
     ~caller_crowd();
     caller_crowd(caller_crowd const&) = delete;
@@ -67,6 +67,6 @@
     std::vector<connection> connections_;
 };
 
-} // namespace godwitcleat::tests
+} // namespace godwitcleat::standins
 
 #endif
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -172,6 +172,31 @@
     EXPECT_TRUE(fetch(client, server.local(), request_of("GET", "/")).response);
 }
 
+// Guards against one address that takes the connections of all others.
+TEST_F(http, limits_connections_by_address)
+{
+    auto bounds = limits();
+    bounds.connections_per_address = 1;
+    auto const server = serve(echo, bounds);
+    auto const is_answered = [](raw_socket const& it)
+    {
+        auto received = std::string{};
+        it.write("GET / HTTP/1.1\r\n\r\n");
+        return it.read_until("\r\n\r\n", received);
+    };
+    {
+        auto const first = raw_socket{server.local()};
+        EXPECT_TRUE(is_answered(first));
+        auto received = std::string{};
+        EXPECT_TRUE(raw_socket{server.local()}.read_to_end(received));
+        auto const other = raw_socket{server.local(), "127.0.0.2"};
+        EXPECT_TRUE(is_answered(other));
+        EXPECT_TRUE(is_answered(first));
+    }
+    EXPECT_TRUE(eventually([&] { return server.open_connections() == 0; }));
+    EXPECT_TRUE(is_answered(raw_socket{server.local()}));
+}
+
 // Guards against a planned stop that interrupts a request.
 TEST_F(http, close_listener_lets_requests_finish)
 {
--- a/tests/support/daemon_process_base.cpp
+++ b/tests/support/daemon_process_base.cpp
@@ -1,6 +1,8 @@
 /** @file daemon_process_base.cpp One hosted daemon as a process. */
 #include "tests/support/daemon_process_base.hpp"
 
+#include "standins/support/process_memory_func.hpp"
+
 #include <fmt/format.h>
 
 #include <chrono>
@@ -130,18 +132,7 @@
 
 auto daemon_process::peak_memory_mb() const -> std::size_t
 {
-    constexpr auto kb_per_mb = std::size_t{1024};
-    auto file = std::ifstream{fmt::format("/proc/{}/status", pid_)};
-    auto line = std::string{};
-    while (std::getline(file, line))
-    {
-        if (line.starts_with("VmHWM:"))
-        {
-            return std::stoul(line.substr(line.find_first_of("0123456789"))) /
-                   kb_per_mb;
-        }
-    }
-    return 0;
+    return standins::peak_memory_mb(pid_);
 }
 
 auto daemon_process::open_descriptors() const -> std::size_t
--- a/tests/support/transport_fixture_base.hpp
+++ b/tests/support/transport_fixture_base.hpp
@@ -48,11 +48,22 @@
     {
     }
 
-    explicit raw_socket(transport::endpoint const& where)
+    /** Connects, from the address @p from if it is not empty. */
+    explicit raw_socket(
+        transport::endpoint const& where, std::string const& from = {})
         : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         auto address = sockaddr_in{};
         address.sin_family = AF_INET;
+        if (!from.empty())
+        {
+            ::inet_pton(AF_INET, from.c_str(), &address.sin_addr);
+            EXPECT_EQ(
+                ::bind(
+                    descriptor_, reinterpret_cast<sockaddr*>(&address),
+                    sizeof address),
+                0);
+        }
         address.sin_port = htons(where.port);
         ::inet_pton(AF_INET, where.address.c_str(), &address.sin_addr);
         EXPECT_EQ(
--- a/tests/uncontrolled_callers_test.cpp
+++ b/tests/uncontrolled_callers_test.cpp
@@ -1,7 +1,8 @@
 /** @file uncontrolled_callers_test.cpp A daemon against callers that keep to no
  * limits. Each test guards against a process that ends, that outgrows the
  * memory or the descriptors of its instance, or that answers nobody else. */
-#include "tests/support/caller_crowd_base.hpp"
+#include "standins/support/caller_crowd_base.hpp"
+#include "standins/support/process_memory_func.hpp"
 #include "tests/support/daemon_process_base.hpp"
 
 #include <fmt/format.h>
@@ -11,7 +12,9 @@
 #include <cstddef>
 #include <string>
 #include <thread>
+#include <utility>
 
+namespace standins = godwitcleat::standins;
 namespace tests = godwitcleat::tests;
 using namespace std::chrono_literals;
 
@@ -27,21 +30,19 @@
 constexpr auto kb = std::size_t{1024};
 constexpr auto legal_body = 8 * kb * kb;
 
-// Shadow memory and freed blocks that a sanitizer keeps count as resident.
-#ifdef __SANITIZE_ADDRESS__
-constexpr auto checks_memory = false;
-#else
-constexpr auto checks_memory = true;
-#endif
-
 auto header(std::string const& more) -> std::string
 {
     return "POST /jobs/0123456789abcdef HTTP/1.1\r\nHost: desk.example\r\n" +
            more + "\r\n";
 }
 
+auto request_for(std::string const& target) -> std::string
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+}
+
 /** A body of legal size that stops one byte short. */
-auto unfinished_body() -> tests::caller_script
+auto unfinished_body() -> standins::caller_script
 {
     return {
         header(fmt::format("Content-Length: {}\r\n", legal_body)),
@@ -50,7 +51,7 @@
 
 /** Chunks of a body that never ends; its size is at most @p body_bytes. */
 auto unfinished_chunks(std::size_t chunk_bytes, std::size_t body_bytes)
-    -> tests::caller_script
+    -> standins::caller_script
 {
     return {
         header("Transfer-Encoding: chunked\r\n"),
@@ -78,12 +79,24 @@
         }
         EXPECT_TRUE(daemon.is_alive()) << daemon.log();
         EXPECT_LE(daemon.open_descriptors(), max_descriptors);
-        if (checks_memory)
+        if (standins::checks_memory)
         {
             EXPECT_LE(daemon.peak_memory_mb(), max_memory_mb);
         }
     }
 
+    /** Checks the process against @p connections that send @p script. */
+    auto check_against(
+        godwitcleat::transport::endpoint const& where, std::size_t connections,
+        standins::caller_script script, std::size_t piece_bytes = 64 * kb)
+        -> void
+    {
+        auto callers =
+            standins::caller_crowd{where, connections, std::move(script)};
+        callers.send(piece_bytes);
+        check();
+    }
+
     tests::daemon_process daemon{{256, "memory_mb = 64\n"}};
 };
 
@@ -91,123 +104,92 @@
 
 TEST_F(uncontrolled_callers, whole_bodies_that_stop_short)
 {
-    auto callers =
-        tests::caller_crowd{daemon.gateway, crowd, unfinished_body()};
-    callers.send(legal_body);
-    check();
+    check_against(daemon.gateway, crowd, unfinished_body(), legal_body);
 }
 
 TEST_F(uncontrolled_callers, bodies_in_pieces_that_stop_short)
 {
-    auto callers =
-        tests::caller_crowd{daemon.gateway, crowd, unfinished_body()};
-    callers.send(16 * kb);
-    check();
+    check_against(daemon.gateway, crowd, unfinished_body(), 16 * kb);
 }
 
 TEST_F(uncontrolled_callers, large_chunks_that_do_not_end)
 {
-    auto callers = tests::caller_crowd{
+    check_against(
         daemon.gateway, crowd,
-        unfinished_chunks(kb * kb, legal_body - kb * kb)};
-    callers.send();
-    check();
+        unfinished_chunks(kb * kb, legal_body - kb * kb));
 }
 
 TEST_F(uncontrolled_callers, very_small_chunks_that_do_not_end)
 {
-    auto callers = tests::caller_crowd{
-        daemon.gateway, crowd, unfinished_chunks(16, legal_body / 2)};
-    callers.send();
-    check();
+    check_against(daemon.gateway, crowd, unfinished_chunks(16, legal_body / 2));
+}
+
+TEST_F(uncontrolled_callers, whole_bodies_of_many_small_json_values)
+{
+    // As long as the configuration allows; the values take more than the text.
+    constexpr auto values = 256 * kb / 3 - 1;
+    auto const head =
+        header(fmt::format("Content-Length: {}\r\n", 3 * values + 1)) + "[";
+    check_against(daemon.gateway, crowd, {head, "[],", values, 0});
 }
 
 TEST_F(uncontrolled_callers, bodies_far_over_the_limit_that_are_announced)
 {
-    auto callers = tests::caller_crowd{
-        daemon.gateway,
-        crowd,
+    check_against(
+        daemon.gateway, crowd,
         {header("Content-Length: 1073741824\r\n"), std::string(kb, 'x'),
-         4 * legal_body / kb, 0}};
-    callers.send();
-    check();
+         4 * legal_body / kb, 0});
 }
 
 TEST_F(uncontrolled_callers, bodies_far_over_the_limit_that_are_just_sent)
 {
-    auto callers = tests::caller_crowd{
-        daemon.gateway, crowd, unfinished_chunks(64 * kb, 4 * legal_body)};
-    callers.send();
-    check();
+    check_against(
+        daemon.gateway, crowd, unfinished_chunks(64 * kb, 4 * legal_body));
 }
 
 TEST_F(uncontrolled_callers, headers_that_do_not_end)
 {
-    auto callers = tests::caller_crowd{
-        daemon.gateway,
-        4 * crowd,
+    check_against(
+        daemon.gateway, 4 * crowd,
         {"GET /jobs/ HTTP/1.1\r\nHost: desk.example\r\nX-Long: ",
-         std::string(kb, 'x'), 15, 0}};
-    callers.send();
-    check();
+         std::string(kb, 'x'), 15, 0});
 }
 
 TEST_F(uncontrolled_callers, connections_that_send_nothing)
 {
-    auto callers =
-        tests::caller_crowd{daemon.gateway, 20 * crowd, {"", "x", 0, 0}};
-    check();
+    check_against(daemon.gateway, 20 * crowd, {"", "x", 0, 0});
 }
 
 TEST_F(uncontrolled_callers, requests_without_reading_the_answers)
 {
-    auto const request =
-        std::string{"GET /jobs/ HTTP/1.1\r\nHost: desk.example\r\n\r\n"};
-    auto callers =
-        tests::caller_crowd{daemon.gateway, crowd, {"", request, 4 * kb, 0}};
-    callers.send();
-    check();
+    check_against(
+        daemon.gateway, crowd, {"", request_for("/jobs/"), 4 * kb, 0});
 }
 
 TEST_F(uncontrolled_callers, bodies_on_the_readiness_port)
 {
-    auto callers =
-        tests::caller_crowd{daemon.readiness, crowd, unfinished_body()};
-    callers.send();
-    check();
+    check_against(daemon.readiness, crowd, unfinished_body());
 }
 
 TEST_F(uncontrolled_callers, bodies_on_the_control_port)
 {
-    auto callers =
-        tests::caller_crowd{daemon.control, crowd, unfinished_body()};
-    callers.send();
-    check();
+    check_against(daemon.control, crowd, unfinished_body());
 }
 
 TEST_F(uncontrolled_callers, pages_of_metrics_that_are_not_read)
 {
-    auto const request =
-        std::string{"GET /metrics HTTP/1.1\r\nHost: desk.example\r\n\r\n"};
-    auto callers =
-        tests::caller_crowd{daemon.metrics, crowd, {"", request, 4 * kb, 0}};
-    callers.send();
-    check();
+    check_against(
+        daemon.metrics, crowd, {"", request_for("/metrics"), 4 * kb, 0});
 }
 
 TEST_F(uncontrolled_callers, frames_on_the_peer_port_that_stop_short)
 {
     // 4 MB, the largest legal frame, and the number of a request.
     auto const begin = std::string{"\x00\x40\x00\x00\0\0\0\0\0\0\0\x01", 12};
-    auto callers = tests::caller_crowd{
-        daemon.peer, crowd, {begin, std::string(kb, 'x'), 4 * kb, 1}};
-    callers.send();
-    check();
+    check_against(daemon.peer, crowd, {begin, std::string(kb, 'x'), 4 * kb, 1});
 }
 
 TEST_F(uncontrolled_callers, peer_connections_that_send_nothing)
 {
-    auto callers =
-        tests::caller_crowd{daemon.peer, 20 * crowd, {"", "x", 0, 0}};
-    check();
+    check_against(daemon.peer, 20 * crowd, {"", "x", 0, 0});
 }
