Answers in an outage: what certainly did not run is refused with 503

An instance that had lost the jobs relayed calls for 600 ms while their deadline passed at the origin; an unanswered try made each later refusal uncertain; an owner that lost its term said of all waiting calls that they may have run.

Change: a submit or cancel names the owner's term and is taken by that owner alone; the refusal of a later owner settles tries to earlier ones; what was part of no write goes on to the next owner; queries are refused, never uncertain. The times of the exchange of configurations stand in its header.

--- a/coordination/config_exchange_base.hpp
+++ b/coordination/config_exchange_base.hpp
@@ -22,10 +22,13 @@
 struct config_exchange_settings
 {
     /** Others are asked if the store has not confirmed the configuration for
-     *  this long. Watches confirm it each 1 to 1.2 s. */
-    core::duration max_age = std::chrono::milliseconds{1500};
+     *  this long. Watches confirm it each 1 to 1.2 s, and the answer may be on
+     *  its way over a slow link. */
+    core::duration max_age = std::chrono::milliseconds{2500};
     core::duration interval = std::chrono::milliseconds{500};
-    core::duration call_timeout = std::chrono::milliseconds{450};
+    /** A document of 1 MB takes 0.8 s on a link of 10 Mbit/s. Asked after
+     *  max_age, another instance has answered within 6 s. */
+    core::duration call_timeout = std::chrono::milliseconds{3000};
 };
 
 /** What the exchange knows of this instance's configuration. */
--- a/coordination/dispatch_host_base.cpp
+++ b/coordination/dispatch_host_base.cpp
@@ -877,6 +877,22 @@
             "this instance cannot confirm that it owns the jobs; retry");
         return on_answer(error_answer(core::last_reason()));
     }
+    if (call.term.value != 0 && call.term != it.active_term)
+    {
+        // Its caller may have been told what became of it by another owner.
+        core::fail(
+            core::error_kind::not_owner,
+            "the call is for an owner of another term; ask again");
+        auto refusal = error_answer(core::last_reason());
+        refusal.term = it.active_term;
+        return on_answer(std::move(refusal));
+    }
+    on_answer =
+        [term = it.active_term, reply = std::move(on_answer)](auto value)
+    {
+        value.term = term;
+        reply(std::move(value));
+    };
     auto answer = protocol::job_answer{};
     auto const names_job = call.kind == protocol::job_call_kind::cancel ||
                            call.kind == protocol::job_call_kind::phase;
--- a/coordination/job_router_base.cpp
+++ b/coordination/job_router_base.cpp
@@ -41,40 +41,100 @@
     return answer;
 }
 
+auto unanswered_tries::begin(core::epoch term) -> void
+{
+    ++tries_[term];
+}
+
+auto unanswered_tries::end(core::epoch term) -> void
+{
+    auto const it = tries_.find(term);
+    if (it != tries_.end() && --it->second == 0)
+    {
+        tries_.erase(it);
+    }
+}
+
+auto unanswered_tries::any() const -> bool
+{
+    return !tries_.empty();
+}
+
+auto unanswered_tries::may_outlive(core::epoch term) const -> bool
+{
+    return !tries_.empty() &&
+           (tries_.begin()->first.value == 0 || term.value == 0 ||
+            tries_.rbegin()->first >= term);
+}
+
 /** One call until it has an answer. */
 struct job_router::attempt
 {
+    [[nodiscard]] auto changes_jobs() const -> bool
+    {
+        return call.kind == protocol::job_call_kind::submit ||
+               call.kind == protocol::job_call_kind::cancel;
+    }
+
     protocol::job_call call;
     dispatch_host::reply on_answer;
     core::time_point begun;
     core::time_point deadline;
-    std::atomic<bool> maybe_done = false; ///< A try may have taken effect.
     std::atomic<std::size_t> tries = 0;
     std::atomic<bool> answered = false;
-    std::mutex mutex;         ///< Of the members below.
-    bool given_up = false;    ///< Answered without the owner.
-    std::string last_failure; ///< Why the last try had no final answer.
+    std::mutex mutex;            ///< Of the members below.
+    unanswered_tries unanswered; ///< Of a call that changes jobs.
+    core::epoch term;            ///< The latest one that an answer has named.
+    bool given_up = false;       ///< Answered without the owner.
+    std::string last_failure;    ///< Why the last try had no final answer.
     transport::timer_handle timer;
     transport::timer_handle deadline_timer;
 
-    /** Notes that the call is sent now, and returns maybe_done of before;
-     *  std::nullopt if it must not be sent, because it was given up. */
-    auto begin_try() -> std::optional<bool>
+    /** Notes that the call is sent now to the owner of @p to; false if it must
+     *  not be sent, because it was given up. */
+    auto begin_try(core::epoch to) -> bool
+    {
+        auto const lock = std::scoped_lock{mutex};
+        if (!given_up && changes_jobs())
+        {
+            unanswered.begin(to);
+        }
+        return !given_up;
+    }
+
+    /** Notes the end of a try to which there is an answer, or none was sent. */
+    auto end_try(core::epoch to) -> void
     {
         auto const lock = std::scoped_lock{mutex};
-        return given_up ? std::nullopt
-                        : std::optional{maybe_done.exchange(true)};
+        unanswered.end(to);
     }
 
-    /** Returns maybe_done; the call is not sent again. */
+    /** Returns true if the call may take effect; it is not sent again. */
     auto give_up() -> bool
     {
         auto const lock = std::scoped_lock{mutex};
         given_up = true;
-        return maybe_done;
+        return unanswered.any();
+    }
+
+    [[nodiscard]] auto may_take_effect() -> bool
+    {
+        auto const lock = std::scoped_lock{mutex};
+        return unanswered.any();
     }
 };
 
+auto make_frame_call(transport::frame_client& client) -> frame_call
+{
+    return [&client](
+               transport::endpoint const& where, std::string payload,
+               core::duration timeout,
+               std::function<void(std::optional<std::string>)> on_done)
+    {
+        client.call(where, std::move(payload), timeout, std::move(on_done));
+    };
+}
+
 job_router::job_router(
     dispatch_host& host, frame_call call_peer, transport::reactor& loop,
     core::clock clock, core::logger log, job_router_settings settings,
@@ -166,19 +226,14 @@
 {
     if (host_.is_active())
     {
-        auto const before = it->begin_try();
-        if (!before)
+        if (!it->begin_try({}))
         {
             return;
         }
         // A copy, because the call may have to be sent again.
         return host_.call(
             it->call,
-            [this, it, before](auto answer)
-            {
-                it->maybe_done = *before;
-                answered(it, std::move(answer));
-            });
+            [this, it](auto answer) { answered(it, {}, std::move(answer)); });
     }
     auto const where = choose_instance(*it);
     ++it->tries;
@@ -186,8 +241,10 @@
     {
         return retry(it);
     }
-    // Jobs that an owner cannot take yet would fill its link.
-    if (it->call.kind == protocol::job_call_kind::submit && it->tries > 1)
+    // Jobs that an owner cannot take yet would fill its link, and what another
+    // instance relays has no certain outcome if it is not answered in time.
+    auto const is_relayed = term_for(*it, *where).value == 0;
+    if (it->changes_jobs() && (it->tries > 1 || is_relayed))
     {
         return ask_first(it, *where);
     }
@@ -217,6 +274,19 @@
     return transport::parse_endpoint(others[n].address);
 }
 
+auto job_router::term_for(attempt& it, transport::endpoint const& where) const
+    -> core::epoch
+{
+    auto const owner = host_.owner();
+    if (!it.changes_jobs() || !owner ||
+        transport::parse_endpoint(owner->address) != where)
+    {
+        return {};
+    }
+    auto const lock = std::scoped_lock{it.mutex};
+    return std::max(owner->term, it.term);
+}
+
 auto job_router::ask_first(
     std::shared_ptr<attempt> const& it, transport::endpoint const& where)
     -> void
@@ -253,24 +323,25 @@
     std::shared_ptr<attempt> const& it, transport::endpoint const& where)
     -> void
 {
-    auto const left = it->deadline - clock_();
+    auto call = it->call;
+    call.term = term_for(*it, where);
     // Until there is an answer the owner may carry the call out.
-    auto const before = it->begin_try();
-    if (!before)
+    if (!it->begin_try(call.term))
     {
         return;
     }
+    auto const left = it->deadline - clock_();
     call_peer_(
-        where, protocol::encode(it->call),
-        std::min(settings_.call_timeout, left),
-        [this, it, before](std::optional<std::string> payload)
+        where, protocol::encode(call),
+        call.term.value != 0 ? left : std::min(settings_.call_timeout, left),
+        [this, it, term = call.term](std::optional<std::string> payload)
         {
             if (!payload)
             {
                 note_failure(*it, core::last_reason().message);
                 if (core::last_reason().kind == core::error_kind::unavailable)
                 {
-                    it->maybe_done = *before; // Nothing was sent.
+                    it->end_try(term); // Nothing was sent.
                 }
                 return retry(it);
             }
@@ -280,33 +351,40 @@
                 note_failure(*it, core::last_reason().message);
                 return retry(it);
             }
-            it->maybe_done = *before;
-            answered(it, std::move(*answer));
+            answered(it, term, std::move(*answer));
         });
 }
 
 auto job_router::answered(
-    std::shared_ptr<attempt> const& it, protocol::job_answer answer) -> void
+    std::shared_ptr<attempt> const& it, core::epoch term,
+    protocol::job_answer answer) -> void
 {
-    if (answer.error == core::error_kind::not_owner)
+    auto may_outlive = false;
     {
-        note_failure(*it, answer.message);
-        return retry(it);
+        auto const lock = std::scoped_lock{it->mutex};
+        it->term = std::max(it->term, answer.term);
+        it->unanswered.end(term);
+        if (answer.error == core::error_kind::unknown_outcome &&
+            it->changes_jobs())
+        {
+            it->unanswered.begin(answer.term);
+        }
+        may_outlive = it->unanswered.may_outlive(answer.term);
     }
-    if (answer.error == core::error_kind::unknown_outcome)
+    if (answer.error == core::error_kind::not_owner ||
+        answer.error == core::error_kind::unknown_outcome)
     {
         note_failure(*it, answer.message);
-        it->maybe_done = true;
         return retry(it);
     }
-    finish(it, settled_answer(std::move(answer), it->maybe_done));
+    finish(it, settled_answer(std::move(answer), may_outlive));
 }
 
 auto job_router::retry(std::shared_ptr<attempt> const& it) -> void
 {
     auto const now = clock_();
     auto const refuses =
-        !it->maybe_done && now - it->begun >= settings_.refuse_after;
+        !it->may_take_effect() && now - it->begun >= settings_.refuse_after;
     if (refuses || now + settings_.retry >= it->deadline)
     {
         return answer_without_owner(it);
@@ -342,7 +420,8 @@
     {
         reply(protocol::encode(answer));
     };
-    if (host_.is_active() || call->relayed)
+    // One that names a term may be taken by that owner alone.
+    if (host_.is_active() || call->relayed || call->term.value != 0)
     {
         return host_.call(std::move(*call), std::move(on_answer));
     }
--- a/coordination/job_router_base.hpp
+++ b/coordination/job_router_base.hpp
@@ -12,7 +12,10 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,10 +27,15 @@
     transport::endpoint const&, std::string, core::duration,
     std::function<void(std::optional<std::string>)>)>;
 
+/** Returns a frame_call that sends frames by @p client. */
+auto make_frame_call(transport::frame_client& client) -> frame_call;
+
 /** Times of the calls to the owner. */
 struct job_router_settings
 {
-    /** Longest time of one call to the owner. */
+    /** Longest time of a call that another instance relays or that changes no
+     *  job. Others wait for the owner's answer: it comes once the store has
+     *  answered, and a second try could take effect after a refusal. */
     core::duration call_timeout = std::chrono::milliseconds{1000};
     /** Pause before the owner is asked again, for example in a take-over. */
     core::duration retry = std::chrono::milliseconds{100};
@@ -48,6 +56,26 @@
 auto settled_answer(protocol::job_answer answer, bool maybe_done)
     -> protocol::job_answer;
 
+/** Tries of a call that had no answer; each may still take effect. */
+class unanswered_tries
+{
+public:
+    /** A try is sent that only the owner of @p term may take; 0: any owner. */
+    auto begin(core::epoch term) -> void;
+    /** It was answered, or not sent. */
+    auto end(core::epoch term) -> void;
+    [[nodiscard]] auto any() const -> bool;
+    /**
+     * Returns true if a try may take effect after the owner of @p term has
+     * refused the call. An earlier owner can store nothing any more, and what
+     * it had stored the later one has read before it answers.
+     */
+    [[nodiscard]] auto may_outlive(core::epoch term) const -> bool;
+
+private:
+    std::map<core::epoch, std::size_t> tries_; ///< Number by term.
+};
+
 /**
  * Answers calls about jobs on any instance: here if it owns the jobs, else
  * through the owner's peer port, or through another instance that knows the
@@ -80,6 +108,11 @@
     auto try_once(std::shared_ptr<attempt> const& it) -> void;
     auto choose_instance(attempt const& it)
         -> std::optional<transport::endpoint>;
+    /** Returns the term that a call to @p where names; 0 if the instance there
+     *  is not known as the owner, so that it relays the call. */
+    [[nodiscard]] auto
+    term_for(attempt& it, transport::endpoint const& where) const
+        -> core::epoch;
     /** Sends the call once the owner has answered a small one there. */
     auto ask_first(
         std::shared_ptr<attempt> const& it, transport::endpoint const& where)
@@ -87,9 +120,10 @@
     auto call_instance(
         std::shared_ptr<attempt> const& it, transport::endpoint const& where)
         -> void;
-    auto
-    answered(std::shared_ptr<attempt> const& it, protocol::job_answer answer)
-        -> void;
+    /** @p term is that of the try. */
+    auto answered(
+        std::shared_ptr<attempt> const& it, core::epoch term,
+        protocol::job_answer answer) -> void;
     auto retry(std::shared_ptr<attempt> const& it) -> void;
     auto finish(std::shared_ptr<attempt> const& it, protocol::job_answer answer)
         -> void;
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -27,12 +27,6 @@
 // A host that is down does not answer a connection attempt; the router then
 // tries another instance.
 constexpr auto peer_connect_timeout = std::chrono::milliseconds{300};
-// A document of 1 MB takes 0.8 s on a link of 10 Mbit/s, and the store's own
-// answer may be on its way over that link. Asked after 2.5 s, another instance
-// has answered within 6 s.
-constexpr auto exchange_settings = coordination::config_exchange_settings{
-    std::chrono::milliseconds{2500}, std::chrono::milliseconds{500},
-    std::chrono::milliseconds{3000}};
 constexpr auto max_waiting_orders = std::size_t{512};
 
 auto set_process_metrics(core::metrics& metrics) -> void
@@ -129,13 +123,8 @@
           now_, &metrics_)
     , host_(host_parts(), make_owner_record(), host_settings(*settings_.hosted))
     , router_(
-          host_,
-          [this](auto const& endpoint, auto payload, auto timeout, auto on_done)
-          {
-              peer_client_.call(
-                  endpoint, std::move(payload), timeout, std::move(on_done));
-          },
-          loop_, now_, log_.with_prefix("router"), {},
+          host_, coordination::make_frame_call(peer_client_), loop_, now_,
+          log_.with_prefix("router"), {},
           [this](auto known) { return directory_.config_above(known); })
     , api_(
           [this](auto call, auto time_limit, auto on_answer)
@@ -148,12 +137,8 @@
           directory_hooks())
     , config_exchange_(
           loop_, now_, log_.with_prefix("config"), metrics_,
-          [this](auto const& endpoint, auto payload, auto timeout, auto on_done)
-          {
-              peer_client_.call(
-                  endpoint, std::move(payload), timeout, std::move(on_done));
-          },
-          config_exchange_hooks(), exchange_settings)
+          coordination::make_frame_call(peer_client_), config_exchange_hooks(),
+          {})
 {
 }
 
--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -112,6 +112,7 @@
     visit("relayed", value.relayed);
     visit("customer", value.customer);
     visit("config_version", value.config_version);
+    visit("term", value.term);
 }
 
 auto visit_members(is<job_answer> auto& value, auto&& visit) -> void
@@ -123,6 +124,7 @@
     visit("retry_after_s", value.retry_after_s);
     visit("config_version", value.config_version);
     visit("config", value.config);
+    visit("term", value.term);
 }
 
 auto visit_members(is<owner_record> auto& value, auto&& visit) -> void
--- a/protocol/plan_message_type.hpp
+++ b/protocol/plan_message_type.hpp
@@ -32,6 +32,8 @@
     bool relayed = false; ///< Sent by an instance that is not its origin.
     state::customer_id customer;      ///< By its key; empty: it had none.
     std::uint64_t config_version = 0; ///< Of a config call: known by it.
+    /** Only the owner of this term may take the call; 0: any owner. */
+    core::epoch term;
 };
 
 /** The owner's answer. */
@@ -44,6 +46,7 @@
     std::int64_t retry_after_s = 0;   ///< When to submit again; 0: not known.
     std::uint64_t config_version = 0; ///< Of `config`; 0: none is newer.
     std::string config;               ///< The document as the store holds it.
+    core::epoch term; ///< Of the owner that answers; 0: it is none.
 };
 
 /** The owner of the jobs, as the store names it. */
--- a/state/dispatch_base.cpp
+++ b/state/dispatch_base.cpp
@@ -59,9 +59,7 @@
     }
     for (auto const& [id, job] : implementation_->jobs)
     {
-        job->fail_callbacks(
-            core::error_kind::unknown_outcome,
-            "the owner of the jobs has changed; repeat the request");
+        job->fail_callbacks_at_end();
     }
 }
 
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -274,6 +274,30 @@
     }
 }
 
+// What was part of no batch in flight is certainly not stored: this owner
+// writes no more, and the next one has not heard of it.
+auto job_entry::fail_callbacks_at_end() -> void
+{
+    auto const unsent = !record_stored && !record_sent;
+    for (auto& [version, callback] : std::exchange(waiting_callbacks, {}))
+    {
+        if (unsent || version > sent_version)
+        {
+            core::fail(
+                core::error_kind::not_owner,
+                "the owner of the jobs has changed before it stored this; ask "
+                "the new one");
+        }
+        else
+        {
+            core::fail(
+                core::error_kind::unknown_outcome,
+                "the owner of the jobs has changed; repeat the request");
+        }
+        callback(false);
+    }
+}
+
 auto dispatcher::implementation::answer_callbacks(job_entry& job) -> void
 {
     auto answered = std::vector<completion>{};
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -300,6 +300,9 @@
     }
     [[nodiscard]] auto name_of(std::uint32_t task) -> task_name;
     auto fail_callbacks(core::error_kind kind, std::string_view cause) -> void;
+    /** Fails them as the dispatcher ends: not_owner for what was not sent to
+     *  the store, else unknown_outcome. */
+    auto fail_callbacks_at_end() -> void;
     /** Returns the index of a task, or std::nullopt if it does not exist. */
     [[nodiscard]] auto index_of(task_name const& name) const
         -> std::optional<std::uint32_t>;
--- a/tests/dispatch_host_test.cpp
+++ b/tests/dispatch_host_test.cpp
@@ -156,3 +156,28 @@
         }));
     EXPECT_TRUE(has_job("0000000000000001"));
 }
+
+// Guards against a call whose caller was told by a later owner that it did not
+// run, and which arrives there once more and runs.
+TEST_F(owner_fixture, a_call_for_another_term_is_not_taken)
+{
+    host.start();
+    ASSERT_TRUE(tests::eventually(
+        [this]
+        {
+            while (store.release(true))
+            {
+            }
+            return host.is_active();
+        }));
+    auto call = protocol::job_call{};
+    call.kind = protocol::job_call_kind::submit;
+    call.job = core::job_id{"0000000000000002"};
+    call.plan = tests::make_plan(call.job.value, 1, 1000);
+    call.term = core::epoch{host.owner()->term.value + 1};
+    auto refusal = std::optional<protocol::job_answer>{};
+    host.call(call, [&](auto const& answer) { refusal = answer; });
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->error, core::error_kind::not_owner);
+    EXPECT_EQ(refusal->term, host.owner()->term);
+}
--- a/tests/dispatch_take_over_test.cpp
+++ b/tests/dispatch_take_over_test.cpp
@@ -1011,3 +1011,29 @@
         });
     RC_ASSERT(world.running() == static_cast<std::size_t>(4 * open_jobs));
 }
+
+// Guards against callers that are told nothing certain, and cannot safely try
+// again, although their job was part of no write when the owner changed.
+TEST(take_over, what_was_not_sent_to_the_store_is_known_as_not_done)
+{
+    auto world = tests::dispatch_world{};
+    world.begin_term();
+    world.store_delay_ms = 1000;
+    auto const submit = [&](std::string const& id)
+    {
+        auto error = std::make_shared<core::error_kind>();
+        world.submit(
+            tests::make_plan(id, 1, 1000),
+            [error](bool stored) {
+                *error =
+                    stored ? core::error_kind::none : core::last_reason().kind;
+            });
+        world.run_for(50);
+        return error;
+    };
+    auto const sent = submit("sent");
+    auto const unsent = submit("unsent");
+    world.begin_term();
+    EXPECT_EQ(*sent, core::error_kind::unknown_outcome);
+    EXPECT_EQ(*unsent, core::error_kind::not_owner);
+}
--- a/tests/job_answer_test.cpp
+++ b/tests/job_answer_test.cpp
@@ -45,6 +45,29 @@
         coordination::settled_answer({}, true).error, core::error_kind::none);
 }
 
+// Guards against a refusal that is true but not passed on, because a try to a
+// former owner had no answer, and against one that is passed on while a try may
+// still reach the owner.
+TEST(job_answer, a_later_owner_settles_tries_to_earlier_ones)
+{
+    constexpr auto any_owner = core::epoch{};
+    auto tries = coordination::unanswered_tries{};
+    tries.begin(core::epoch{3});
+    tries.begin(core::epoch{3});
+    EXPECT_TRUE(tries.may_outlive(any_owner));
+    EXPECT_TRUE(tries.may_outlive(core::epoch{3}));
+    EXPECT_FALSE(tries.may_outlive(core::epoch{4}));
+    tries.begin(any_owner);
+    EXPECT_TRUE(tries.may_outlive(core::epoch{4}));
+    tries.end(any_owner);
+    EXPECT_FALSE(tries.may_outlive(core::epoch{4}));
+    tries.end(core::epoch{3});
+    EXPECT_TRUE(tries.any());
+    tries.end(core::epoch{3});
+    EXPECT_FALSE(tries.any());
+    EXPECT_FALSE(tries.may_outlive(any_owner));
+}
+
 // Guards against an instance that drops the owner's advice when to retry.
 TEST(job_answer, a_refusal_tells_the_caller_when_to_retry)
 {
--- a/tests/job_router_test.cpp
+++ b/tests/job_router_test.cpp
@@ -66,6 +66,20 @@
         return call;
     }
 
+    static auto answer_of(
+        coordination::job_router& router, protocol::job_call call,
+        std::chrono::milliseconds budget) -> core::error_kind
+    {
+        auto done = std::promise<core::error_kind>{};
+        auto answered = done.get_future();
+        router.route(
+            std::move(call), budget,
+            [&done](auto const& answer) { done.set_value(answer.error); });
+        return answered.wait_for(tests::patience) == std::future_status::ready
+                   ? answered.get()
+                   : core::error_kind::timeout;
+    }
+
     core::metrics metrics;
     transport::reactor loop{1};
     standins::memory_store store{core::suspend_aware_clock()};
@@ -140,3 +154,59 @@
     asked.get_future().get()();
     EXPECT_EQ(submits, 1);
 }
+
+// Guards against a question that is answered as if it had perhaps run: a
+// question changes nothing, and its caller may ask again.
+TEST_F(router_fixture, a_question_without_an_answer_is_refused)
+{
+    start();
+    auto router = router_of(
+        [](auto const&, auto const&, auto, auto on_done)
+        {
+            core::fail(core::error_kind::unknown_outcome, "the answer is lost");
+            on_done(std::nullopt);
+        });
+    auto call = protocol::job_call{};
+    call.kind = protocol::job_call_kind::phase;
+    EXPECT_EQ(
+        answer_of(router, std::move(call), 300ms),
+        core::error_kind::unavailable);
+}
+
+// Guards against a refusal that a caller cannot rely on although only a former
+// owner has an unanswered try, and against one that is untrue.
+TEST_F(router_fixture, only_a_later_owner_settles_an_unanswered_try)
+{
+    start();
+    for (auto const later : {true, false})
+    {
+        auto named = core::epoch{};
+        auto router = router_of(
+            [&](auto const&, auto const& payload, auto, auto on_done)
+            {
+                auto const call = protocol::decode<protocol::job_call>(payload);
+                auto answer = protocol::job_answer{};
+                if (call->kind != protocol::job_call_kind::submit)
+                {
+                    answer.error = core::error_kind::not_found;
+                }
+                else if (named.value == 0)
+                {
+                    named = call->term;
+                    core::fail(core::error_kind::unknown_outcome, "lost");
+                    return on_done(std::nullopt);
+                }
+                else
+                {
+                    answer.error = core::error_kind::no_capacity;
+                    answer.term = core::epoch{named.value + (later ? 1U : 0U)};
+                }
+                on_done(protocol::encode(answer));
+            });
+        EXPECT_EQ(
+            answer_of(router, submit_of("00000000000000f7"), 1s),
+            later ? core::error_kind::no_capacity
+                  : core::error_kind::unknown_outcome);
+        EXPECT_EQ(named, other.owner()->term);
+    }
+}
