Objectives by measured work

Cause: time objectives followed the declared run times. Jobs with more work than declared were taken for late, and their next steps waited behind all others.

Default: declared, as before.

--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -272,10 +272,21 @@
                 read_ms(reader, "commit_delay_ms", it.commit_delay, 0, 10'000);
                 read_ms(reader, "look_gap_ms", it.poll_pause, 0, 10'000);
                 read_ms(reader, "retention_ms", it.retention, 1000, 86'400'000);
+                it.measured_objectives = read_objectives(reader);
                 check_hosted(reader, it);
             });
     }
 
+    static auto read_objectives(core::ini_reader& reader) -> bool
+    {
+        auto const text = reader.text("objectives", "declared");
+        if (text != "declared" && text != "measured")
+        {
+            reader.problem("objectives", "must be declared or measured");
+        }
+        return text == "measured";
+    }
+
     static auto
     check_hosted(core::ini_reader& reader, hosted_settings const& it) -> void
     {
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -30,6 +30,7 @@
     core::duration commit_delay = std::chrono::milliseconds{300};
     core::duration poll_pause = std::chrono::milliseconds{40};
     core::duration retention = std::chrono::milliseconds{180'000};
+    bool measured_objectives = false; ///< Else by the declared run times.
 
     auto operator==(hosted_settings const&) const -> bool = default;
 };
--- a/state/dispatch_admission.cpp
+++ b/state/dispatch_admission.cpp
@@ -130,8 +130,7 @@
         return accept();
     }
     auto const begin = first_submitted_ms(plan.id, now_ms);
-    auto const work = static_cast<std::int64_t>(
-        queue.run_time_factor * static_cast<double>(path));
+    auto const work = queue.actual_ms(path);
     auto const end = now_ms - begin + work; // If it starts at once.
     auto const late_left = late_factor * objective - end;
     auto const start_left = work > objective ? late_left : objective - end;
@@ -185,8 +184,7 @@
     auto const now_ms = hooks.unix_ms();
     auto const path = critical_path_ms(plan);
     auto const objective = objective_ms(path, config);
-    auto const work = static_cast<std::int64_t>(
-        queue.run_time_factor * static_cast<double>(path));
+    auto const work = queue.actual_ms(path);
     auto const end = now_ms - first_submitted_ms(plan.id, now_ms) + work;
     auto const left =
         (end > objective ? late_factor * objective : objective) - end;
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -126,6 +126,8 @@
     task_class_id task_class;
     bool in_ready_steps = false;  ///< In implementation::ready_steps.
     core::time_point ready_since; ///< When `ready_tasks` last became non-empty.
+    /** Of the runs that have ended or tell how far they are; 0: none has. */
+    std::int64_t longest_run_ms = 0;
 };
 
 /** Groups of steps in the order in which they are placed. */
@@ -201,6 +203,13 @@
     /** Starts of its guaranteed share that it has not had yet. */
     double owed_starts = 0.0;
     start_backlog backlog;
+
+    /** Returns the actual run time that is expected of a declared one. */
+    [[nodiscard]] auto actual_ms(std::int64_t declared_ms) const -> std::int64_t
+    {
+        return static_cast<std::int64_t>(
+            run_time_factor * static_cast<double>(declared_ms));
+    }
 };
 
 /** Steps that wait, by rank. */
@@ -257,7 +266,9 @@
     std::vector<step_entry> steps; ///< Of all occurrences, in order.
     /** Critical path from the start of each step to the end of the job. */
     std::vector<std::int64_t> remaining_path_ms;
-    std::int64_t critical_path_ms = 0;
+    std::int64_t critical_path_ms = 0; ///< By the declared run times.
+    /** By the measured ones, for each occurrence; 0 or absent: none is. */
+    std::vector<std::int64_t> measured_path_ms;
     std::uint32_t open_steps = 0;
     std::uint32_t active_runs = 0; ///< On workers; ordered or found there.
     bool restored = false;         ///< Loaded from the store.
@@ -283,6 +294,11 @@
     {
         return record.plan.steps[step.step];
     }
+    /** Returns the time from the start of the step to the end of the job. */
+    [[nodiscard]] auto remaining_ms(step_entry const& step) const
+        -> std::int64_t;
+    /** Returns the critical path of the step's occurrence. */
+    [[nodiscard]] auto path_ms(step_entry const& step) const -> std::int64_t;
     [[nodiscard]] auto step_of(std::uint32_t task) -> step_entry&;
     /** Returns true if no run of the task is started before its worker is
      *  stored. The members of a gang have to start at the same time. */
@@ -951,6 +967,14 @@
         std::int64_t left_ms) -> void;
     [[nodiscard]] auto customer_counts() const -> std::vector<customer_count>;
 
+    // Measured work (dispatch_work.cpp)
+    /** Takes note of how long a run will have taken that has done @p percent of
+     *  its work, or all. */
+    auto
+    note_work(run_entry const& run, std::int64_t percent, core::time_point now)
+        -> void;
+    static auto measure_path(job_entry& job, std::uint32_t occurrence) -> void;
+
     // Admission of jobs (dispatch_admission.cpp)
     /**
      * Returns true if a new job is accepted. Else core::last_reason() is set:
--- a/state/dispatch_order.cpp
+++ b/state/dispatch_order.cpp
@@ -49,11 +49,10 @@
     {
         return {step_group::long_running, beyond, queue.priority, 0, 0, begin};
     }
-    auto const objective = objective_ms(job.critical_path_ms, queue);
-    auto const end =
-        now_ms + static_cast<std::int64_t>(
-                     job.queue->run_time_factor *
-                     static_cast<double>(job.remaining_path_ms[step.step]));
+    auto const objective = objective_ms(
+        settings.measured_objectives ? job.path_ms(step) : job.critical_path_ms,
+        queue);
+    auto const end = now_ms + job.remaining_ms(step);
     auto const due = begin + objective;
     auto const late = begin + late_factor * objective;
     if (end > late)
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -103,6 +103,7 @@
     {
         run.percent = row.percent;
         run.percent_changed_at = now;
+        note_work(run, row.percent, now);
     }
     run.measurement = row.measurement;
 }
@@ -259,6 +260,7 @@
     if (outcome == run_outcome::done)
     {
         learn_run_time(run, now);
+        note_work(run, 100, now);
     }
     if (checkpoint.empty())
     {
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -199,6 +199,9 @@
     core::duration stop_time = std::chrono::milliseconds{900};
     /** How long jobs are kept after they have ended. */
     core::duration retention = std::chrono::seconds{180};
+    /** Time objectives follow the longest runs that are measured; else the
+     *  declared run times. */
+    bool measured_objectives = false;
     /** Maximum bytes of a batch; below the store's transaction limit. */
     std::size_t max_batch_bytes = std::size_t{512} * 1024;
     /** Maximum writes of a batch; below the store's transaction limit. */
--- a/state/plan_func.cpp
+++ b/state/plan_func.cpp
@@ -130,6 +130,17 @@
 }
 
 auto critical_path_ms(job_plan const& plan) -> std::int64_t
+{
+    auto declared = std::vector<std::int64_t>{};
+    for (auto const& it : plan.steps)
+    {
+        declared.push_back(it.expected_run_ms);
+    }
+    return critical_path_ms(plan, declared);
+}
+
+auto critical_path_ms(
+    job_plan const& plan, std::span<std::int64_t const> run_ms) -> std::int64_t
 {
     auto ends = std::vector<std::int64_t>{};
     auto longest = std::int64_t{0};
@@ -140,7 +151,7 @@
         {
             begin = std::max(begin, ends.at(it));
         }
-        ends.push_back(begin + step.expected_run_ms);
+        ends.push_back(begin + run_ms[ends.size()]);
         longest = std::max(longest, ends.back());
     }
     return longest;
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -142,6 +143,10 @@
  */
 auto critical_path_ms(job_plan const& plan) -> std::int64_t;
 
+/** As above, by @p run_ms, one value for each step. */
+auto critical_path_ms(
+    job_plan const& plan, std::span<std::int64_t const> run_ms) -> std::int64_t;
+
 } // namespace godwitcleat::state
 
 #endif
--- a/tests/support/played_load_base.cpp
+++ b/tests/support/played_load_base.cpp
@@ -58,8 +58,10 @@
     world_.behaviour_of = [this](auto const& task, auto)
     {
         auto const& id = task.job.value;
-        auto const load = std::stoul(id.substr(0, id.find('-')));
-        return task_behaviour{classes_.at(load).run_ms, false};
+        auto const& load = classes_.at(std::stoul(id.substr(0, id.find('-'))));
+        auto const is_longest = task.step == 0 && task.index == 0;
+        return task_behaviour{
+            load.run_ms * (is_longest ? load.longest_factor : 1), false};
     };
 }
 
@@ -143,8 +145,9 @@
                 return false;
             }
             auto const& load = classes_[it.load];
-            auto const path = static_cast<double>(load.steps) *
-                              static_cast<double>(load.run_ms);
+            auto const path =
+                static_cast<double>(load.steps - 1 + load.longest_factor) *
+                static_cast<double>(load.run_ms);
             auto const objective = load.queue.stretch * path +
                                    static_cast<double>(load.queue.allowance_ms);
             auto const took = static_cast<double>(now_ms() - it.sent_ms);
--- a/tests/support/played_load_base.hpp
+++ b/tests/support/played_load_base.hpp
@@ -25,6 +25,8 @@
     std::uint32_t tasks = 1; ///< Of each step.
     std::int64_t run_ms = 1000;
     std::int64_t declared_run_ms = 1000;
+    std::int64_t longest_factor =
+        1; ///< One task of each job takes as much more.
     core::resources need{1000, 100, 0}; ///< Of each task.
     state::customer_id customer;
 };
