Place best-effort tasks by the coming load of the serving ones beside them

Cause: room beside serving tasks was counted from the mean tail latency of their class. Too much was placed at a low load.

Default: mean, as before.

--- a/coordination/daemon_settings_base.cpp
+++ b/coordination/daemon_settings_base.cpp
@@ -272,19 +272,26 @@
                 read_ms(reader, "commit_delay_ms", it.commit_delay, 0, 10'000);
                 read_ms(reader, "look_gap_ms", it.poll_pause, 0, 10'000);
                 read_ms(reader, "retention_ms", it.retention, 1000, 86'400'000);
-                it.measured_objectives = read_objectives(reader);
+                it.measured_objectives =
+                    choose(reader, "objectives", "declared", "measured");
+                it.followed_load =
+                    choose(reader, "serving_load", "mean", "followed");
                 check_hosted(reader, it);
             });
     }
 
-    static auto read_objectives(core::ini_reader& reader) -> bool
+    /** Returns true if the text of @p key is @p second, false if it is
+     *  @p first, the default. */
+    static auto choose(
+        core::ini_reader& reader, std::string_view key, std::string_view first,
+        std::string_view second) -> bool
     {
-        auto const text = reader.text("objectives", "declared");
-        if (text != "declared" && text != "measured")
+        auto const text = reader.text(key, first);
+        if (text != first && text != second)
         {
-            reader.problem("objectives", "must be declared or measured");
+            reader.problem(key, fmt::format("must be {} or {}", first, second));
         }
-        return text == "measured";
+        return text == second;
     }
 
     static auto
--- a/coordination/daemon_settings_base.hpp
+++ b/coordination/daemon_settings_base.hpp
@@ -31,6 +31,7 @@
     core::duration poll_pause = std::chrono::milliseconds{40};
     core::duration retention = std::chrono::milliseconds{180'000};
     bool measured_objectives = false; ///< Else by the declared run times.
+    bool followed_load = false;       ///< Of serving tasks; else the mean.
 
     auto operator==(hosted_settings const&) const -> bool = default;
 };
--- a/programs/godwitcleatd/hosted_daemon_base.cpp
+++ b/programs/godwitcleatd/hosted_daemon_base.cpp
@@ -100,6 +100,7 @@
     it.poll_pause = from.poll_pause;
     it.retention = from.retention;
     it.measured_objectives = from.measured_objectives;
+    it.followed_load = from.followed_load;
     it.previous_owner_validity = from.owner_lease;
     result.term.lease = from.owner_lease;
     result.term.lease_after_write = it.lease_after_write;
--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -26,6 +26,11 @@
 // Assumed undisturbed tail latency, as a share of the target, until the first
 // measurement.
 constexpr auto initial_tail_share = 0.45;
+// Weight of a task with best-effort neighbours in the load of its job. What
+// they cost it is only expected.
+constexpr auto disturbed_weight = 0.1;
+// Most best-effort tasks end within this time.
+constexpr auto forecast_horizon = std::chrono::milliseconds{2500};
 // Share of the headroom below a target that the expected excess may use. The
 // rest is left for the load of the serving tasks, which changes within seconds.
 constexpr auto usable_headroom = 0.9;
@@ -63,12 +68,17 @@
 
 } // namespace
 
-auto tail_model_settings() -> interference_settings
+auto tail_model_settings(bool follows_load) -> interference_settings
 {
+    // Variance of one measurement: around the mean of a class it contains the
+    // changes of the load.
+    constexpr auto noise_around_mean = 0.25;
+    constexpr auto noise_around_load = 0.05;
     auto settings = interference_settings{};
     settings.prior = 2.0;
     settings.prior_variance = 4.0;
-    settings.noise_variance = 0.25;
+    settings.noise_variance =
+        follows_load ? noise_around_load : noise_around_mean;
     settings.half_life = std::chrono::minutes{2};
     return settings;
 }
@@ -129,43 +139,75 @@
         }
         auto& base = undisturbed_tail(run.task_class, run.tail_target_ms);
         auto const tail = static_cast<double>(run.measurement);
+        auto const target = static_cast<double>(run.tail_target_ms);
         if (load < min_load)
         {
-            auto const target = static_cast<double>(run.tail_target_ms);
             base += undisturbed_tail_rate * (std::min(tail, target) - base);
+            follow_load(run, std::min(tail, target), 0.0, now);
             continue;
         }
+        auto const level = load_level(run, now).value_or(std::log(base));
         interference.observe(
             task_class_names[run.task_class.value], neighbours,
-            1.0 + std::max(0.0, std::log(tail / base)), now);
+            1.0 + std::max(0.0, std::log(tail) - level), now);
+        auto excess = 0.0;
+        for (auto const& it : neighbours)
+        {
+            excess += interference.excess(
+                task_class_names[run.task_class.value], it.task_class, it.load);
+        }
+        follow_load(run, tail, excess, now);
     }
     worker.estimates_valid = false;
 }
 
+auto dispatcher::implementation::follow_load(
+    run_entry const& run, double tail, double excess, core::time_point now)
+    -> void
+{
+    if (settings.followed_load && run.job)
+    {
+        auto& load = run.job->load;
+        load = load ? std::move(load) : std::make_unique<serving_load>();
+        load->add(
+            std::log(tail) - excess, excess > 0.0 ? disturbed_weight : 1.0,
+            now);
+    }
+}
+
+auto dispatcher::implementation::load_level(
+    run_entry const& run, core::time_point now) const -> std::optional<double>
+{
+    return run.job && run.job->load ? run.job->load->level(now) : std::nullopt;
+}
+
 auto dispatcher::implementation::add_serving_class(
-    dispatch_worker& worker, run_entry const& run) -> void
+    dispatch_worker& worker, run_entry const& run, core::time_point now) -> void
 {
+    auto const* const job = settings.followed_load ? run.job.get() : nullptr;
     auto const target = static_cast<double>(run.tail_target_ms);
     auto const tail = std::max(1.0, static_cast<double>(run.measurement));
     auto const recent_limit =
         usable_headroom_now * std::max(0.0, std::log(target / tail));
     for (auto& it : worker.serving_classes)
     {
-        if (it.task_class == run.task_class)
+        if (it.task_class == run.task_class && it.job == job)
         {
             it.recent_excess_limit =
                 std::min(it.recent_excess_limit, recent_limit);
             return;
         }
     }
+    auto const coming = job != nullptr && job->load
+                            ? job->load->forecast(now, forecast_horizon)
+                            : std::nullopt;
+    auto const undisturbed = coming.value_or(
+        std::log(undisturbed_tail(run.task_class, run.tail_target_ms)));
     auto it = serving_class{};
     it.task_class = run.task_class;
+    it.job = job;
     it.excess_limit =
-        usable_headroom *
-        std::max(
-            0.0,
-            std::log(
-                target / undisturbed_tail(run.task_class, run.tail_target_ms)));
+        usable_headroom * std::max(0.0, std::log(target) - undisturbed);
     it.recent_excess_limit = recent_limit;
     worker.serving_classes.push_back(it);
 }
@@ -197,7 +239,7 @@
         if (run.tail_target_ms > 0)
         {
             serving_cpu += run.need.cpu_milli;
-            add_serving_class(worker, run);
+            add_serving_class(worker, run, now);
         }
     }
     for (auto& it : worker.serving_classes)
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -5,6 +5,7 @@
 #include "state/customer_shares_base.hpp"
 #include "state/dispatch_base.hpp"
 #include "state/interference_base.hpp"
+#include "state/serving_load_base.hpp"
 #include "state/start_window_base.hpp"
 
 #include <algorithm>
@@ -266,7 +267,8 @@
     std::vector<step_entry> steps; ///< Of all occurrences, in order.
     /** Critical path from the start of each step to the end of the job. */
     std::vector<std::int64_t> remaining_path_ms;
-    std::int64_t critical_path_ms = 0; ///< By the declared run times.
+    std::unique_ptr<serving_load> load; ///< Of its serving tasks, if followed.
+    std::int64_t critical_path_ms = 0;  ///< By the declared run times.
     /** By the measured ones, for each occurrence; 0 or absent: none is. */
     std::vector<std::int64_t> measured_path_ms;
     std::uint32_t open_steps = 0;
@@ -445,6 +447,8 @@
 struct serving_class
 {
     task_class_id task_class;
+    /** Whose load is followed; null: the mean of all jobs of the class. */
+    job_entry const* job = nullptr;
     double excess = 0.0;        ///< Expected from the best-effort runs.
     double excess_limit = 0.0;  ///< Excess at which the target is still met.
     double recent_excess = 0.0; ///< Part that no measurement contains yet.
@@ -672,7 +676,7 @@
     -> std::int64_t;
 
 /** Returns the settings of the interference model of tail latencies. */
-auto tail_model_settings() -> interference_settings;
+auto tail_model_settings(bool follows_load) -> interference_settings;
 
 struct dispatcher::implementation
 {
@@ -1108,8 +1112,19 @@
         -> void;
     auto update_estimates(dispatch_worker& worker, core::time_point now)
         -> void;
-    auto add_serving_class(dispatch_worker& worker, run_entry const& run)
+    auto add_serving_class(
+        dispatch_worker& worker, run_entry const& run, core::time_point now)
+        -> void;
+    /** Adds a measured tail latency to the load of the run's job; its
+     *  neighbours are expected to cause @p excess. */
+    auto follow_load(
+        run_entry const& run, double tail, double excess, core::time_point now)
         -> void;
+    /** Returns the logarithm of the present undisturbed tail latency, if the
+     *  load of the run's job is followed. */
+    [[nodiscard]] auto
+    load_level(run_entry const& run, core::time_point now) const
+        -> std::optional<double>;
     auto undisturbed_tail(task_class_id task_class, std::int64_t target)
         -> double&;
     auto tolerates(
@@ -1227,7 +1242,8 @@
     core::time_point next_schedule;
     core::time_point next_waiting_report;
     core::time_point last_pass_at; ///< Time of the last take_orders().
-    interference_model interference{tail_model_settings()};
+    interference_model interference{
+        tail_model_settings(settings.followed_load)};
     std::map<queue_id, queue_state> queue_states;
     customer_shares shares;
     double beyond_owed_starts = 0.0;
--- a/state/dispatch_type.hpp
+++ b/state/dispatch_type.hpp
@@ -202,6 +202,9 @@
     /** Time objectives follow the longest runs that are measured; else the
      *  declared run times. */
     bool measured_objectives = false;
+    /** Best-effort tasks are placed by the coming load of the serving tasks
+     *  beside them; else by the mean of their class. */
+    bool followed_load = false;
     /** Maximum bytes of a batch; below the store's transaction limit. */
     std::size_t max_batch_bytes = std::size_t{512} * 1024;
     /** Maximum writes of a batch; below the store's transaction limit. */
