Placement beside serving tasks: one limit for each class, more room at once

Change: the tightest limit of a class counts; expected effects come from the table of coefficients. With a followed load all of the headroom may be used, 30% of it at once (25% otherwise).

--- a/state/dispatch_interference.cpp
+++ b/state/dispatch_interference.cpp
@@ -31,12 +31,15 @@
 constexpr auto disturbed_weight = 0.1;
 // Most best-effort tasks end within this time.
 constexpr auto forecast_horizon = std::chrono::milliseconds{2500};
-// Share of the headroom below a target that the expected excess may use. The
-// rest is left for the load of the serving tasks, which changes within seconds.
+// Share of the headroom below a target that the expected excess may use. Unless
+// the load of the serving tasks is followed, the rest is left for its changes.
 constexpr auto usable_headroom = 0.9;
+constexpr auto usable_headroom_followed = 1.0;
 // Share of the headroom below a target, by the latest measurement, that newly
-// started tasks may use.
+// started tasks may use. 0.35 with a followed load left over 2% of the
+// intervals of long-running jobs without service (docs/design/hard-load.md).
 constexpr auto usable_headroom_now = 0.25;
+constexpr auto usable_headroom_now_followed = 0.3;
 // Serving tasks rarely use more than this share of their processors.
 constexpr auto serving_use_percent = 50;
 
@@ -150,15 +153,24 @@
         interference.observe(
             task_class_names[run.task_class.value], neighbours,
             1.0 + std::max(0.0, std::log(tail) - level), now);
-        auto excess = 0.0;
-        for (auto const& it : neighbours)
+        follow_load(run, tail, excess_of_neighbours(worker, run), now);
+    }
+    worker.estimates_valid = false;
+}
+
+auto dispatcher::implementation::excess_of_neighbours(
+    dispatch_worker const& worker, run_entry const& serving) -> double
+{
+    auto result = 0.0;
+    for (auto const& it : worker.runs)
+    {
+        if (it.uses_spare_cpu && it.seen_running && it.measurement > 0)
         {
-            excess += interference.excess(
-                task_class_names[run.task_class.value], it.task_class, it.load);
+            result += coefficient(serving.task_class, it.task_class) *
+                      share_of(worker, it.measurement);
         }
-        follow_load(run, tail, excess, now);
     }
-    worker.estimates_valid = false;
+    return result;
 }
 
 auto dispatcher::implementation::follow_load(
@@ -184,30 +196,32 @@
 auto dispatcher::implementation::add_serving_class(
     dispatch_worker& worker, run_entry const& run, core::time_point now) -> void
 {
-    auto const* const job = settings.followed_load ? run.job.get() : nullptr;
     auto const target = static_cast<double>(run.tail_target_ms);
     auto const tail = std::max(1.0, static_cast<double>(run.measurement));
+    auto const follows = settings.followed_load;
     auto const recent_limit =
-        usable_headroom_now * std::max(0.0, std::log(target / tail));
+        (follows ? usable_headroom_now_followed : usable_headroom_now) *
+        std::max(0.0, std::log(target / tail));
+    auto const coming = run.job && run.job->load
+                            ? run.job->load->forecast(now, forecast_horizon)
+                            : std::nullopt;
+    auto const undisturbed = coming.value_or(
+        std::log(undisturbed_tail(run.task_class, run.tail_target_ms)));
+    auto const limit = (follows ? usable_headroom_followed : usable_headroom) *
+                       std::max(0.0, std::log(target) - undisturbed);
     for (auto& it : worker.serving_classes)
     {
-        if (it.task_class == run.task_class && it.job == job)
+        if (it.task_class == run.task_class)
         {
+            it.excess_limit = std::min(it.excess_limit, limit);
             it.recent_excess_limit =
                 std::min(it.recent_excess_limit, recent_limit);
             return;
         }
     }
-    auto const coming = job != nullptr && job->load
-                            ? job->load->forecast(now, forecast_horizon)
-                            : std::nullopt;
-    auto const undisturbed = coming.value_or(
-        std::log(undisturbed_tail(run.task_class, run.tail_target_ms)));
     auto it = serving_class{};
     it.task_class = run.task_class;
-    it.job = job;
-    it.excess_limit =
-        usable_headroom * std::max(0.0, std::log(target) - undisturbed);
+    it.excess_limit = limit;
     it.recent_excess_limit = recent_limit;
     worker.serving_classes.push_back(it);
 }
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -447,10 +447,8 @@
 struct serving_class
 {
     task_class_id task_class;
-    /** Whose load is followed; null: the mean of all jobs of the class. */
-    job_entry const* job = nullptr;
     double excess = 0.0;        ///< Expected from the best-effort runs.
-    double excess_limit = 0.0;  ///< Excess at which the target is still met.
+    double excess_limit = 0.0;  ///< Excess at which all targets are still met.
     double recent_excess = 0.0; ///< Part that no measurement contains yet.
     double recent_excess_limit = 0.0; ///< Above the latest measurement.
 };
@@ -1115,6 +1113,9 @@
     auto add_serving_class(
         dispatch_worker& worker, run_entry const& run, core::time_point now)
         -> void;
+    /** Returns the expected effect of the best-effort runs on a serving one. */
+    auto excess_of_neighbours(
+        dispatch_worker const& worker, run_entry const& serving) -> double;
     /** Adds a measured tail latency to the load of the run's job; its
      *  neighbours are expected to cause @p excess. */
     auto follow_load(
