--- a/review/support-2/world.hpp
+++ b/review/support-2/world.h
@@ -1,4 +1,4 @@
-/** @file world.hpp A small hosting platform for the cases of the second review.
+/** @file world.h A small hosting platform for the cases of the second review.
  *
  * A store, runners, clients and the entry instances of one deployment, all on
  * loopback addresses and the real clock. The stand-ins follow PROTOCOL.md; they
@@ -11,17 +11,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <signal.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -29,6 +20,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -36,11 +28,18 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <set>
+#include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/socket.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace review
@@ -78,8 +77,14 @@
     {
     }
 
+    std::atomic<bool> quiet = false; ///< Runs of tasks are left out.
+
     auto line(std::string const& who, std::string const& what) -> void
     {
+        if (quiet && who.rfind("i-", 0) == 0)
+        {
+            return;
+        }
         auto const lock = std::scoped_lock{mutex_};
         out_ << now_ms() - begun_ << " ms  " << who << "  " << what
              << std::endl;
@@ -120,7 +125,7 @@
 struct request
 {
     std::string method;
-    std::string path;  ///< Without the query.
+    std::string path; ///< Without the query.
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
@@ -141,7 +146,8 @@
     {
         if (in[i] == '%' && i + 2 < in.size())
         {
-            out += static_cast<char>(std::stoi(in.substr(i + 1, 2), nullptr, 16));
+            out +=
+                static_cast<char>(std::stoi(in.substr(i + 1, 2), nullptr, 16));
             i += 2;
         }
         else
@@ -291,7 +297,10 @@
         auto size = socklen_t{sizeof where};
         ::getsockname(fd_, reinterpret_cast<sockaddr*>(&where), &size);
         address_ = ip + ":" + std::to_string(ntohs(where.sin_port));
-        acceptor_ = std::thread{[this] { accept_all(); }};
+        acceptor_ = std::thread{[this]
+                                {
+                                    accept_all();
+                                }};
     }
 
     ~http_server()
@@ -525,6 +534,13 @@
                                   : std::optional{it->second.value};
     }
 
+    /** Returns how many writes had a value above `value-bytes`. */
+    auto oversized() -> int
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        return oversized_;
+    }
+
     auto keys(std::string const& prefix) -> std::vector<std::string>
     {
         auto const lock = std::scoped_lock{mutex_};
@@ -646,8 +662,9 @@
             auto const it = items_.find(in.query.at("key"));
             if (it == items_.end())
             {
-                return {404, R"({"store-revision":)" +
-                                 std::to_string(revision_) + "}"};
+                return {
+                    404,
+                    R"({"store-revision":)" + std::to_string(revision_) + "}"};
             }
             auto body = show(it->first, it->second);
             body["store-revision"] = revision_;
@@ -667,7 +684,8 @@
         }
         if (in.path == "/api/kv-lease")
         {
-            auto const ttl = json::parse(in.body).at("ttl-ms").get<std::int64_t>();
+            auto const ttl =
+                json::parse(in.body).at("ttl-ms").get<std::int64_t>();
             auto const id = next_lease_++;
             leases_[id] = {ttl, now_ms() + ttl};
             return {200, json{{"lease", id}, {"ttl-ms", ttl}}.dump()};
@@ -722,8 +740,9 @@
     {
         auto const prefix = in.query.at("prefix");
         auto const after = std::stoll(in.query.at("after"));
-        auto const until = steady::now() + std::chrono::milliseconds{std::stoll(
-                                               in.query.at("wait-ms"))};
+        auto const until =
+            steady::now() +
+            std::chrono::milliseconds{std::stoll(in.query.at("wait-ms"))};
         auto body = json{{"events", json::array()}};
         while (true)
         {
@@ -766,6 +785,7 @@
             if (it.at("value").get_ref<std::string const&>().size() / 4 * 3 >
                 max_value_bytes)
             {
+                ++oversized_;
                 return {400, "{}"};
             }
         }
@@ -789,6 +809,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool closed_ = false;
+    int oversized_ = 0;
     std::int64_t revision_ = 1;
     std::map<std::string, item> items_;
     std::vector<event> events_;
@@ -844,10 +865,10 @@
     std::string runner;
     std::int64_t begun = 0; ///< ms of the record.
     std::int64_t ended = -1;
-    std::string how; ///< As in `ended`, or "crashed".
+    std::string how;        ///< As in `ended`, or "crashed".
     std::string checkpoint; ///< Of its start.
     std::string spec;
-    std::int64_t acked = -1; ///< When its end was acknowledged.
+    std::int64_t acked = -1;  ///< When its end was acknowledged.
     std::int64_t listed = -1; ///< When its end was first listed.
 };
 
@@ -882,8 +903,8 @@
         auto found = std::set<std::uint64_t>{};
         for (auto const& it : runs_)
         {
-            auto const is_of = it.task == work ||
-                               it.task.rfind(work + ".", 0) == 0;
+            auto const is_of =
+                it.task == work || it.task.rfind(work + ".", 0) == 0;
             if (is_of && it.how == "failed")
             {
                 found.insert(it.run);
@@ -970,24 +991,22 @@
             {
                 return;
             }
-            for (auto const& it : running_)
-            {
-                if (it.gang > 0)
-                {
-                    runs_.gangs.end(it.gang_key, false);
-                }
-                runs_.end(it.history, lines_.at(), "crashed");
-                lines_.line(
-                    settings_.id, it.task + " run " + std::to_string(it.run) +
-                                      " is lost with its runner");
-            }
-            running_.clear();
+            end_all();
         }
         changed_.notify_all();
         server_.stop();
         ticker_.join();
     }
 
+    /** Its process ends without a sign: nothing runs, no call gets an answer
+     *  and connections stay open, until crash() is called. */
+    auto go_dark() -> void
+    {
+        auto const lock = std::scoped_lock{mutex_};
+        dark_ = true;
+        end_all();
+    }
+
     auto drain(bool on) -> void
     {
         {
@@ -1007,7 +1026,8 @@
     {
         auto const lock = std::scoped_lock{mutex_};
         return static_cast<std::size_t>(std::count_if(
-            running_.begin(), running_.end(), [&](auto const& it)
+            running_.begin(), running_.end(),
+            [&](auto const& it)
             { return job.empty() || it.task.rfind(job + ".", 0) == 0; }));
     }
 
@@ -1018,6 +1038,22 @@
     }
 
 private:
+    auto end_all() -> void
+    {
+        for (auto const& it : running_)
+        {
+            if (it.gang > 0)
+            {
+                runs_.gangs.end(it.gang_key, false);
+            }
+            runs_.end(it.history, lines_.at(), "crashed");
+            lines_.line(
+                settings_.id, it.task + " run " + std::to_string(it.run) +
+                                  " is lost with its runner");
+        }
+        running_.clear();
+    }
+
     struct run_state
     {
         std::string task;
@@ -1040,8 +1076,8 @@
     auto saved(run_state const& it) const -> std::string
     {
         auto const step = static_cast<double>(settings_.save_ms);
-        auto const ms = static_cast<std::int64_t>(it.done_ms / step) *
-                        settings_.save_ms;
+        auto const ms =
+            static_cast<std::int64_t>(it.done_ms / step) * settings_.save_ms;
         return it.saves && ms > 0 ? it.name_of_work + "#" + std::to_string(ms)
                                   : std::string{};
     }
@@ -1071,8 +1107,9 @@
             it.gang = own.value("gang", std::size_t{0});
             auto const key = parts[0] + "." + parts[1] + "." + parts[2];
             auto const failures = own.value("fail", 0);
-            it.fails = static_cast<int>(runs_.failures(
-                           it.gang > 0 ? key : it.task)) < failures;
+            it.fails =
+                static_cast<int>(runs_.failures(it.gang > 0 ? key : it.task)) <
+                failures;
             if (it.gang > 0)
             {
                 it.name_of_work = key;
@@ -1105,6 +1142,10 @@
 
     auto handle(request const& in) -> response
     {
+        if (dark_)
+        {
+            return {200, "", true};
+        }
         if (disturb)
         {
             if (auto const other = disturb(in))
@@ -1133,9 +1174,9 @@
             return {400, "{}"};
         }
         auto lock = std::unique_lock{mutex_};
-        if (dead_)
+        if (dead_ || dark_)
         {
-            return {200, "", false, true};
+            return {200, "", !dead_, dead_};
         }
         auto const token = body.value("fencing-token", std::uint64_t{0});
         if (token < token_)
@@ -1196,8 +1237,7 @@
         {
             return conflict("old");
         }
-        auto words =
-            std::istringstream{body.at("spec").get<std::string>()};
+        auto words = std::istringstream{body.at("spec").get<std::string>()};
         auto word = std::string{};
         auto it = run_state{};
         words >> word >> it.work_ms;
@@ -1220,9 +1260,8 @@
         }
         running_.push_back(it);
         lines_.line(
-            settings_.id,
-            "starts " + task + " run " + std::to_string(run) + " token " +
-                std::to_string(token_));
+            settings_.id, "starts " + task + " run " + std::to_string(run) +
+                              " token " + std::to_string(token_));
         return ok();
     }
 
@@ -1270,9 +1309,9 @@
         changed_.wait_for(
             lock, std::chrono::milliseconds{wait},
             [&] { return dead_ || next_end_ != seen || !ended_.empty(); });
-        if (dead_)
+        if (dead_ || dark_)
         {
-            return {200, "", false, true};
+            return {200, "", !dead_, dead_};
         }
         auto out = json{
             {"clock-ms", clock_ms()},
@@ -1327,9 +1366,8 @@
                 for (auto i = running_.size(); i-- > 0;)
                 {
                     auto& it = running_[i];
-                    auto const gang = it.gang > 0
-                                          ? runs_.gangs.get(it.gang_key)
-                                          : gang_board::entry{};
+                    auto const gang = it.gang > 0 ? runs_.gangs.get(it.gang_key)
+                                                  : gang_board::entry{};
                     if (it.gang == 0)
                     {
                         it.done_ms += it.pace * static_cast<double>(now - last);
@@ -1357,8 +1395,7 @@
                     {
                         end(i, "alone");
                     }
-                    else if (
-                        it.fails && it.done_ms >= it.resumed_ms + 300)
+                    else if (it.fails && it.done_ms >= it.resumed_ms + 300)
                     {
                         end(i, "failed");
                     }
@@ -1386,7 +1423,7 @@
         auto entry = json{};
         {
             auto const lock = std::scoped_lock{mutex_};
-            if (dead_)
+            if (dead_ || dark_)
             {
                 return;
             }
@@ -1422,6 +1459,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool dead_ = false;
+    std::atomic<bool> dark_ = false;
     std::atomic<bool> draining_ = false;
     std::uint64_t seq_ = 0;
     std::uint64_t token_ = 0;
@@ -1538,8 +1576,7 @@
     /** Returns the resident memory in MB, 0 if the process is gone. */
     [[nodiscard]] auto memory_mb() const -> std::int64_t
     {
-        auto file =
-            std::ifstream{"/proc/" + std::to_string(pid_) + "/status"};
+        auto file = std::ifstream{"/proc/" + std::to_string(pid_) + "/status"};
         auto line = std::string{};
         while (std::getline(file, line))
         {
@@ -1578,8 +1615,8 @@
         while ((begin = text.find("{{")) != std::string::npos)
         {
             auto const end = text.find("}}", begin);
-            auto path = std::istringstream{
-                text.substr(begin + 2, end - begin - 2)};
+            auto path =
+                std::istringstream{text.substr(begin + 2, end - begin - 2)};
             auto const* node = &fields_;
             auto word = std::string{};
             while (std::getline(path, word, '.'))
@@ -1631,8 +1668,8 @@
         : lines(record_path)
     {
         ::signal(SIGPIPE, SIG_IGN);
-        auto name = (std::filesystem::temp_directory_path() / "review-XXXXXX")
-                        .string();
+        auto name =
+            (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
         folder = ::mkdtemp(name.data());
         // A block of loopback addresses of its own, so that ports are free.
         auto const pid = static_cast<int>(::getpid());
@@ -1641,8 +1678,8 @@
         target = std::make_unique<store>(block + "1");
         trouble = std::getenv("TROUBLE") == nullptr ||
                   std::string{std::getenv("TROUBLE")} != "0";
-        lines.line("case", trouble ? "with the disruption"
-                                   : "without the disruption");
+        lines.line(
+            "case", trouble ? "with the disruption" : "without the disruption");
     }
 
     ~world()
@@ -1685,17 +1722,16 @@
     {
         auto const config = json{
             {"version", 7},
-            {"routes",
-             json::array(
-                 {{{"name", "q"},
-                   {"host", host},
-                   {"prefix", "/q/"},
-                   {"service", "svc"},
-                   {"priority", 2},
-                   {"attempts", attempts},
-                   {"stretch", 2.0},
-                   {"target-duration-ms", 4500},
-                   {"timeout-ms", 3000}}})},
+            {"routes", json::array(
+                           {{{"name", "q"},
+                             {"host", host},
+                             {"prefix", "/q/"},
+                             {"service", "svc"},
+                             {"priority", 2},
+                             {"attempts", attempts},
+                             {"stretch", 2.0},
+                             {"target-duration-ms", 4500},
+                             {"timeout-ms", 3000}}})},
             {"services", json::array({{{"name", "svc"}}})},
             {"limits", {{"body-bytes", 262144}}}};
         target->put("op/config", config.dump());
@@ -1744,7 +1780,8 @@
         for (auto i = 0; i < tries; ++i)
         {
             auto const& at = *instances[next_++ % instances.size()];
-            result = http_call(at.front(), method, "/q/" + id, host, body, 3000);
+            result =
+                http_call(at.front(), method, "/q/" + id, host, body, 3000);
             lines.line(
                 "client", method + " " + id + " at " + at.name() + " -> " +
                               std::to_string(result.status) + " " +
