Show that accepted jobs that repeat end the owner for want of memory (review 3)

Cause: all tasks of all occurrences of all accepted jobs are held at once, and nothing bounds their sum; a restarted owner loads them again at once.

--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -249,6 +249,120 @@
     return beyond > 0 ? broken : failed_runs() == attempts ? held : not_run;
 }
 
+/** LOST: jobs that run many times come at once. As DEPLOY.md says, a process
+ *  that exceeds its memory is killed, and restarted after a short delay. */
+auto run_memory(world& it) -> int
+{
+    constexpr auto limit = std::int64_t{260} * 1024 * 1024;
+    constexpr auto normal_rate = 6.59;
+    constexpr auto burst = 2.6;
+    constexpr auto burst_s = 4;
+    constexpr auto finish = 14s;
+    constexpr auto repeats = 1488; // Each hour for 62 days.
+    it.add_runners(16, 4, 8000);
+    it.configure(2, json::array({route("survey", "/survey/", 4)}));
+    it.add_daemons(3);
+    if (!it.wait_ready("/survey/", 15s))
+    {
+        return not_run;
+    }
+    std::this_thread::sleep_for(1s);
+    auto kills = std::vector<int>(it.daemons.size());
+    auto most = std::int64_t{0};
+    auto end = std::atomic<bool>{false};
+    auto const keep_limit = [&]
+    {
+        for (auto i = std::size_t{0}; i < it.daemons.size(); ++i)
+        {
+            auto& daemon = *it.daemons[i];
+            auto const bytes = daemon.memory();
+            most = std::max(most, bytes);
+            if (bytes > limit)
+            {
+                ++kills[i];
+                it.record.line(fmt::format(
+                    "{} has more than its 260 MB and is killed ({})",
+                    daemon.name(), kills[i]));
+                daemon.end();
+                std::this_thread::sleep_for(500ms);
+                daemon.start();
+            }
+        }
+    };
+    auto platform = std::thread{[&]
+                                {
+                                    while (!end)
+                                    {
+                                        keep_limit();
+                                        std::this_thread::sleep_for(20ms);
+                                    }
+                                }};
+    auto const rate = normal_rate * (has_trouble() ? burst : 1.0);
+    auto const jobs = static_cast<int>(rate * burst_s);
+    auto accepted = std::vector<std::string>{};
+    auto const sent_until = steady::now() + 10s; // Some calls get no answer.
+    for (auto i = 0; i < jobs && steady::now() < sent_until; ++i)
+    {
+        // Two steps of eight tasks, as in the table of the deployment.
+        auto const step = json{
+            {"count", 8},
+            {"cpu", 1800},
+            {"mem-mb", 3200},
+            {"estimate-ms", 1700}};
+        auto body = json{
+            {"spec", "work=1700"},
+            {"steps", {step, step}},
+            {"repeat-count", repeats},
+            {"interval-ms", 3'600'000},
+            {"first-run-ms", unix_ms() + 3'600'000}};
+        body["steps"][1]["after"] = {0};
+        auto const id = job_id(i);
+        for (auto n = std::size_t{0}; n < 2; ++n)
+        {
+            auto const& daemon =
+                *it.daemons
+                     [(static_cast<std::size_t>(i) + n) % it.daemons.size()];
+            if (it.people
+                    .call("POST", daemon.front(), "/survey/" + id, body.dump())
+                    .status == 200)
+            {
+                accepted.push_back(id);
+                break;
+            }
+        }
+        std::this_thread::sleep_for(
+            milliseconds{static_cast<int>(1000 / rate)});
+    }
+    // finish_s after the end of the traffic, and some time to recover.
+    std::this_thread::sleep_for(finish + 16s);
+    auto asked = 0;
+    auto lost = 0;
+    for (auto const& id : accepted)
+    {
+        if (steady::now() - it.begun > 90s)
+        {
+            break;
+        }
+        ++asked;
+        auto const state = state_of(it, "/survey/" + id);
+        if (state != "queued" && state != "active")
+        {
+            ++lost;
+            it.record.line(
+                "BROKEN accepted job " + id +
+                " gets no answer at any instance");
+        }
+    }
+    end = true;
+    platform.join();
+    it.record.line(fmt::format(
+        "{} jobs accepted; {} asked for, {} without an answer; instances used "
+        "{} MB at most and were killed {}, {} and {} times",
+        accepted.size(), asked, lost, most / 1024 / 1024, kills[0], kills[1],
+        kills[2]));
+    return accepted.empty() ? not_run : lost > 0 ? broken : held;
+}
+
 } // namespace
 
 auto main(int count, char** arguments) -> int
@@ -264,6 +378,10 @@
     {
         result = run_crashes(it);
     }
+    else if (name == "memory")
+    {
+        result = run_memory(it);
+    }
     else if (name == "budget")
     {
         result = run_budget(it);
--- a/review/standin-3/world.hh
+++ b/review/standin-3/world.hh
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <sys/prctl.h>
@@ -1060,6 +1061,18 @@
     {
         end();
     }
+    /** Returns the resident memory in bytes; 0: it does not run. */
+    [[nodiscard]] auto memory() const -> std::int64_t
+    {
+        auto file = std::ifstream{"/proc/" + std::to_string(pid_) + "/statm"};
+        auto pages = std::int64_t{0};
+        file >> pages >> pages;
+        return pid_ > 0 ? pages * ::sysconf(_SC_PAGESIZE) : 0;
+    }
+    [[nodiscard]] auto name() const -> std::string const&
+    {
+        return name_;
+    }
     [[nodiscard]] auto front() const -> transport::endpoint
     {
         return {"127.0.0.1", gateway};
@@ -1074,12 +1087,20 @@
 private:
     static auto free_port() -> std::uint16_t
     {
+        // Below the ports that outgoing connections use.
+        static auto random = std::mt19937{std::random_device{}()};
         auto loop = transport::reactor{1};
-        auto server = transport::http_server::listen(
-            loop, {"127.0.0.1", 0}, {}, [](auto const&, auto) {});
-        auto const port = server->local().port;
-        server->close();
-        return port;
+        for (;;)
+        {
+            auto const port =
+                static_cast<std::uint16_t>(10000 + random() % 20000);
+            auto const server = transport::http_server::listen(
+                loop, {"127.0.0.1", port}, {}, [](auto const&, auto) {});
+            if (server)
+            {
+                return port;
+            }
+        }
     }
     [[nodiscard]] auto settings() const -> std::string
     {
@@ -1264,6 +1285,7 @@
         return on_loop([this] { return facts.runs; });
     }
 
+    steady::time_point begun = steady::now();
     recorder record;
     std::string temporary;
     transport::reactor loop{1};
