--- a/review/standin-3/world.hh
+++ b/review/standin-3/world.hh
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -277,6 +278,7 @@
         auto const after = parameter(target, "after");
         auto items = json::array();
         auto more = false;
+        auto bytes = std::size_t{0};
         for (auto it = items_.lower_bound(prefix);
              it != items_.end() && it->first.starts_with(prefix); ++it)
         {
@@ -284,12 +286,13 @@
             {
                 continue;
             }
-            if (items.size() == 500)
+            if (items.size() == 500 || bytes >= 1'000'000)
             {
                 more = true;
                 break;
             }
             items.push_back(json_of(it->first, it->second));
+            bytes += it->second.value.size() + 120;
         }
         answer(
             reply, 200,
@@ -358,17 +361,15 @@
         {
             items_[it.at("key").get<std::string>()].revision = last;
         }
-        for (auto& it : events_)
+        // Events of one call carry its revision.
+        auto left = std::min(count, events_.size());
+        for (auto at = events_.rbegin(); left > 0; ++at, --left)
         {
-            if (it.revision > last - static_cast<std::int64_t>(count))
+            if (at->written && items_.contains(at->key) &&
+                items_[at->key].revision == last)
             {
-                // Events of one call carry its revision.
-                if (it.written && items_.contains(it.key) &&
-                    items_[it.key].revision == last)
-                {
-                    it.revision = last;
-                    it.written->revision = last;
-                }
+                at->revision = last;
+                at->written->revision = last;
             }
         }
         answer(reply, 200, {{"revision", last}});
@@ -404,12 +405,27 @@
         {
             end_lease(id);
         }
+        while (events_.size() > 20'000)
+        {
+            dropped_ = events_.front().revision;
+            events_.pop_front();
+        }
         auto waiting = std::exchange(watches_, {});
         for (auto& it : waiting)
         {
+            if (it.after < dropped_)
+            {
+                answer(it.reply, 410);
+                continue;
+            }
             auto found = json::array();
-            for (auto const& event : events_)
+            auto const first = std::upper_bound(
+                events_.begin(), events_.end(), it.after,
+                [](std::int64_t after, event const& at)
+                { return after < at.revision; });
+            for (auto at = first; at != events_.end(); ++at)
             {
+                auto const& event = *at;
                 if (event.revision > it.after &&
                     event.key.starts_with(it.prefix))
                 {
@@ -435,11 +451,12 @@
     std::optional<transport::http_server> server_;
     transport::timer_handle timer_;
     std::map<std::string, item> items_;
-    std::vector<event> events_;
+    std::deque<event> events_;
     std::vector<watch> watches_;
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t last_lease_ = 100;
     std::int64_t revision_ = 1;
+    std::int64_t dropped_ = 0; ///< Last revision of the history that is gone.
 };
 
 /** What the tasks of a command do: "work=MS", "fail" (each run fails at its
@@ -1061,18 +1078,6 @@
     {
         end();
     }
-    /** Returns the resident memory in bytes; 0: it does not run. */
-    [[nodiscard]] auto memory() const -> std::int64_t
-    {
-        auto file = std::ifstream{"/proc/" + std::to_string(pid_) + "/statm"};
-        auto pages = std::int64_t{0};
-        file >> pages >> pages;
-        return pid_ > 0 ? pages * ::sysconf(_SC_PAGESIZE) : 0;
-    }
-    [[nodiscard]] auto name() const -> std::string const&
-    {
-        return name_;
-    }
     [[nodiscard]] auto front() const -> transport::endpoint
     {
         return {"127.0.0.1", gateway};
