--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -144,6 +144,134 @@
     return beyond > 0 ? broken : failed_runs() == attempts ? held : not_run;
 }
 
+/** MIXED: a runner loses power for good as long-running jobs are started on it,
+ *  and the owner is killed. The next owner's count leaves these jobs out. */
+auto run_pending(world& it) -> int
+{
+    constexpr auto jobs = 5;
+    constexpr auto tasks = 6;
+    // visible_ms + 2 s.
+    constexpr auto shown_after = 5000ms;
+    it.add_runners(8, 4, 64'000);
+    it.configure(2, json::array({route("watch", "/watch/", 3)}));
+    it.add_daemons(4);
+    if (!it.wait_ready("/watch/", 15s))
+    {
+        return not_run;
+    }
+    std::this_thread::sleep_for(1s);
+    auto const body = json{
+        {"spec", "lasts"},
+        {"steps",
+         {{{"count", tasks},
+           {"cpu", 1000},
+           {"mem-mb", 64},
+           {"estimate-ms", 300},
+           {"long-running",
+            true}}}}}.dump();
+    auto accepted = std::map<std::string, steady::time_point>{};
+    auto const submit = [&](int n, daemon_process const& to)
+    {
+        auto const id = job_id(n);
+        if (it.people.call("POST", to.front(), "/watch/" + id, body).status ==
+            200)
+        {
+            accepted[id] = steady::now();
+        }
+    };
+    submit(0, *it.daemons[0]);
+    std::this_thread::sleep_for(3500ms);
+    auto* owner = static_cast<daemon_process*>(nullptr);
+    auto const record_of_owner = it.on_loop(
+        [&] { return it.registry.text_of("godwitcleat/00/live/owner"); });
+    for (auto i = std::size_t{0}; i < it.daemons.size(); ++i)
+    {
+        auto const name = fmt::format("entry-{}", i + 1);
+        owner = record_of_owner.find(name) == std::string::npos
+                    ? owner
+                    : it.daemons[i].get();
+    }
+    auto const facts = it.facts_now();
+    if (owner == nullptr || facts.size() < tasks)
+    {
+        return not_run;
+    }
+    if (has_trouble())
+    {
+        // One runner of eight; tasks that last are packed on it.
+        it.on_loop(
+            [&]
+            {
+                for (auto const& one : it.runners)
+                {
+                    if (one->id() == facts.back().worker)
+                    {
+                        one->lose_power();
+                    }
+                }
+            });
+    }
+    for (auto i = 1; i <= jobs; ++i)
+    {
+        submit(i, *owner);
+    }
+    std::this_thread::sleep_for(300ms);
+    if (has_trouble())
+    {
+        it.record.line("the owner is killed");
+        owner->end();
+        owner->start();
+    }
+    auto wrong = 0;
+    auto right = 0;
+    auto const ask = [&](daemon_process const& one)
+    {
+        auto const asked = steady::now();
+        auto const got = it.people.call("GET", one.front(), "/watch/");
+        auto begun = std::set<std::string>{};
+        for (auto const& fact : it.facts_now())
+        {
+            begun.insert(fact.task.substr(0, 16));
+        }
+        auto const waiting = std::count_if(
+            accepted.begin(), accepted.end(),
+            [&](auto const& job) {
+                return !begun.contains(job.first) &&
+                       job.second + shown_after < asked;
+            });
+        if (got.status != 200)
+        {
+            return;
+        }
+        auto const count =
+            json::parse(got.body).at("pending-count").template get<int>();
+        auto const is_wrong = 2 * count < waiting;
+        (is_wrong ? wrong : right) += 1;
+        if (is_wrong)
+        {
+            it.record.line(fmt::format(
+                "BROKEN pending-count {} while {} jobs, accepted over 5 s "
+                "before, have not begun",
+                count, waiting));
+        }
+    };
+    auto const end = steady::now() + 20s;
+    while (steady::now() < end)
+    {
+        for (auto const& one : it.daemons)
+        {
+            // The others have run without a disruption all the while.
+            if (one.get() != owner)
+            {
+                ask(*one);
+            }
+        }
+        std::this_thread::sleep_for(200ms);
+    }
+    it.record.line(fmt::format("{} wrong counts, {} right ones", wrong, right));
+    return wrong > 0 ? broken : right > 0 ? held : not_run;
+}
+
 } // namespace
 
 auto main(int count, char** arguments) -> int
@@ -159,6 +287,10 @@
     {
         result = run_budget(it);
     }
+    else if (name == "pending")
+    {
+        result = run_pending(it);
+    }
     it.record.line(fmt::format("exit {}", result));
     for (auto& daemon : it.daemons)
     {
--- a/review/standin-3/world.hh
+++ b/review/standin-3/world.hh
@@ -553,7 +553,7 @@
     }
     [[nodiscard]] auto is_up() const -> bool
     {
-        return server_.has_value();
+        return server_.has_value() && !dark_;
     }
 
     /** Starts a process; the port stays the same. */
@@ -605,6 +605,31 @@
         facts_.record->line("runner " + id_ + " crashes");
         server_->close();
         server_.reset();
+        end_life();
+    }
+
+    /** It loses power for good: nothing answers or resets connections, and
+     *  nothing runs any more. */
+    auto lose_power() -> void
+    {
+        facts_.record->line("runner " + id_ + " is without power");
+        dark_ = true;
+        end_life();
+    }
+
+    auto running_tasks() const -> std::vector<std::string>
+    {
+        auto out = std::vector<std::string>{};
+        for (auto const& it : running_)
+        {
+            out.push_back(it.task);
+        }
+        return out;
+    }
+
+private:
+    auto end_life() -> void
+    {
         for (auto& it : held_)
         {
             lost_.push_back(std::move(it.reply));
@@ -620,17 +645,6 @@
         silent_since_ = steady::now();
     }
 
-    auto running_tasks() const -> std::vector<std::string>
-    {
-        auto out = std::vector<std::string>{};
-        for (auto const& it : running_)
-        {
-            out.push_back(it.task);
-        }
-        return out;
-    }
-
-private:
     struct active
     {
         std::string task;
@@ -970,6 +984,7 @@
     std::vector<transport::http_reply> lost_; ///< Never answered.
     std::uint16_t port_ = 0;
     std::uint64_t life_ = 0;
+    bool dark_ = false;
     bool timers_started_ = false;
     transport::timer_handle tick_;
     transport::timer_handle beat_;
