--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -689,6 +689,9 @@
 
     // Jobs (dispatch_jobs.cpp)
     auto restore(dispatch_snapshot const& stored, core::time_point now) -> void;
+    /** Reports how many jobs that have not ended were loaded, how many of them
+     *  count as started, and how many have a task with a stored worker. */
+    auto report_restored_jobs() const -> void;
     auto add_job(plan_record record) -> job_pointer;
     auto build_steps(job_entry& job) -> void;
     auto restore_progress(job_entry& job, plan_progress const& progress)
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -115,6 +115,31 @@
         }
     }
     recovering = !stored.jobs.empty();
+    report_restored_jobs();
+}
+
+auto dispatcher::implementation::report_restored_jobs() const -> void
+{
+    auto open = std::size_t{0};
+    auto started = std::size_t{0};
+    auto placed = std::size_t{0};
+    for (auto const& [id, job] : jobs)
+    {
+        if (is_final(job->phase))
+        {
+            continue;
+        }
+        ++open;
+        started += job->started ? 1 : 0;
+        placed += std::any_of(
+                      job->tasks.begin(), job->tasks.end(),
+                      [](auto const& it) { return !it.stored_worker.empty(); })
+                      ? 1
+                      : 0;
+    }
+    event(
+        "Open jobs were restored.",
+        {{"open", open}, {"started", started}, {"placed", placed}});
 }
 
 auto dispatcher::implementation::add_job(plan_record record) -> job_pointer
