Store that a job has started instead of inferring it from placements

Cause: a new owner took each task with stored progress as started. The worker of a long-running task is stored before its start is sent, and a crash is counted for a start that may never have reached its worker.

Ruled out: a counted crash (none logged), a count kept by other instances (they ask the owner), jobs not loaded (6 of 6 were).

Change: the progress says whether a task has started; it is written with each change, and the first start of a job with a long-running step is a change. Progress of earlier releases shows a start by ends and checkpoints only. So the new owner tells placements from starts, and jobs that have begun stay active. The same mark was wrong for short jobs with a counted crash, and the other way round for long-running gangs; both are mended.

--- a/protocol/plan_members_internal.hpp
+++ b/protocol/plan_members_internal.hpp
@@ -72,6 +72,7 @@
     visit("done", value.done);
     visit("tasks", value.tasks);
     visit("any_service", value.any_service);
+    visit("started", value.started);
 }
 
 auto visit_members(is<state::listed_worker> auto& value, auto&& visit) -> void
--- a/state/dispatch_batches.cpp
+++ b/state/dispatch_batches.cpp
@@ -24,6 +24,7 @@
         return result;
     }
     result.any_service = job.any_service;
+    result.started = job.started;
     for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
     {
         auto const& task = job.tasks[i];
--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -757,6 +757,8 @@
     auto is_service_stored(
         job_pointer const& job, step_entry const& step,
         core::service_id const& service, core::time_point now) -> bool;
+    /** Takes note that a worker has begun a task of the job. */
+    auto mark_started(job_pointer const& job, core::time_point now) -> void;
     auto hold_task(job_pointer const& job, std::uint32_t task) -> void;
     auto release_task(
         job_pointer const& job, std::uint32_t task, core::time_point now)
@@ -1167,14 +1169,6 @@
         }
     }
 
-    auto mark_started(job_entry& job) const -> void
-    {
-        if (!std::exchange(job.started, true))
-        {
-            report_latency(job_latency::to_first_start, job);
-        }
-    }
-
     auto event(std::string_view message, core::fields values) const -> void
     {
         if (hooks.on_event)
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -193,6 +193,7 @@
 {
     job.phase = progress.phase;
     job.any_service = progress.any_service;
+    job.started = progress.started;
     for (auto i = std::uint32_t{0}; i < job.tasks.size(); ++i)
     {
         if (is_done(progress, i))
@@ -210,7 +211,9 @@
             job.tasks[it.task].checkpoint = it.checkpoint;
             job.tasks[it.task].crashed_runs = it.crashed_runs;
             job.tasks[it.task].stored_worker = it.worker;
-            job.started = true;
+            // A stored worker or a crash may be of a start that was lost.
+            job.started = job.started || !it.failed_runs.empty() ||
+                          !it.checkpoint.empty();
         }
     }
 }
@@ -312,6 +315,25 @@
     return job->stored_version >= job->any_service_version;
 }
 
+auto dispatcher::implementation::mark_started(
+    job_pointer const& job, core::time_point now) -> void
+{
+    if (std::exchange(job->started, true))
+    {
+        return;
+    }
+    report_latency(job_latency::to_first_start, *job);
+    auto const& steps = job->record.plan.steps;
+    auto const lasts = std::any_of(
+        steps.begin(), steps.end(),
+        [](auto const& it) { return it.long_running; });
+    // The ends of other tasks will tell a new owner that the job has started.
+    if (lasts && !is_final(job->phase))
+    {
+        mark_changed(job, now + settings.commit_delay);
+    }
+}
+
 auto dispatcher::implementation::hold_task(
     job_pointer const& job, std::uint32_t task) -> void
 {
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -56,7 +56,7 @@
 
     if (job)
     {
-        mark_started(*job);
+        mark_started(job, now);
     }
     if (auto const i = find_run(worker, row.task, row.run))
     {
@@ -93,7 +93,7 @@
     update_suspicion(worker, run, now);
     if (run.job)
     {
-        mark_started(*run.job);
+        mark_started(run.job, now);
     }
     if (!row.checkpoint.empty())
     {
--- a/state/dispatch_workers.cpp
+++ b/state/dispatch_workers.cpp
@@ -743,7 +743,7 @@
             now - run.ordered_at);
         if (run.job)
         {
-            mark_started(*run.job);
+            mark_started(run.job, now);
         }
         return;
     case order_result::unknown:
--- a/state/plan_type.hpp
+++ b/state/plan_type.hpp
@@ -106,6 +106,8 @@
     /** Tasks may run on workers of other services than plan_record::service,
      *  because the queue was moved to another one. */
     bool any_service = false;
+    /** A task has started. Owners of earlier releases leave this unset. */
+    bool started = false;
 
     auto operator==(plan_progress const&) const -> bool = default;
 };
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -149,6 +149,7 @@
         term, stored, settings, hooks, now());
     set_queues();
     last_listed_.reset();
+    check_phases();
 }
 
 auto dispatch_world::run_for(std::int64_t ms) -> void
@@ -157,6 +158,7 @@
     {
         step();
     }
+    check_phases();
 }
 
 auto dispatch_world::step() -> void
@@ -501,6 +503,7 @@
     worker.runs.push_back(std::move(run));
     starts.push_back(
         fmt::format("{}@{}", text_of(order.task), worker.info.worker.value));
+    started_jobs_.insert(order.task.job.value);
     return state::order_result::accepted;
 }
 
@@ -604,6 +607,24 @@
     }
 }
 
+auto dispatch_world::check_phases() -> void
+{
+    if (!owner)
+    {
+        return;
+    }
+    for (auto const& it : stored.jobs)
+    {
+        auto const& id = it.plan.id;
+        if (!started_jobs_.contains(id.value) &&
+            owner->phase(id) == state::plan_phase::active)
+        {
+            violations.push_back(fmt::format(
+                "{} is active before a task of it has started", id.value));
+        }
+    }
+}
+
 auto dispatch_world::running_of(state::customer_id const& customer) const
     -> core::resources
 {
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -75,7 +75,8 @@
  * its completion was acknowledged; the capacity of a worker must not be
  * exceeded; nothing may start in a drained data centre, nor on a worker that
  * the stored list lacks; a long-running task must not start on a worker that
- * the store does not name for it; and no customer may exceed its limit.
+ * the store does not name for it; and no customer may exceed its limit. No job
+ * may be shown as active before a task of it has started.
  */
 class dispatch_world
 {
@@ -217,6 +218,7 @@
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
     auto check_limit(state::task_name const& task) -> void;
+    auto check_phases() -> void;
     /** Returns need_of(), with the declared processors of best-effort tasks. */
     auto charged_need(state::task_name const& name) const -> core::resources;
     /** Returns true if the store shows that the task may run on workers of
@@ -255,6 +257,7 @@
     std::map<std::string, state::job_plan> plans_;
     std::map<std::string, state::customer_id> customer_of_; ///< By job.
     std::set<std::string> done_; ///< Tasks with an acknowledged completion.
+    std::set<std::string> started_jobs_;
 };
 
 /** Returns JOB.OCCURRENCE.STEP.INDEX. */
