Compare failures with their limit after each change of the queues

Cause: the limit was compared only as a run fails, and not while the queue has no configuration; no later event made up for it.

Ruled out: a forgotten failure (failures=3 follows), a late list of the second end (failures=2 at 9.2 s, the start at 12.8 s).

Change: after each change of the queues, before the next start, jobs with a task that has failed as often as its queue allows end as failed. The same was looked for on related paths: a new owner without a configuration and a lowered limit had it and are covered; gangs, crashes, long-running tasks, customers and the shard engine do not have it.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -720,6 +720,9 @@
     }
     auto queue_state_of(queue_id const& queue) -> queue_state&;
     auto set_queues(queue_table_pointer table) -> void;
+    /** Ends jobs with tasks that have failed as often as their queues allow.
+     *  Those that failed while their queue was not configured had no limit. */
+    auto fail_exhausted_jobs(core::time_point now) -> void;
     auto intern_task_class(std::string const& task_class) -> task_class_id;
     auto mark_changed(job_pointer const& job, core::time_point commit_by)
         -> void;
@@ -1181,6 +1184,7 @@
     dispatch_settings settings;
     dispatch_hooks hooks;
     queue_table_pointer queues = std::make_shared<queue_table const>();
+    bool failure_limits_changed = false; ///< By `queues`; not applied yet.
     std::set<core::data_centre_id> drained;
     core::time_point start_limit = core::time_point::max();
     /** Argument of dispatcher::limit_leases(). */
--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -628,9 +628,31 @@
         it.config = found == queues->queues.end() ? nullptr : &found->second;
     }
     unplaceable.clear();
+    failure_limits_changed = true;
     schedule_due = true;
 }
 
+auto dispatcher::implementation::fail_exhausted_jobs(core::time_point now)
+    -> void
+{
+    for (auto const& [id, job] : jobs)
+    {
+        auto const* const queue = find_queue(*job);
+        if (queue == nullptr || is_final(job->phase))
+        {
+            continue;
+        }
+        auto const is_exhausted = std::any_of(
+            job->tasks.begin(), job->tasks.end(),
+            [&](auto const& it)
+            { return it.failed_runs.size() >= queue->max_failures; });
+        if (is_exhausted)
+        {
+            finish_job(job, plan_phase::failed, now);
+        }
+    }
+}
+
 auto dispatcher::implementation::intern_task_class(
     std::string const& task_class) -> task_class_id
 {
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -67,6 +67,10 @@
     -> std::vector<run_order>
 {
     last_pass_at = now;
+    if (std::exchange(failure_limits_changed, false))
+    {
+        fail_exhausted_jobs(now);
+    }
     send_stored_starts(now);
     if (schedule_due && now >= next_schedule)
     {
--- a/tests/support/dispatch_world_base.cpp
+++ b/tests/support/dispatch_world_base.cpp
@@ -102,6 +102,13 @@
     set_queues();
 }
 
+auto dispatch_world::remove_queue(std::string const& id) -> void
+{
+    ++queues_.version;
+    queues_.queues.erase(state::queue_id{id});
+    set_queues();
+}
+
 auto dispatch_world::set_customers(state::customer_table customers) -> void
 {
     ++queues_.version;
@@ -299,6 +306,10 @@
                 {
                     done_.insert(text_of(row.task));
                 }
+                if (acknowledged && row.outcome == state::run_outcome::failed)
+                {
+                    failed_runs_[text_of(row.task)].insert(row.run.value);
+                }
                 return acknowledged;
             });
         if (holds_wait)
@@ -558,6 +569,7 @@
             "{} exceeds the capacity of {}", name, worker.info.worker.value));
     }
     check_limit(order.task);
+    check_failures(order.task);
     if (done_.contains(name))
     {
         violations.push_back(
@@ -607,6 +619,25 @@
     }
 }
 
+auto dispatch_world::check_failures(state::task_name const& task) -> void
+{
+    auto const plan = plans_.find(task.job.value);
+    auto const failed = failed_runs_.find(text_of(task));
+    if (plan == plans_.end() || failed == failed_runs_.end() ||
+        plan->second.steps.at(task.step).long_running)
+    {
+        return;
+    }
+    auto const queue = queues_.queues.find(plan->second.queue);
+    if (queue != queues_.queues.end() &&
+        failed->second.size() >= queue->second.max_failures)
+    {
+        violations.push_back(fmt::format(
+            "{} starts after {} failures", text_of(task),
+            failed->second.size()));
+    }
+}
+
 auto dispatch_world::check_phases() -> void
 {
     if (!owner)
--- a/tests/support/dispatch_world_base.hpp
+++ b/tests/support/dispatch_world_base.hpp
@@ -75,8 +75,9 @@
  * its completion was acknowledged; the capacity of a worker must not be
  * exceeded; nothing may start in a drained data centre, nor on a worker that
  * the stored list lacks; a long-running task must not start on a worker that
- * the store does not name for it; and no customer may exceed its limit. No job
- * may be shown as active before a task of it has started.
+ * the store does not name for it; no customer may exceed its limit; and no task
+ * may start after as many acknowledged failures as its queue allows. No job may
+ * be shown as active before a task of it has started.
  */
 class dispatch_world
 {
@@ -88,6 +89,7 @@
     auto worker(std::string const& id) -> fake_dispatch_worker&;
     auto add_queue(state::queue_config queue) -> void;
     auto set_customers(state::customer_table customers) -> void;
+    auto remove_queue(std::string const& id) -> void;
     /** Moves queue "q" to another service. */
     auto set_service(core::service_id service) -> void;
 
@@ -218,6 +220,7 @@
         -> void;
     auto need_of(state::task_name const& name) const -> core::resources;
     auto check_limit(state::task_name const& task) -> void;
+    auto check_failures(state::task_name const& task) -> void;
     auto check_phases() -> void;
     /** Returns need_of(), with the declared processors of best-effort tasks. */
     auto charged_need(state::task_name const& name) const -> core::resources;
@@ -257,6 +260,8 @@
     std::map<std::string, state::job_plan> plans_;
     std::map<std::string, state::customer_id> customer_of_; ///< By job.
     std::set<std::string> done_; ///< Tasks with an acknowledged completion.
+    /** Runs of each task with an acknowledged failure. */
+    std::map<std::string, std::set<std::uint64_t>> failed_runs_;
     std::set<std::string> started_jobs_;
 };
 
