End the trial of a worker when a later run is at work there

Cause: a worker that has failed several runs in a row gets one short run at a time until a run ends done, however long that takes. A run that had begun before the failures counted as that one run too.

Ruled out: suspension (no start at all for 6 s, then any number) and want of room (15 cores free).

Change: a run that began after the last failure and has been at work for 5 s, with progress, ends the trial like an end done. Only such later runs count as the one run of a trial; one from before the failures proves nothing. So the state has a bound, and a worker that fails what it starts is avoided as before.

Tests: three of the four cases of dispatch_trial_test failed before; the fourth guards against workers whose runs stand still.

--- a/state/dispatch_internal.hpp
+++ b/state/dispatch_internal.hpp
@@ -528,6 +528,7 @@
     core::time_point reserved_until; ///< For a long-running task.
     /** Failed or stalled runs in a row that were attributed to the worker. */
     std::uint32_t consecutive_failures = 0;
+    core::time_point last_failure_at; ///< Of `consecutive_failures`.
     core::time_point suspended_until;
     std::uint32_t serving_runs = 0;     ///< Runs with a tail latency target.
     std::uint32_t best_effort_runs = 0; ///< Runs that use spare processors.
@@ -863,10 +864,14 @@
     auto record_worker_result(
         dispatch_worker& worker, job_entry& job, run_outcome outcome,
         core::time_point now) -> void;
-    /** Returns true if the worker has failed runs repeatedly and a run there
-     * may still fail for its fault. */
+    /** Returns true if the worker has failed runs repeatedly, and a later run
+     *  there may still fail for its fault. */
     [[nodiscard]] static auto
     is_on_trial(dispatch_worker const& worker, core::time_point now) -> bool;
+    /** Forgets the failures of a worker on which a later run is at work. */
+    static auto clear_failures(
+        dispatch_worker& worker, run_entry const& run, core::time_point now)
+        -> void;
     /** Counts a run whose worker process has ended, if it may be the cause. */
     auto count_crash(
         dispatch_worker& worker, run_entry const& run, core::time_point now)
--- a/state/dispatch_runs.cpp
+++ b/state/dispatch_runs.cpp
@@ -105,6 +105,7 @@
         run.percent_changed_at = now;
         note_work(run, row.percent, now);
     }
+    clear_failures(worker, run, now);
     run.measurement = row.measurement;
 }
 
@@ -451,6 +452,7 @@
         return;
     }
     ++worker.consecutive_failures;
+    worker.last_failure_at = now;
     if (worker.consecutive_failures >= failures_before_suspension)
     {
         auto const doublings = std::min(
@@ -515,6 +517,7 @@
         run.job->tasks[run.task].avoided_worker = worker.info.worker;
         worker.consecutive_failures = std::max(
             worker.consecutive_failures + 1, failures_before_suspension);
+        worker.last_failure_at = now;
         worker.suspended_until = now + first_suspension;
         event(
             "A run makes no progress and is moved.",
--- a/state/dispatch_schedule.cpp
+++ b/state/dispatch_schedule.cpp
@@ -25,8 +25,8 @@
 constexpr auto min_start_validity = std::chrono::milliseconds{250};
 constexpr auto stop_retry = std::chrono::milliseconds{400};
 constexpr auto stop_overrun = std::chrono::milliseconds{1000};
-// A long-running task that is at work for this long does not fail for the fault
-// of its worker.
+// A run that is at work for this long does not fail for the fault of its
+// worker.
 constexpr auto sound_run_time = std::chrono::seconds{5};
 // How long a worker stays reserved for a long-running task.
 constexpr auto reservation_time = std::chrono::milliseconds{2500};
@@ -397,11 +397,28 @@
     return worker.consecutive_failures > 1 &&
            std::any_of(
                worker.runs.begin(), worker.runs.end(),
-               [&](run_entry const& it) {
-                   return is_short(it) || now - it.ordered_at < sound_run_time;
+               [&](run_entry const& it)
+               {
+                   return it.ordered_at > worker.last_failure_at &&
+                          (is_short(it) ||
+                           now - it.ordered_at < sound_run_time);
                });
 }
 
+auto dispatcher::implementation::clear_failures(
+    dispatch_worker& worker, run_entry const& run, core::time_point now) -> void
+{
+    // A run from before the last failure does not tell whether the worker fails
+    // what it starts now.
+    auto const is_sound = run.ordered_at > worker.last_failure_at &&
+                          now - run.ordered_at >= sound_run_time &&
+                          run.percent > 0 && !run.stop_requested;
+    if (worker.consecutive_failures > 0 && is_sound)
+    {
+        worker.consecutive_failures = 0;
+    }
+}
+
 auto dispatcher::implementation::choose_worker(
     job_entry& job, step_entry& step, dispatch_task const& task,
     queue_config const& queue, core::time_point now,
