Leave long-running tasks out of the comparison of failures; share test steps

Cause: read again, fail_exhausted_jobs() relied on no long-running task ever having counted failures, which BUDGET does not limit. Change: it skips their steps.

--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -642,11 +642,17 @@
         {
             continue;
         }
-        auto const is_exhausted = std::any_of(
-            job->tasks.begin(), job->tasks.end(),
-            [&](auto const& it)
-            { return it.failed_runs.size() >= queue->max_failures; });
-        if (is_exhausted)
+        auto const is_exhausted = [&](step_entry const& step)
+        {
+            auto const first = job->tasks.begin() + step.first_task;
+            return !job->spec(step).long_running &&
+                   std::any_of(
+                       first, first + job->spec(step).tasks,
+                       [&](auto const& it) {
+                           return it.failed_runs.size() >= queue->max_failures;
+                       });
+        };
+        if (std::any_of(job->steps.begin(), job->steps.end(), is_exhausted))
         {
             finish_job(job, plan_phase::failed, now);
         }
--- a/tests/dispatch_failures_test.cpp
+++ b/tests/dispatch_failures_test.cpp
@@ -40,6 +40,26 @@
     return world;
 }
 
+// Removes the queue while the second run of job "j1" is at work.
+auto remove_queue_during_last_run(tests::dispatch_world& world) -> void
+{
+    ASSERT_TRUE(world.submit(tests::make_plan("j1", 1, 1000)));
+    world.run_for(300);
+    ASSERT_EQ(world.starts.size(), 2U);
+    world.remove_queue("q");
+}
+
+// Puts the queue back, and checks that the job ends without another run.
+auto check_end_with_queue(tests::dispatch_world& world) -> void
+{
+    ASSERT_EQ(world.running(), 0U);
+    world.add_queue(queue_with_failures(2));
+    world.run_for(1000);
+    EXPECT_EQ(world.starts.size(), 2U);
+    EXPECT_EQ(world.phase("j1"), plan_phase::failed);
+    EXPECT_TRUE(world.violations.empty());
+}
+
 } // namespace
 
 // Guards against a start after the last failure that the queue allows, which
@@ -47,17 +67,9 @@
 TEST(dispatch_failures, a_last_failure_counts_when_the_queue_is_back)
 {
     auto const world = failing_world();
-    ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
-    world->run_for(300);
-    ASSERT_EQ(world->starts.size(), 2U);
-    world->remove_queue("q");
-    world->run_for(1000);
-    ASSERT_EQ(world->running(), 0U);
-    world->add_queue(queue_with_failures(2));
+    remove_queue_during_last_run(*world);
     world->run_for(1000);
-    EXPECT_EQ(world->starts.size(), 2U);
-    EXPECT_EQ(world->phase("j1"), plan_phase::failed);
-    EXPECT_TRUE(world->violations.empty());
+    check_end_with_queue(*world);
 }
 
 // Guards against the same by an owner that hears of the failure before it has
@@ -67,22 +79,14 @@
     for (auto const heard_before : {true, false})
     {
         auto const world = failing_world();
-        ASSERT_TRUE(world->submit(tests::make_plan("j1", 1, 1000)));
-        world->run_for(300);
-        ASSERT_EQ(world->starts.size(), 2U);
-        world->remove_queue("q");
+        remove_queue_during_last_run(*world);
         if (heard_before)
         {
             world->run_for(1000);
         }
         world->begin_term();
         world->run_for(1000);
-        ASSERT_EQ(world->running(), 0U);
-        world->add_queue(queue_with_failures(2));
-        world->run_for(1000);
-        EXPECT_EQ(world->starts.size(), 2U);
-        EXPECT_EQ(world->phase("j1"), plan_phase::failed);
-        EXPECT_TRUE(world->violations.empty());
+        check_end_with_queue(*world);
     }
 }
 
