--- a/state/dispatch_jobs.cpp
+++ b/state/dispatch_jobs.cpp
@@ -17,6 +17,23 @@
 // Workers that can be reached report their ends in this time.
 constexpr auto min_recovery_time = std::chrono::seconds{1};
 
+// Returns true if a task has failed as often as its queue allows.
+auto has_exhausted_task(job_entry const& job, queue_config const& queue) -> bool
+{
+    return std::any_of(
+        job.steps.begin(), job.steps.end(),
+        [&](step_entry const& step)
+        {
+            auto const& spec = job.spec(step);
+            auto const first = job.tasks.begin() + step.first_task;
+            return !spec.long_running &&
+                   std::any_of(
+                       first, first + spec.tasks,
+                       [&](dispatch_task const& it)
+                       { return it.failed_runs.size() >= queue.max_failures; });
+        });
+}
+
 } // namespace
 
 auto job_entry::step_of(std::uint32_t task) -> step_entry&
@@ -642,17 +659,7 @@
         {
             continue;
         }
-        auto const is_exhausted = [&](step_entry const& step)
-        {
-            auto const first = job->tasks.begin() + step.first_task;
-            return !job->spec(step).long_running &&
-                   std::any_of(
-                       first, first + job->spec(step).tasks,
-                       [&](auto const& it) {
-                           return it.failed_runs.size() >= queue->max_failures;
-                       });
-        };
-        if (std::any_of(job->steps.begin(), job->steps.end(), is_exhausted))
+        if (has_exhausted_task(*job, *queue))
         {
             finish_job(job, plan_phase::failed, now);
         }
